Serve the thin whole path over real sockets

The path from caller to targets exists end to end: h11 server, reducer with effects as data, target pool, platform and target stand-ins, two entry processes started by make demo.

Not built yet: admission, hedging, cold targets, claims, control, peers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Every target sets up the virtual environment from the lock file first.
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed-$(shell sha256sum requirements/dev.txt | cut -c1-16)
+SEED ?= 1
+
+.PHONY: demo test lint format check-format types unit measure binary proto golden fuzz capacity clean
+
+$(STAMP): requirements/dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --requirement requirements/dev.txt
+	touch $@
+
+demo: $(STAMP)
+	bash scripts/demo.sh $(BIN)/python
+
+test: check-format lint types unit
+
+check-format: $(STAMP)
+	$(BIN)/ruff format --check nutmegstep tests
+
+format: $(STAMP)
+	$(BIN)/ruff format nutmegstep tests
+
+lint: $(STAMP)
+	$(BIN)/flake8 nutmegstep tests
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+unit: $(STAMP)
+	$(BIN)/python -m pytest -q --cov --cov-report=term
+
+measure: $(STAMP)
+	$(BIN)/python -m nutmegstep.measure --seed $(SEED)
--- /dev/null
+++ b/nutmegstep/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command line."""
+
+from nutmegstep.cli.core import main
+
+__all__ = ['main']
--- /dev/null
+++ b/nutmegstep/clock/__init__.py
@@ -0,0 +1,5 @@
+"""Clock interface and its implementations."""
+
+from nutmegstep.clock.core import Clock, ManualClock, SystemClock
+
+__all__ = ['Clock', 'ManualClock', 'SystemClock']
--- /dev/null
+++ b/nutmegstep/demo/__init__.py
@@ -0,0 +1,3 @@
+"""Demonstration over real sockets."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/nutmegstep/runtime/__init__.py
@@ -0,0 +1,5 @@
+"""The asyncio shell around the reducer."""
+
+from nutmegstep.runtime.core import Runtime
+
+__all__ = ['Runtime']
--- /dev/null
+++ b/nutmegstep/standins/deployments.py
@@ -0,0 +1,111 @@
+"""Shapes of the two example deployments, for stand-ins."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from types import MappingProxyType
+from typing import Final
+
+from nutmegstep.model import (
+    CoverageRule,
+    Fleet,
+    IndexVersion,
+    Service,
+    Shard,
+    Target,
+    WorkClass,
+)
+
+__all__ = ['SHAPES_BY_DEPLOYMENT', 'GroupShape', 'build_fleet', 'build_version']
+
+_DOMAINS: Final = ('domain-1', 'domain-2', 'domain-3')
+_ENTRY_VMS_MAX: Final = 7
+
+
+@dataclass(frozen=True, slots=True)
+class GroupShape:
+    """Shards of one group and the limits of their targets."""
+
+    name: str
+    shards: int
+    replicas: int
+    slots: int
+    connections: int
+    mean_ms: float
+
+
+SHAPES_BY_DEPLOYMENT: Final[Mapping[str, tuple[GroupShape, ...]]] = (
+    MappingProxyType(
+        {
+            'vidzeme': (
+                GroupShape('catalogue', 10, 3, 3, 30, 6),
+                GroupShape('planning', 15, 3, 3, 30, 6),
+            ),
+            'lothian': (
+                GroupShape('award', 10, 3, 2, 25, 6),
+                GroupShape('ledger', 15, 3, 2, 25, 6),
+            ),
+        }
+    )
+)
+
+
+def build_version(deployment: str, number: int) -> IndexVersion:
+    """Return the shard map of a deployment."""
+    return IndexVersion(
+        number,
+        {
+            shard.name: shard
+            for shape in SHAPES_BY_DEPLOYMENT[deployment]
+            for shard in _shards(shape)
+        },
+    )
+
+
+def build_fleet(deployment: str, port_by_target: Mapping[str, int]) -> Fleet:
+    """Return the configuration of a deployment on loopback addresses."""
+    shapes = SHAPES_BY_DEPLOYMENT[deployment]
+    targets = {
+        name: Target(
+            name,
+            '127.0.0.1',
+            port_by_target[name],
+            _DOMAINS[position % len(_DOMAINS)],
+            shape.slots,
+            1,
+            shape.connections,
+        )
+        for shape in shapes
+        for shard in _shards(shape)
+        for position, name in enumerate(shard.replicas)
+    }
+    groups = tuple(shape.name for shape in shapes)
+    service = Service(
+        'all-records',
+        'records',
+        groups,
+        WorkClass.INTERACTIVE,
+        CoverageRule.WHOLE,
+        timedelta(seconds=1),
+    )
+    return Fleet(
+        1,
+        {service.name: service},
+        targets,
+        _ENTRY_VMS_MAX,
+        dict.fromkeys(_DOMAINS, 2),
+    )
+
+
+def _shards(shape: GroupShape) -> list[Shard]:
+    return [
+        Shard(
+            f'{shape.name}-{number:02d}',
+            shape.name,
+            tuple(
+                f'{shape.name}-{number:02d}-{replica}'
+                for replica in range(shape.replicas)
+            ),
+        )
+        for number in range(shape.shards)
+    ]
--- /dev/null
+++ b/nutmegstep/verdict/__init__.py
@@ -0,0 +1,11 @@
+"""Verdicts: whether a refused request may have run."""
+
+from nutmegstep.verdict.core import (
+    Reason,
+    Refusal,
+    Verdict,
+    http_status,
+    refuse,
+)
+
+__all__ = ['Reason', 'Refusal', 'Verdict', 'http_status', 'refuse']
--- /dev/null
+++ b/nutmegstep/verdict/core.py
@@ -0,0 +1,139 @@
+"""Verdict, reason and refusal types shared by every path."""
+
+import enum
+from dataclasses import dataclass
+from datetime import timedelta
+from types import MappingProxyType
+from typing import Final
+
+__all__ = ['Reason', 'Refusal', 'Verdict', 'http_status', 'refuse']
+
+
+@enum.unique
+class Verdict(enum.Enum):
+    """Whether any attempt of a request may have run on a target."""
+
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+    RAN = 'ran'
+
+
+@enum.unique
+class Reason(enum.Enum):
+    """Why a request was refused; the value is the name on the wire."""
+
+    BAD_REQUEST = 'bad_request'
+    TOO_LARGE = 'too_large'
+    UNKNOWN_SERVICE = 'unknown_service'
+    NO_CONFIGURATION = 'no_configuration'
+    OVERLOADED = 'overloaded'
+    DRAINING = 'draining'
+    DOMAIN_WITHDRAWN = 'domain_withdrawn'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    INCOMPLETE = 'incomplete'
+    SNAPSHOT_UNAVAILABLE = 'snapshot_unavailable'
+    TARGET_FAILED = 'target_failed'
+    CLAIM_UNAVAILABLE = 'claim_unavailable'
+    ALREADY_CLAIMED = 'already_claimed'
+    KEY_EXPIRED = 'key_expired'
+    KEY_INVALID = 'key_invalid'
+    KEY_REUSED = 'key_reused'
+    CALLER_GONE = 'caller_gone'
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A typed refusal.
+
+    Parameters
+    ----------
+    verdict : Verdict
+        Covers every attempt of the request, not only the latest one.
+    reason : Reason
+        Why the request was refused.
+    retry_after : datetime.timedelta
+        When the caller is asked to come back.
+    detail : str
+        One sentence for a person; never contains request bodies or keys.
+    attempt_verdict : Verdict
+        Covers this request alone, not its earlier attempts.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    retry_after: timedelta
+    detail: str
+    attempt_verdict: Verdict
+
+
+_DEFAULT_RETRY_AFTER: Final = timedelta(milliseconds=200)
+
+_STATUS_BY_REASON: Final = MappingProxyType(
+    {
+        Reason.BAD_REQUEST: 400,
+        Reason.KEY_INVALID: 400,
+        Reason.UNKNOWN_SERVICE: 404,
+        Reason.ALREADY_CLAIMED: 409,
+        Reason.KEY_EXPIRED: 409,
+        Reason.KEY_REUSED: 409,
+        Reason.TOO_LARGE: 413,
+        Reason.OVERLOADED: 429,
+        Reason.DEADLINE_EXCEEDED: 504,
+    }
+)
+_DEFAULT_STATUS: Final = 503
+
+
+def http_status(reason: Reason) -> int:
+    """Return the HTTP status code that carries a refusal.
+
+    Examples
+    --------
+    >>> http_status(Reason.OVERLOADED)
+    429
+    >>> http_status(Reason.DRAINING)
+    503
+    """
+    return _STATUS_BY_REASON.get(reason, _DEFAULT_STATUS)
+
+
+def refuse(
+    verdict: Verdict,
+    reason: Reason,
+    detail: str,
+    *,
+    retry_after: timedelta = _DEFAULT_RETRY_AFTER,
+    attempt_verdict: Verdict | None = None,
+) -> Refusal:
+    """Build a refusal with the default pacing.
+
+    Parameters
+    ----------
+    verdict : Verdict
+        Covers every attempt of the request.
+    reason : Reason
+        Why the request is refused.
+    detail : str
+        One sentence for a person.
+    retry_after : datetime.timedelta, optional
+        When the caller is asked to come back.
+    attempt_verdict : Verdict, optional
+        Covers this request alone; the same as `verdict` by default.
+
+    Returns
+    -------
+    Refusal
+        The refusal.
+
+    Examples
+    --------
+    >>> refuse(Verdict.NOT_RUN, Reason.OVERLOADED, 'queue is full').reason
+    <Reason.OVERLOADED: 'overloaded'>
+    """
+    return Refusal(
+        verdict,
+        reason,
+        retry_after,
+        detail,
+        attempt_verdict or verdict,
+    )
