--- a/nutmegstep/cli/core.py
+++ b/nutmegstep/cli/core.py
@@ -1,55 +1,17 @@
-"""Commands of the operators."""
+"""Parses the command line and runs a command."""
 
 import argparse
-import asyncio
-from pathlib import Path
-from random import Random
+import sys
 
-from nutmegstep.callers import CallerInterface
-from nutmegstep.clock import SystemClock
-from nutmegstep.declarations import decode_catalogue, decode_fleet
-from nutmegstep.engine import EngineState
-from nutmegstep.engine.events import CatalogueChanged, FleetChanged
-from nutmegstep.platform_api import PlatformClient
-from nutmegstep.runtime import Runtime
-from nutmegstep.targets import TargetPool
-from nutmegstep.web import serve_http
+from nutmegstep.cli import serve
 
 __all__ = ['main']
 
 
-async def _load(runtime: Runtime, address: str) -> None:
-    host, port = address.rsplit(':', 1)
-    platform = PlatformClient(host, int(port))
-    fleet = decode_fleet((await platform.get('config/fleet')).document)
-    runtime.dispatch(FleetChanged(fleet))
-    indexes = {service.index for service in fleet.services_by_name.values()}
-    for index in indexes:
-        stored = await platform.get(f'indexes/{index}')
-        versions = decode_catalogue(stored.document)
-        runtime.dispatch(CatalogueChanged(index, versions))
-
-
-async def _serve(arguments: argparse.Namespace) -> None:
-    clock = SystemClock()
-    state = EngineState(arguments.failure_domain, Random())
-    runtime = Runtime(state, clock, TargetPool(clock))
-    await _load(runtime, arguments.platform)
-    interface = CallerInterface(runtime, clock)
-    server = await serve_http(interface.handle, arguments.host, 0)
-    chosen = server.sockets[0].getsockname()[1]
-    arguments.port_file.write_text(f'{arguments.host}:{chosen}')
-    await asyncio.Event().wait()
-
-
 def main() -> None:
-    """Parse the arguments and run a command."""
+    """Parse the arguments, run a command and exit with its code."""
     parser = argparse.ArgumentParser(prog='nutmegstep')
     commands = parser.add_subparsers(required=True)
-    serve = commands.add_parser('serve', help='run an entry process')
-    serve.add_argument('--host', default='127.0.0.1')
-    serve.add_argument('--platform', required=True)
-    serve.add_argument('--failure-domain', required=True)
-    serve.add_argument('--port-file', type=Path, required=True)
+    serve.add_parser(commands)
     arguments = parser.parse_args()
-    asyncio.run(_serve(arguments))
+    sys.exit(arguments.run(arguments))
