--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,13 @@
 
 measure: $(STAMP)
 	$(BIN)/python -m nutmegstep.measure --seed $(SEED)
+
+# Longer random histories: make fuzz FUZZ_EXAMPLES=2000 FUZZ_SEED=7
+fuzz: $(STAMP)
+	FUZZ_EXAMPLES=$(or $(FUZZ_EXAMPLES),1000) FUZZ_STEPS=$(or $(FUZZ_STEPS),50) \
+	FUZZ_SEED=$(or $(FUZZ_SEED),1) \
+	$(BIN)/python -m pytest -q --timeout=3600 tests/scenarios/test_random_histories.py
+
+# Rewrites the golden files of whole sessions; read the diff before committing.
+golden: $(STAMP)
+	$(BIN)/python -m pytest -q tests/golden --snapshot-update
--- a/tests/claims/fakes.py
+++ b/tests/claims/fakes.py
@@ -1,5 +1,6 @@
 """Several VMs that claim keys at one small platform, driven step by step."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from uuid import UUID
@@ -28,10 +29,12 @@
 from nutmegstep.engine.events import ClaimRefused, ClaimReplayed, ClaimWon
 from nutmegstep.model import OneShotRequest
 
-__all__ = ['Cluster', 'make_key']
+__all__ = ['ClaimNotice', 'Cluster', 'make_key']
 
 _CALL_SECONDS = 0.003
 
+ClaimNotice = ClaimWon | ClaimReplayed | ClaimRefused
+
 
 def make_key(clock: ManualClock, random: Random) -> UUID:
     """Return a UUID version 7 with the date of the clock."""
@@ -53,6 +56,9 @@
     replayed: list[ClaimReplayed] = field(default_factory=list)
     refused: list[ClaimRefused] = field(default_factory=list)
     revision: int = 0
+    deliver: Callable[[bytes, ClaimNotice], None] | None = None
+    paused: set[bytes] = field(default_factory=set)
+    held_back: list[tuple[bytes, ClaimEvent]] = field(default_factory=list)
     platform_down: bool = False
     lost_answers: int = 0
 
@@ -80,6 +86,15 @@
             body,
             now + timeout,
         )
+        self.request_claim(vm, request, query_id)
+
+    def request_claim(
+        self,
+        vm: bytes,
+        request: OneShotRequest,
+        query_id: int,
+    ) -> None:
+        """Let a VM claim the key of a request."""
         self.dispatch(vm, ClaimRequested(query_id, request, self.clock.now()))
 
     def settle(self, vm: bytes, event: ClaimSettled) -> None:
@@ -88,6 +103,9 @@
 
     def dispatch(self, vm: bytes, event: ClaimEvent) -> None:
         """Apply an event and keep the effects as calls under way."""
+        if vm in self.paused:
+            self.held_back.append((vm, event))
+            return
         state = self.vms_by_name.get(vm)
         if state is None:
             return
@@ -104,12 +122,16 @@
             self.step(0)
 
     def step(self, position: int) -> None:
-        """Finish one call."""
+        """Finish one call after the time that it takes."""
         vm, effect = self.calls.pop(position)
         self.clock.advance(_CALL_SECONDS)
         if isinstance(effect, WakeAt):
-            behind = max(0, effect.at - self.clock.monotonic())
-            self.clock.advance(behind)
+            self.clock.advance(max(0, effect.at - self.clock.monotonic()))
+        self.perform(vm, effect)
+
+    def perform(self, vm: bytes, effect: ClaimEffect) -> None:
+        """Finish a call now."""
+        if isinstance(effect, WakeAt):
             self.dispatch(vm, Woken())
         elif isinstance(effect, AskClaimer):
             self.dispatch(vm, self._ask(effect))
@@ -118,8 +140,18 @@
         elif isinstance(effect, WriteJournal):
             self.dispatch(vm, self._write(effect))
 
+    def resume(self, vm: bytes) -> None:
+        """Let a paused VM handle what it missed."""
+        self.paused.discard(vm)
+        held_back = self.held_back
+        self.held_back = []
+        for owner, event in held_back:
+            self.dispatch(owner, event)
+
     def _take(self, vm: bytes, effect: Notify) -> None:
-        if isinstance(effect.event, ClaimWon):
+        if self.deliver:
+            self.deliver(vm, effect.event)
+        elif isinstance(effect.event, ClaimWon):
             self.won.append((vm, effect.event))
         elif isinstance(effect.event, ClaimReplayed):
             self.replayed.append(effect.event)
@@ -128,7 +160,7 @@
 
     def _ask(self, effect: AskClaimer) -> ClaimerReplied:
         claimer = self.vms_by_name.get(effect.claimer)
-        if claimer is None:
+        if claimer is None or effect.claimer in self.paused:
             return ClaimerReplied(effect.query_id, None)
         now = self.clock.monotonic()
         status = claimer.own.status(effect.key.bytes, now)
--- /dev/null
+++ b/tests/scenarios/test_random_histories.py
@@ -0,0 +1,193 @@
+"""Random histories under the invariants of the scenarios.
+
+`make fuzz` runs more and longer histories. A history that fails is printed
+as the steps of a scenario file.
+"""
+
+import os
+from typing import Any
+
+import yaml
+from hypothesis import note, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from nutmegstep.model import CoverageRule
+from tests.scenarios.invariants import check_all
+from tests.scenarios.language import LayoutModel, Scenario, Step
+from tests.scenarios.runner import apply_step, start_world
+from tests.scenarios.world import World
+
+_EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '40'))
+_STEPS = int(os.environ.get('FUZZ_STEPS', '30'))
+_SEED = int(os.environ.get('FUZZ_SEED', '20261204'))
+
+_TARGETS = ('t00', 't01', 't10', 't11')
+_BEHAVIOURS = (
+    'ok',
+    'ok',
+    'silent',
+    'reset_before',
+    'reset_after',
+    'connect',
+    'shed',
+    'draining',
+    'invalid',
+    'error',
+    'wrong_version',
+    'crossed',
+)
+_VMS = ('vm0', 'vm1')
+_vms = st.sampled_from(_VMS)
+_domains = st.sampled_from([[], [], ['domain-0'], ['domain-1']])
+
+
+class Histories(RuleBasedStateMachine):
+    """Two VMs, four targets, faults of every kind in any order."""
+
+    world: World
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.steps: list[dict[str, Any]] = []
+        self.once: list[str] = []
+        self.asked = 0
+        self.version = 41
+
+    @initialize(
+        coverage=st.sampled_from(CoverageRule),
+        slots=st.integers(1, 3),
+        cold=st.booleans(),
+    )
+    def start(self, coverage: CoverageRule, slots: int, *, cold: bool) -> None:
+        """Start with warm or cold targets."""
+        layout = LayoutModel(coverage=coverage, slots=slots)
+        note(f'layout: {layout.model_dump(mode="json")}, cold_start: {cold}')
+        self.world = start_world(
+            Scenario(
+                guards_against='random faults',
+                guarantees=[],
+                layout=layout,
+                cold_start=cold,
+                steps=[],
+            ),
+        )
+
+    def step(self, **action: Any) -> None:
+        """Apply a step and keep it for the report."""
+        self.steps.append(action)
+        apply_step(self.world, Step.model_validate(action))
+
+    @rule(vm=_vms, timeout=st.sampled_from([50, 400, 1500]))
+    def ask(self, vm: str, timeout: int) -> None:
+        """Send a query."""
+        self.asked += 1
+        name = f'q{self.asked}'
+        self.step(ask={'name': name, 'vm': vm, 'timeout_ms': timeout})
+
+    @rule(vm=_vms, timeout=st.sampled_from([50, 400, 1500]))
+    def ask_once(self, vm: str, timeout: int) -> None:
+        """Send a one-shot request."""
+        self.asked += 1
+        name = f'o{self.asked}'
+        self.once.append(name)
+        self.step(
+            ask={'name': name, 'vm': vm, 'timeout_ms': timeout, 'once': True},
+        )
+
+    @rule(vm=_vms, position=st.integers(0, 20))
+    def repeat(self, vm: str, position: int) -> None:
+        """Repeat a one-shot request at some VM."""
+        if self.once:
+            first = self.once[position % len(self.once)]
+            self.asked += 1
+            name = f'r{self.asked}'
+            self.step(ask={'name': name, 'vm': vm, 'repeat_of': first})
+
+    @rule(
+        name=st.sampled_from(_TARGETS),
+        behaviour=st.sampled_from(_BEHAVIOURS),
+        latency=st.sampled_from([1, 20, 300]),
+    )
+    def change_target(self, name: str, behaviour: str, latency: int) -> None:
+        """Change what a target does."""
+        self.step(
+            targets={
+                'names': [name],
+                'behaviour': behaviour,
+                'latency_ms': latency,
+            },
+        )
+
+    @rule(names=st.sets(st.sampled_from(_TARGETS), min_size=1))
+    def new_version(self, names: set[str]) -> None:
+        """Publish an index version that some targets switch to."""
+        self.version += 1
+        versions = {self.version - 1: 2, self.version: 2}
+        self.step(catalogue=versions)
+        self.step(targets={'names': sorted(names), 'versions': list(versions)})
+
+    @rule(mode=st.sampled_from(['up', 'down', 'lose_answer']))
+    def platform(self, mode: str) -> None:
+        """Change the state of the platform."""
+        self.step(platform=mode)
+
+    @rule(vm=_vms)
+    def pause(self, vm: str) -> None:
+        """Pause a VM, or let a paused one go on."""
+        paused = self.world.vms_by_name[vm].paused
+        self.step(**{'resume' if paused else 'pause': vm})
+
+    @rule(vm=_vms, domains=_domains)
+    def withdraw(self, vm: str, domains: list[str]) -> None:
+        """Withdraw failure domains on a VM."""
+        if not self.world.vms_by_name[vm].paused:
+            self.step(withdraw={vm: domains})
+
+    @rule(vm=_vms, names=st.sets(st.sampled_from(_TARGETS)))
+    def drain_targets(self, vm: str, names: set[str]) -> None:
+        """Drain targets on a VM."""
+        if not self.world.vms_by_name[vm].paused:
+            self.step(drain_targets={vm: sorted(names)})
+
+    @rule(vm=_vms, seconds=st.sampled_from([0, 0.2, 3]))
+    def allow(self, vm: str, seconds: float) -> None:
+        """Allow one VM, and only that one, to send to cold targets."""
+        other = _VMS[1 - _VMS.index(vm)]
+        quiet = self.world.last_allowed.get(other, 0) + _PROMISE_MARGIN
+        if self.world.now >= quiet and not self.world.vms_by_name[vm].paused:
+            self.world.last_allowed[vm] = self.world.now + seconds
+            self.step(allow={vm: dict.fromkeys(_TARGETS, seconds)})
+
+    @rule(milliseconds=st.sampled_from([1, 4, 30, 200, 1200, 6000]))
+    def wait(self, milliseconds: int) -> None:
+        """Let time pass and deliver what is due."""
+        at_ms = self.world.now * 1000 + milliseconds
+        self.steps.append({'at_ms': at_ms})
+        self.world.run_until(at_ms / 1000, lambda: check_all(self.world))
+
+    @invariant()
+    def guarantees(self) -> None:
+        """Every guarantee holds."""
+        if hasattr(self, 'world'):
+            check_all(self.world)
+
+    def teardown(self) -> None:
+        """Report the history as the steps of a scenario."""
+        note(yaml.safe_dump({'steps': self.steps}))
+
+
+_PROMISE_MARGIN = 2.0
+
+TestHistories = seed(_SEED)(Histories.TestCase)
+TestHistories.settings = settings(
+    max_examples=_EXAMPLES,
+    stateful_step_count=_STEPS,
+    deadline=None,
+    database=None,
+)
--- /dev/null
+++ b/tests/scenarios/world.py
@@ -0,0 +1,456 @@
+"""Entry processes' reducers with fakes at their interfaces.
+
+There is no model of a network: an effect becomes an event after a latency
+that the scenario sets.
+"""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from functools import partial
+from itertools import count
+from random import Random
+from uuid import UUID
+
+import orjson
+
+from nutmegstep.claims.messages import ClaimEffect, ClaimSettled, WakeAt
+from nutmegstep.engine import EngineState, reduce
+from nutmegstep.engine.effects import (
+    CancelAttempt,
+    CancelTimer,
+    Effect,
+    FinishDrain,
+    ReplyAnswer,
+    ReplyRefusal,
+    RequestClaim,
+    SendToTarget,
+    SetTimer,
+    SettleClaim,
+)
+from nutmegstep.engine.events import (
+    Event,
+    OneShotArrived,
+    QueryArrived,
+    TimerFired,
+    TimerKey,
+)
+from nutmegstep.model import (
+    Answer,
+    CoverageRule,
+    Fleet,
+    IdempotentQuery,
+    IndexVersion,
+    OneShotRequest,
+    Service,
+    Shard,
+    Target,
+    WorkClass,
+)
+from nutmegstep.verdict import Refusal
+from tests.claims.fakes import ClaimNotice, Cluster, make_key
+from tests.scenarios.targets import FakeTarget
+
+__all__ = ['Asked', 'Layout', 'Vm', 'World']
+
+_PLATFORM_SECONDS = 0.003
+
+
+@dataclass(frozen=True)
+class Layout:
+    """Shape of the configuration that a scenario starts with."""
+
+    shards: int = 2
+    replicas: int = 2
+    slots: int = 4
+    cold_slots: int = 1
+    vms: int = 2
+    version: int = 41
+    coverage: CoverageRule = CoverageRule.WHOLE
+    work_class: WorkClass = WorkClass.INTERACTIVE
+
+
+@dataclass
+class Asked:
+    """A caller's request and what it was told."""
+
+    name: str
+    vm: str
+    arrived: float
+    key: UUID | None = None
+    record: str | None = None
+    body: bytes = b''
+    reply: Answer | Refusal | None = None
+    replied: float = 0
+    gone: bool = False
+
+
+@dataclass
+class Vm:
+    """One entry process."""
+
+    name: str
+    engine: EngineState
+    incarnation: bytes
+    paused: bool = False
+    drained: bool = False
+    held_back: list[Event] = field(default_factory=list)
+    requests_by_query: dict[int, OneShotRequest] = field(default_factory=dict)
+
+
+class World:
+    """Runs reducers in manual time and records every message."""
+
+    def __init__(self, layout: Layout, seed: int = 1) -> None:
+        self.layout = layout
+        self.cluster = Cluster(Random(seed))
+        self.cluster.deliver = self._deliver_claim
+        self.clock = self.cluster.clock
+        self.transcript: list[str] = []
+        self.asked_by_name: dict[str, Asked] = {}
+        self.generation = 0
+        self.targets_by_name = {
+            target.name: target for target in _make_targets(layout)
+        }
+        self.vms_by_name = {
+            vm.name: vm for vm in map(self._make_vm, range(layout.vms))
+        }
+        self.sends: list[tuple[float, str, SendToTarget]] = []
+        self.shards_by_version: dict[int, set[str]] = {}
+        self.withdrawn_by_vm: dict[str, frozenset[str]] = {}
+        self.draining_by_vm: dict[str, frozenset[str]] = {}
+        self.withdrawn_at: dict[tuple[str, str], float] = {}
+        self.draining_at: dict[tuple[str, str], float] = {}
+        self.generation_by_vm: dict[str, int] = {}
+        self.runs_when_refused: dict[str, int] = {}
+        self.last_allowed: dict[str, float] = {}
+        self._asked_by_query: dict[tuple[str, int], Asked] = {}
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self._cancelled: set[tuple[str, int]] = set()
+        self._target_by_attempt: dict[tuple[str, int], str] = {}
+        self._timers: dict[tuple[str, TimerKey], int] = {}
+        self._last_query_id = 0
+
+    @property
+    def now(self) -> float:
+        """Monotonic instant in seconds."""
+        return self.clock.monotonic()
+
+    def fleet(self) -> Fleet:
+        """Return a configuration with the next generation."""
+        self.generation += 1
+        service = Service(
+            'records',
+            'index',
+            ('all',),
+            self.layout.work_class,
+            self.layout.coverage,
+            timedelta(seconds=10),
+        )
+        targets = {
+            fake.name: Target(
+                fake.name,
+                '127.0.0.1',
+                1,
+                fake.failure_domain,
+                fake.slots,
+                fake.cold_slots,
+                100,
+            )
+            for fake in self.targets_by_name.values()
+        }
+        return Fleet(
+            self.generation,
+            {service.name: service},
+            targets,
+            self.layout.vms,
+            {'domain-0': 1, 'domain-1': 1},
+        )
+
+    def version(self, number: int, shards: int | None = None) -> IndexVersion:
+        """Return an index version; its shard map may have another size."""
+        names = [
+            f's{position}' for position in range(shards or self.layout.shards)
+        ]
+        return IndexVersion(
+            number,
+            {
+                name: Shard(name, 'all', self._replicas(position))
+                for position, name in enumerate(names)
+            },
+        )
+
+    def ask(
+        self,
+        name: str,
+        vm: str,
+        timeout: float = 1,
+        record: str | None = None,
+        text: str | None = None,
+    ) -> None:
+        """Send an idempotent query or look-up to a VM."""
+        query_id = self._register(name, vm, text or name)
+        asked = self.asked_by_name[name]
+        asked.record = record
+        query = IdempotentQuery(
+            name,
+            'records',
+            asked.body,
+            self.now + timeout,
+            record,
+        )
+        self.note(f'caller -> {vm}: query {name}')
+        self.dispatch(vm, QueryArrived(query_id, query))
+
+    def ask_once(
+        self,
+        name: str,
+        vm: str,
+        timeout: float = 1,
+        repeat_of: str | None = None,
+    ) -> None:
+        """Send a one-shot request, or a repeat of an earlier one."""
+        first = self.asked_by_name[repeat_of] if repeat_of else None
+        query_id = self._register(name, vm, first.name if first else name)
+        asked = self.asked_by_name[name]
+        asked.key = (
+            first.key if first else make_key(self.clock, self.cluster.random)
+        )
+        assert asked.key is not None
+        if first:
+            asked.body = first.body
+        request = OneShotRequest(
+            name,
+            'records',
+            'record-1',
+            asked.key,
+            asked.body,
+            self.now + timeout,
+        )
+        self.vms_by_name[vm].requests_by_query[query_id] = request
+        self.note(f'caller -> {vm}: one-shot {name}')
+        self.dispatch(vm, OneShotArrived(query_id, request))
+
+    def query_id(self, name: str) -> int:
+        """Return the identifier of a request in its VM's engine."""
+        return next(
+            query_id
+            for (_, query_id), asked in self._asked_by_query.items()
+            if asked.name == name
+        )
+
+    def note(self, line: str) -> None:
+        """Add a line to the transcript."""
+        self.transcript.append(f'{self.now * 1000:9.1f} ms  {line}')
+
+    def dispatch(self, vm_name: str, event: Event) -> None:
+        """Deliver an event, or hold it back while the VM is paused."""
+        vm = self.vms_by_name.get(vm_name)
+        if vm is None:
+            return
+        if vm.paused:
+            vm.held_back.append(event)
+            return
+        for effect in reduce(vm.engine, event, self.now):
+            self._perform(vm, effect)
+
+    def run_until(self, instant: float, check: Callable[[], None]) -> None:
+        """Deliver everything that is due, checking after each delivery."""
+        while self._queue and self._queue[0][0] <= instant:
+            due, _, action = heapq.heappop(self._queue)
+            self.clock.advance(max(0, due - self.now))
+            action()
+            check()
+        self.clock.advance(max(0, instant - self.now))
+        check()
+
+    def later(self, delay: float, action: Callable[[], None]) -> None:
+        """Run an action after a delay in seconds."""
+        entry = (self.now + delay, next(self._order), action)
+        heapq.heappush(self._queue, entry)
+
+    def pause(self, vm_name: str) -> None:
+        """Stop a VM; what arrives meanwhile is handled on its return."""
+        vm = self.vms_by_name[vm_name]
+        vm.paused = True
+        self.cluster.paused.add(vm.incarnation)
+
+    def resume(self, vm_name: str) -> None:
+        """Let a paused VM handle what it missed."""
+        vm = self.vms_by_name[vm_name]
+        vm.paused = False
+        self.cluster.resume(vm.incarnation)
+        self._take_calls()
+        held_back = vm.held_back
+        vm.held_back = []
+        for event in held_back:
+            self.dispatch(vm_name, event)
+
+    def lose(self, vm_name: str) -> None:
+        """Stop a VM without notice; its connections close."""
+        vm = self.vms_by_name.pop(vm_name)
+        self.cluster.vms_by_name.pop(vm.incarnation)
+        for target in self.targets_by_name.values():
+            target.in_flight = {
+                attempt for attempt in target.in_flight if attempt[0] != vm_name
+            }
+        for asked in self.asked_by_name.values():
+            asked.gone = asked.gone or asked.vm == vm_name
+
+    def _make_vm(self, number: int) -> Vm:
+        engine = EngineState(f'domain-{number % 2}', Random(number))
+        return Vm(f'vm{number}', engine, self.cluster.start_vm())
+
+    def _replicas(self, position: int) -> tuple[str, ...]:
+        shard = position % self.layout.shards
+        return tuple(
+            f't{shard}{replica}' for replica in range(self.layout.replicas)
+        )
+
+    def _register(self, name: str, vm: str, text: str) -> int:
+        self._last_query_id += 1
+        asked = Asked(name, vm, self.now, body=orjson.dumps({'text': text}))
+        self.asked_by_name[name] = asked
+        self._asked_by_query[(vm, self._last_query_id)] = asked
+        return self._last_query_id
+
+    def _perform(self, vm: Vm, effect: Effect) -> None:
+        match effect:
+            case SendToTarget():
+                self._send(vm, effect)
+            case CancelAttempt():
+                self._cancel(vm, effect.attempt_id)
+            case SetTimer():
+                self._set_timer(vm, effect)
+            case CancelTimer():
+                self._timers.pop((vm.name, effect.timer), None)
+            case RequestClaim() | SettleClaim():
+                self._claim(vm, effect)
+            case ReplyAnswer() | ReplyRefusal():
+                self._reply(vm, effect)
+            case _:
+                vm.drained = vm.drained or isinstance(effect, FinishDrain)
+                self.note(f'{vm.name}: {effect}')
+
+    def _claim(self, vm: Vm, effect: RequestClaim | SettleClaim) -> None:
+        if isinstance(effect, RequestClaim):
+            self.cluster.request_claim(
+                vm.incarnation,
+                vm.requests_by_query[effect.query_id],
+                effect.query_id,
+            )
+        else:
+            settled = ClaimSettled(
+                effect.idempotency_key,
+                effect.answer,
+                effect.may_have_run,
+            )
+            self.cluster.settle(vm.incarnation, settled)
+        self._take_calls()
+
+    def _send(self, vm: Vm, effect: SendToTarget) -> None:
+        self.sends.append((self.now, vm.name, effect))
+        self.note(
+            f'{vm.name} -> {effect.target}: {effect.shard} '
+            f'version {effect.index_version} #{effect.attempt_id}',
+        )
+        attempt = (vm.name, effect.attempt_id)
+        target = self.targets_by_name[effect.target]
+        self._target_by_attempt[attempt] = target.name
+        outcome = target.receive(vm.name, effect)
+        if outcome is not None:
+            crossed = target.behaviour == 'crossed'
+            self.later(
+                target.latency,
+                lambda: self._arrive(attempt, outcome, crossed=crossed),
+            )
+
+    def _arrive(
+        self,
+        attempt: tuple[str, int],
+        outcome: Event,
+        *,
+        crossed: bool,
+    ) -> None:
+        vm_name, attempt_id = attempt
+        target = self._target_by_attempt[attempt]
+        self.targets_by_name[target].finish(vm_name, attempt_id)
+        if attempt in self._cancelled and not crossed:
+            return
+        kind = type(outcome).__name__
+        self.note(f'{target} -> {vm_name}: {kind} #{attempt_id}')
+        self.dispatch(vm_name, outcome)
+
+    def _cancel(self, vm: Vm, attempt_id: int) -> None:
+        attempt = (vm.name, attempt_id)
+        target = self._target_by_attempt[attempt]
+        self.note(f'{vm.name} -> {target}: close #{attempt_id}')
+        self._cancelled.add(attempt)
+        self.targets_by_name[target].finish(vm.name, attempt_id)
+
+    def _set_timer(self, vm: Vm, effect: SetTimer) -> None:
+        order = next(self._order)
+        self._timers[(vm.name, effect.timer)] = order
+
+        def fire() -> None:
+            if self._timers.get((vm.name, effect.timer)) == order:
+                self._timers.pop((vm.name, effect.timer))
+                self.dispatch(vm.name, TimerFired(effect.timer))
+
+        self.later(max(0, effect.at - self.now), fire)
+
+    def _reply(self, vm: Vm, effect: ReplyAnswer | ReplyRefusal) -> None:
+        asked = self._asked_by_query[(vm.name, effect.query_id)]
+        reply: Answer | Refusal = (
+            effect.answer if isinstance(effect, ReplyAnswer) else effect.refusal
+        )
+        asked.reply = reply
+        asked.replied = self.now
+        self.runs_when_refused[asked.name] = sum(
+            target.executed_bodies.count(asked.body)
+            for target in self.targets_by_name.values()
+        )
+        text = (
+            f'answer version {reply.index_version} covers {len(reply.covered)}'
+            if isinstance(reply, Answer)
+            else f'refused {reply.reason.value}, {reply.verdict.value}'
+        )
+        self.note(f'{vm.name} -> caller: {asked.name} {text}')
+
+    def _deliver_claim(self, incarnation: bytes, event: ClaimNotice) -> None:
+        vm = next(
+            known
+            for known in self.vms_by_name.values()
+            if known.incarnation == incarnation
+        )
+        self.note(f'{vm.name}: {type(event).__name__}')
+        self.dispatch(vm.name, event)
+
+    def _take_calls(self) -> None:
+        calls = self.cluster.calls
+        self.cluster.calls = []
+        for vm, effect in calls:
+            delay = _PLATFORM_SECONDS
+            if isinstance(effect, WakeAt):
+                delay = max(0, effect.at - self.now)
+            self.later(delay, partial(self._finish_call, vm, effect))
+
+    def _finish_call(self, vm: bytes, effect: ClaimEffect) -> None:
+        self.cluster.perform(vm, effect)
+        self._take_calls()
+
+
+def _make_targets(layout: Layout) -> list[FakeTarget]:
+    return [
+        FakeTarget(
+            f't{shard}{replica}',
+            f'domain-{replica % 2}',
+            layout.slots,
+            layout.cold_slots,
+            (layout.version,),
+        )
+        for shard in range(layout.shards)
+        for replica in range(layout.replicas)
+    ]
