--- a/nutmegstep/coverage/__init__.py
+++ b/nutmegstep/coverage/__init__.py
@@ -1,5 +1,5 @@
 """Coverage bookkeeping of answers."""
 
-from nutmegstep.coverage.core import build_answer
+from nutmegstep.coverage.core import CoverageMismatchError, build_answer
 
-__all__ = ['build_answer']
+__all__ = ['CoverageMismatchError', 'build_answer']
--- a/nutmegstep/coverage/core.py
+++ b/nutmegstep/coverage/core.py
@@ -1,15 +1,20 @@
 """Builds answers whose coverage matches the shard map of the snapshot."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 
 from nutmegstep.model import Answer, LackingShard
 
-__all__ = ['build_answer']
+__all__ = ['CoverageMismatchError', 'build_answer']
+
+
+class CoverageMismatchError(ValueError):
+    """Covered and lacking shards together are not exactly the shard map."""
 
 
 def build_answer(
     service: str,
     index_version: int,
+    shards: Set[str],
     results_by_shard: Mapping[str, bytes],
     lacking_by_shard: Mapping[str, str],
 ) -> Answer:
@@ -21,6 +26,8 @@
         Name of the service.
     index_version : int
         Pinned snapshot.
+    shards : Set of str
+        Names in the shard map of the snapshot that the request covers.
     results_by_shard : Mapping
         JSON document of each shard that answered.
     lacking_by_shard : Mapping
@@ -31,11 +38,27 @@
     Answer
         Covered and lacking shards sorted by name.
 
+    Raises
+    ------
+    CoverageMismatchError
+        If a shard has no outcome, has two, or is not in the shard map.
+
     Examples
     --------
-    >>> build_answer('stock', 4, {'b': b'1', 'a': b'2'}, {'c': 'reset'}).covered
-    ('a', 'b')
+    >>> answer = build_answer(
+    ...     'stock', 4, {'a', 'b'}, {'a': b'2'}, {'b': 'reset'}
+    ... )
+    >>> answer.covered, answer.complete
+    (('a',), False)
     """
+    covered = results_by_shard.keys()
+    listed = lacking_by_shard.keys()
+    if covered | listed != shards or not covered.isdisjoint(listed):
+        raise CoverageMismatchError(
+            f'service {service}, version {index_version}: covered '
+            f'{sorted(covered)} and lacking {sorted(listed)} are not the '
+            f'shard map {sorted(shards)}',
+        )
     lacking = tuple(
         LackingShard(shard, reason)
         for shard, reason in sorted(lacking_by_shard.items())
@@ -43,7 +66,7 @@
     return Answer(
         service,
         index_version,
-        tuple(sorted(results_by_shard)),
+        tuple(sorted(covered)),
         lacking,
         results_by_shard,
     )
--- /dev/null
+++ b/nutmegstep/engine/control.py
@@ -0,0 +1,93 @@
+"""Takes in configuration, catalogue, withdrawals and drains."""
+
+from typing import Final
+
+from nutmegstep.engine.effects import Effect
+from nutmegstep.engine.events import (
+    CatalogueChanged,
+    ControlChanged,
+    DrainStarted,
+    FleetChanged,
+)
+from nutmegstep.engine.finishing import drain_if_idle
+from nutmegstep.engine.state import EngineState
+from nutmegstep.verdict import Reason
+
+__all__ = [
+    'on_catalogue',
+    'on_control',
+    'on_drain',
+    'on_fleet',
+    'refusal_reason',
+]
+
+# The load balancer needs this long to stop sending callers to an entry VM of
+# a withdrawn failure domain.
+_WITHDRAWN_SERVICE_SECONDS: Final = 3
+
+
+def refusal_reason(
+    state: EngineState,
+    service: str,
+    now: float,
+) -> Reason | None:
+    """Return why this VM takes no new request of a service, if so."""
+    if state.draining:
+        return Reason.DRAINING
+    since = state.withdrawn_since
+    if since is not None and now - since > _WITHDRAWN_SERVICE_SECONDS:
+        return Reason.DOMAIN_WITHDRAWN
+    if not state.fleet.generation:
+        return Reason.NO_CONFIGURATION
+    if service not in state.fleet.services_by_name:
+        return Reason.UNKNOWN_SERVICE
+    return None
+
+
+def on_fleet(
+    state: EngineState,
+    event: FleetChanged,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Replace the configuration by a newer one; never by an older one."""
+    if event.fleet.generation > state.fleet.generation:
+        state.fleet = event.fleet
+
+
+def on_catalogue(
+    state: EngineState,
+    event: CatalogueChanged,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Replace the versions of an index."""
+    state.versions_by_index[event.index] = event.versions
+    numbers = {version.number for version in event.versions}
+    state.held.keep_only(event.index, numbers)
+
+
+def on_control(
+    state: EngineState,
+    event: ControlChanged,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Replace the withdrawn failure domains and the draining targets."""
+    state.withdrawn_domains = event.withdrawn_domains
+    state.draining_targets = event.draining_targets
+    if state.failure_domain not in event.withdrawn_domains:
+        state.withdrawn_since = None
+    elif state.withdrawn_since is None:
+        state.withdrawn_since = now
+
+
+def on_drain(
+    state: EngineState,
+    event: DrainStarted,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Refuse new requests and finish when none is in flight."""
+    state.draining = True
+    drain_if_idle(state, effects)
--- a/nutmegstep/engine/core.py
+++ b/nutmegstep/engine/core.py
@@ -1,18 +1,22 @@
 """Dispatches each event to the function of its subject."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from types import MappingProxyType
 from typing import Any, Final
 
-from nutmegstep.engine import scatter
-from nutmegstep.engine.effects import Effect, FinishDrain
+from nutmegstep.engine import control, one_shot, scatter
+from nutmegstep.engine.effects import Effect
 from nutmegstep.engine.events import (
     CallerGone,
     CatalogueChanged,
+    ClaimRefused,
+    ClaimReplayed,
+    ClaimWon,
     ControlChanged,
     DrainStarted,
     Event,
     FleetChanged,
+    OneShotArrived,
     QueryArrived,
     TargetAnswered,
     TargetFailed,
@@ -22,7 +26,7 @@
 
 __all__ = ['reduce']
 
-_ReduceFunction = Callable[[EngineState, Any, float], Iterable[Effect]]
+_ReduceFunction = Callable[[EngineState, Any, float, list[Effect]], None]
 
 
 def reduce(state: EngineState, event: Event, now: float) -> list[Effect]:
@@ -46,59 +50,27 @@
     -----
     Deterministic: the same state, event and instant give the same effects.
     """
-    return list(_FUNCTION_BY_EVENT[type(event)](state, event, now))
-
-
-def _on_fleet(
-    state: EngineState,
-    event: FleetChanged,
-    now: float,
-) -> Iterable[Effect]:
-    if event.fleet.generation > state.fleet.generation:
-        state.fleet = event.fleet
-    return ()
-
-
-def _on_catalogue(
-    state: EngineState,
-    event: CatalogueChanged,
-    now: float,
-) -> Iterable[Effect]:
-    state.versions_by_index[event.index] = event.versions
-    return ()
-
-
-def _on_control(
-    state: EngineState,
-    event: ControlChanged,
-    now: float,
-) -> Iterable[Effect]:
-    state.withdrawn_domains = event.withdrawn_domains
-    state.draining_targets = event.draining_targets
-    return ()
-
-
-def _on_drain(
-    state: EngineState,
-    event: DrainStarted,
-    now: float,
-) -> Iterable[Effect]:
-    state.draining = True
-    return () if state.queries_by_id else (FinishDrain(),)
+    effects: list[Effect] = []
+    _FUNCTION_BY_EVENT[type(event)](state, event, now, effects)
+    return effects
 
 
 _FUNCTION_BY_EVENT: Final[MappingProxyType[type, _ReduceFunction]] = (
     MappingProxyType(
         {
             QueryArrived: scatter.on_query,
+            OneShotArrived: one_shot.on_one_shot,
             TargetAnswered: scatter.on_target_answered,
             TargetFailed: scatter.on_target_failed,
             TimerFired: scatter.on_timer,
             CallerGone: scatter.on_caller_gone,
-            FleetChanged: _on_fleet,
-            CatalogueChanged: _on_catalogue,
-            ControlChanged: _on_control,
-            DrainStarted: _on_drain,
+            ClaimWon: one_shot.on_claim_won,
+            ClaimReplayed: one_shot.on_claim_replayed,
+            ClaimRefused: one_shot.on_claim_refused,
+            FleetChanged: control.on_fleet,
+            CatalogueChanged: control.on_catalogue,
+            ControlChanged: control.on_control,
+            DrainStarted: control.on_drain,
         }
     )
 )
--- /dev/null
+++ b/nutmegstep/engine/one_shot.py
@@ -0,0 +1,425 @@
+"""Sends each one-shot request at most once, after its claim was won."""
+
+from datetime import timedelta
+from typing import Final
+
+from nutmegstep.engine.control import refusal_reason
+from nutmegstep.engine.effects import (
+    CancelAttempt,
+    CancelTimer,
+    Effect,
+    ReplyAnswer,
+    ReplyRefusal,
+    RequestClaim,
+    SendToTarget,
+    SettleClaim,
+    SetTimer,
+)
+from nutmegstep.engine.events import (
+    ClaimRefused,
+    ClaimReplayed,
+    ClaimWon,
+    FailureKind,
+    OneShotArrived,
+    TargetAnswered,
+    TargetFailed,
+    TimerKey,
+    TimerKind,
+)
+from nutmegstep.engine.finishing import drain_if_idle
+from nutmegstep.engine.sending import (
+    candidates_of,
+    close_attempt,
+    open_attempt,
+    requested_shard,
+)
+from nutmegstep.engine.state import (
+    EngineState,
+    OneShotClaiming,
+    OneShotReady,
+    OneShotSent,
+)
+from nutmegstep.model import Answer, IndexVersion, Shard, Target
+from nutmegstep.routing import choose_replica
+from nutmegstep.snapshot import choose_version, service_shards
+from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
+
+__all__ = [
+    'Pinned',
+    'on_claim_refused',
+    'on_claim_replayed',
+    'on_claim_won',
+    'on_one_shot',
+    'on_one_shot_answered',
+    'on_one_shot_deadline',
+    'on_one_shot_failed',
+    'on_one_shot_gone',
+    'returned_permit',
+    'send_once',
+]
+
+Pinned = tuple[IndexVersion, Shard, Target]
+
+# A repeat that comes back while the first attempt is being decided at the
+# platform only adds load there.
+_CLAIM_RETRY_AFTER: Final = timedelta(seconds=1)
+
+
+def on_one_shot(
+    state: EngineState,
+    event: OneShotArrived,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Ask for the claim, or refuse what cannot be served.
+
+    Notes
+    -----
+    An earlier attempt of the key may have run elsewhere. Before the claim is
+    decided the verdict is therefore `may_have_run`, and only the attempt
+    verdict is `not_run`.
+    """
+    request = event.request
+    reason = refusal_reason(state, request.service, now)
+    if reason is None and now >= request.deadline:
+        reason = Reason.DEADLINE_EXCEEDED
+    if reason is not None:
+        refusal = _undecided(reason, 'refused before the claim was decided')
+        effects.append(ReplyRefusal(event.query_id, refusal))
+        return
+    timer = TimerKey(TimerKind.DEADLINE, event.query_id)
+    state.one_shots_by_id[event.query_id] = OneShotClaiming(
+        event.query_id,
+        request,
+    )
+    effects.append(SetTimer(timer, request.deadline))
+    effects.append(
+        RequestClaim(event.query_id, request.idempotency_key, request.deadline),
+    )
+
+
+def on_claim_won(
+    state: EngineState,
+    event: ClaimWon,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Send a request whose claim was won, unless it has ended meanwhile."""
+    waiting = state.one_shots_by_id.get(event.query_id)
+    if isinstance(waiting, OneShotClaiming):
+        ready = OneShotReady(waiting.query_id, waiting.request, event.permit)
+        _send_or_refuse(state, ready, now, effects)
+        return
+    if event.query_id in state.abandoned_claims:
+        # The caller was already answered: the claim must be released. A claim
+        # of any other request may belong to a send and stays as it is.
+        state.abandoned_claims.discard(event.query_id)
+        effects.append(
+            SettleClaim(
+                event.query_id,
+                event.permit.idempotency_key,
+                answer=None,
+                may_have_run=False,
+            ),
+        )
+        drain_if_idle(state, effects)
+
+
+def on_claim_replayed(
+    state: EngineState,
+    event: ClaimReplayed,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Return the stored answer of an earlier attempt."""
+    if _forget_claiming(state, event.query_id, effects):
+        effects.append(ReplyAnswer(event.query_id, event.answer))
+        drain_if_idle(state, effects)
+
+
+def on_claim_refused(
+    state: EngineState,
+    event: ClaimRefused,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Return the refusal of the claim service with its verdicts."""
+    if _forget_claiming(state, event.query_id, effects):
+        effects.append(ReplyRefusal(event.query_id, event.refusal))
+        drain_if_idle(state, effects)
+
+
+def send_once(
+    state: EngineState,
+    ready: OneShotReady,
+    pinned: Pinned,
+    now: float,
+) -> SendToTarget:
+    """Consume the permit of a request and return the send.
+
+    Parameters
+    ----------
+    state : EngineState
+        Records the request as sent.
+    ready : OneShotReady
+        The request with its permit; it must not be used again.
+    pinned : tuple
+        Version, shard and target.
+    now : float
+        Monotonic instant in seconds.
+
+    Returns
+    -------
+    SendToTarget
+        The only send of the permit.
+    """
+    version, shard, target = pinned
+    request = ready.request
+    attempt_id = open_attempt(
+        state,
+        ready.query_id,
+        shard.name,
+        target.name,
+        now,
+    )
+    state.one_shots_by_id[ready.query_id] = OneShotSent(
+        ready.query_id,
+        request,
+        attempt_id,
+        version.number,
+        ready,
+    )
+    return SendToTarget(
+        attempt_id,
+        ready.query_id,
+        target.name,
+        shard.name,
+        version.number,
+        request.body,
+        request.deadline,
+        request.traceparent,
+        permit=ready.permit,
+    )
+
+
+def returned_permit(
+    sent: OneShotSent,
+    failure: TargetFailed,
+    target: str,
+) -> OneShotReady | None:
+    """Return the right to send again, if the failure proves it.
+
+    Returns
+    -------
+    OneShotReady or None
+        None when the target may have executed the request.
+    """
+    if failure.may_have_run or failure.attempt_id != sent.attempt_id:
+        return None
+    return OneShotReady(
+        sent.query_id,
+        sent.request,
+        sent.spent.permit,
+        sent.spent.tried | {target},
+    )
+
+
+def on_one_shot_answered(
+    state: EngineState,
+    sent: OneShotSent,
+    event: TargetAnswered,
+    effects: list[Effect],
+) -> None:
+    """Return the answer and keep it for repeats of the request."""
+    attempt = close_attempt(state, event.attempt_id)
+    if attempt is None or sent.attempt_id != event.attempt_id:
+        return
+    if event.index_version != sent.version:
+        detail = 'the target answered from another index version'
+        _end_sent(state, sent, Reason.TARGET_FAILED, detail, effects)
+        return
+    answer = Answer(
+        sent.request.service,
+        event.index_version,
+        (attempt.shard,),
+        (),
+        {attempt.shard: event.body},
+    )
+    _settle(state, sent, answer, effects, may_have_run=True)
+    effects.append(ReplyAnswer(sent.query_id, answer))
+    drain_if_idle(state, effects)
+
+
+def on_one_shot_failed(
+    state: EngineState,
+    sent: OneShotSent,
+    event: TargetFailed,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Send again only when the failed send was proved not executed."""
+    attempt = close_attempt(state, event.attempt_id)
+    if attempt is None or sent.attempt_id != event.attempt_id:
+        return
+    ready = returned_permit(sent, event, attempt.target)
+    if ready is None:
+        late = event.kind is FailureKind.TIMEOUT
+        reason = Reason.DEADLINE_EXCEEDED if late else Reason.TARGET_FAILED
+        detail = f'the target request failed: {event.kind.value}'
+        _end_sent(state, sent, reason, detail, effects)
+        return
+    if state.retries.spend():
+        _send_or_refuse(state, ready, now, effects)
+        return
+    detail = f'not executed ({event.kind.value}), the retry budget is empty'
+    _end_ready(state, ready, Reason.TARGET_FAILED, detail, effects)
+
+
+def on_one_shot_deadline(
+    state: EngineState,
+    query_id: int,
+    effects: list[Effect],
+) -> None:
+    """Refuse a request whose deadline has passed."""
+    waiting = state.one_shots_by_id[query_id]
+    if isinstance(waiting, OneShotSent):
+        close_attempt(state, waiting.attempt_id)
+        effects.append(CancelAttempt(waiting.attempt_id))
+        detail = 'no answer of the target within the deadline'
+        _end_sent(state, waiting, Reason.DEADLINE_EXCEEDED, detail, effects)
+        return
+    _abandon(state, query_id, effects)
+    detail = 'the claim was not decided within the deadline'
+    refusal = _undecided(Reason.DEADLINE_EXCEEDED, detail)
+    effects.append(ReplyRefusal(query_id, refusal))
+    drain_if_idle(state, effects)
+
+
+def on_one_shot_gone(
+    state: EngineState,
+    query_id: int,
+    effects: list[Effect],
+) -> None:
+    """Let a sent request finish for repeats; give up an unsent one."""
+    waiting = state.one_shots_by_id[query_id]
+    if isinstance(waiting, OneShotSent):
+        # The caller will repeat the key: the stored answer serves the repeat.
+        return
+    _abandon(state, query_id, effects)
+    drain_if_idle(state, effects)
+
+
+def _undecided(reason: Reason, detail: str) -> Refusal:
+    return refuse(
+        Verdict.MAY_HAVE_RUN,
+        reason,
+        detail,
+        retry_after=_CLAIM_RETRY_AFTER,
+        attempt_verdict=Verdict.NOT_RUN,
+    )
+
+
+def _forget_claiming(
+    state: EngineState,
+    query_id: int,
+    effects: list[Effect],
+) -> bool:
+    state.abandoned_claims.discard(query_id)
+    waiting = state.one_shots_by_id.get(query_id)
+    if not isinstance(waiting, OneShotClaiming):
+        return False
+    del state.one_shots_by_id[query_id]
+    effects.append(CancelTimer(TimerKey(TimerKind.DEADLINE, query_id)))
+    return True
+
+
+def _abandon(
+    state: EngineState,
+    query_id: int,
+    effects: list[Effect],
+) -> None:
+    if _forget_claiming(state, query_id, effects):
+        state.abandoned_claims.add(query_id)
+
+
+def _send_or_refuse(
+    state: EngineState,
+    ready: OneShotReady,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    if now >= ready.request.deadline:
+        detail = 'the deadline passed before the request was sent'
+        _end_ready(state, ready, Reason.DEADLINE_EXCEEDED, detail, effects)
+        return
+    pinned = _pin(state, ready, now)
+    if pinned is None:
+        detail = 'no replica can take the request'
+        _end_ready(state, ready, Reason.TARGET_FAILED, detail, effects)
+        return
+    effects.append(send_once(state, ready, pinned, now))
+
+
+def _pin(
+    state: EngineState,
+    ready: OneShotReady,
+    now: float,
+) -> Pinned | None:
+    service = state.fleet.services_by_name.get(ready.request.service)
+    if service is None:
+        return None
+    versions = state.versions_by_index.get(service.index, ())
+    version = choose_version(versions, service, state.held, now)
+    if version is None:
+        return None
+    shards = service_shards(service, version)
+    if not shards:
+        return None
+    shard = requested_shard(ready.request.record_key, shards)
+    target = choose_replica(
+        candidates_of(state, shard, ready.tried, now),
+        state.in_flight_by_target,
+        state.failure_domain,
+    )
+    return None if target is None else (version, shard, target)
+
+
+def _settle(
+    state: EngineState,
+    waiting: OneShotReady | OneShotSent,
+    answer: Answer | None,
+    effects: list[Effect],
+    *,
+    may_have_run: bool,
+) -> None:
+    state.one_shots_by_id.pop(waiting.query_id, None)
+    query_id = waiting.query_id
+    key = waiting.request.idempotency_key
+    effects.append(CancelTimer(TimerKey(TimerKind.DEADLINE, query_id)))
+    effects.append(SettleClaim(query_id, key, answer, may_have_run))
+
+
+def _end_ready(
+    state: EngineState,
+    ready: OneShotReady,
+    reason: Reason,
+    detail: str,
+    effects: list[Effect],
+) -> None:
+    _settle(state, ready, None, effects, may_have_run=False)
+    refusal = refuse(Verdict.NOT_RUN, reason, detail)
+    effects.append(ReplyRefusal(ready.query_id, refusal))
+    drain_if_idle(state, effects)
+
+
+def _end_sent(
+    state: EngineState,
+    sent: OneShotSent,
+    reason: Reason,
+    detail: str,
+    effects: list[Effect],
+) -> None:
+    _settle(state, sent, None, effects, may_have_run=True)
+    refusal = refuse(Verdict.MAY_HAVE_RUN, reason, detail)
+    effects.append(ReplyRefusal(sent.query_id, refusal))
+    drain_if_idle(state, effects)
--- /dev/null
+++ b/nutmegstep/engine/restarting.py
@@ -0,0 +1,125 @@
+"""Starts queries at a version and restarts them at another one."""
+
+from nutmegstep.engine.effects import Effect
+from nutmegstep.engine.finishing import (
+    cancel_attempts,
+    finish_when_gathered,
+    refuse_query,
+    sent_verdict,
+)
+from nutmegstep.engine.sending import requested_shard, send_shard
+from nutmegstep.engine.state import EngineState, QueryState
+from nutmegstep.model import IndexVersion, Shard
+from nutmegstep.snapshot import MAX_RESTARTS, choose_version, service_shards
+from nutmegstep.verdict import Reason, refuse
+
+__all__ = ['restart_or_finish', 'start_version']
+
+
+def start_version(
+    state: EngineState,
+    query: QueryState,
+    version: IndexVersion,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Send every shard of a query at a version; earlier results are dropped."""
+    shards = service_shards(query.service, version)
+    if not shards:
+        detail = f'version {version.number} has no shard of the service'
+        _refuse_snapshot(state, query, detail, effects)
+        return
+    query.version = version.number
+    query.tried_versions.add(version.number)
+    query.shards_by_name = _requested(query.request.record_key, shards)
+    query.pending = set(query.shards_by_name)
+    query.results_by_shard = {}
+    query.lacking_by_shard = {}
+    query.tried_by_shard = {}
+    state.retries.earn(len(query.shards_by_name))
+    for shard in query.shards_by_name.values():
+        send_shard(state, query, shard, now, effects)
+    finish_when_gathered(state, query, effects)
+
+
+def restart_or_finish(
+    state: EngineState,
+    query: QueryState,
+    shard: Shard,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Restart a query when no replica of a shard holds its version."""
+    if shard.name in query.pending or not _is_version_gone(
+        state,
+        query,
+        shard,
+        now,
+    ):
+        finish_when_gathered(state, query, effects)
+        return
+    version = _next_version(state, query, now)
+    if version is None:
+        detail = f'no replica of shard {shard.name} holds the version'
+        _refuse_snapshot(state, query, detail, effects)
+        return
+    cancel_attempts(state, query, effects)
+    start_version(state, query, version, now, effects)
+
+
+def _requested(
+    record_key: str | None,
+    shards: dict[str, Shard],
+) -> dict[str, Shard]:
+    if record_key is None:
+        return shards
+    shard = requested_shard(record_key, shards)
+    return {shard.name: shard}
+
+
+def _is_version_gone(
+    state: EngineState,
+    query: QueryState,
+    shard: Shard,
+    now: float,
+) -> bool:
+    index = query.service.index
+    return all(
+        state.held.lacks(index, query.version, target, now)
+        for target in shard.replicas
+    )
+
+
+def _next_version(
+    state: EngineState,
+    query: QueryState,
+    now: float,
+) -> IndexVersion | None:
+    if len(query.tried_versions) > MAX_RESTARTS:
+        return None
+    if now >= query.request.deadline:
+        return None
+    version = choose_version(
+        state.versions_by_index.get(query.service.index, ()),
+        query.service,
+        state.held,
+        now,
+        query.tried_versions,
+    )
+    if version is None or not state.restarts.spend():
+        return None
+    return version
+
+
+def _refuse_snapshot(
+    state: EngineState,
+    query: QueryState,
+    detail: str,
+    effects: list[Effect],
+) -> None:
+    refusal = refuse(
+        sent_verdict(query),
+        Reason.SNAPSHOT_UNAVAILABLE,
+        detail,
+    )
+    refuse_query(state, query, refusal, effects)
--- a/nutmegstep/engine/scatter.py
+++ b/nutmegstep/engine/scatter.py
@@ -1,21 +1,11 @@
 """Sends target requests and gathers their outcomes."""
 
-from collections.abc import Iterator
-
-import xxhash
-
-from nutmegstep.coverage import build_answer
-from nutmegstep.engine.effects import (
-    CancelAttempt,
-    CancelTimer,
-    Effect,
-    ReplyAnswer,
-    ReplyRefusal,
-    SendToTarget,
-    SetTimer,
-)
+from nutmegstep.engine import one_shot
+from nutmegstep.engine.control import refusal_reason
+from nutmegstep.engine.effects import Effect, ReplyRefusal, SetTimer
 from nutmegstep.engine.events import (
     CallerGone,
+    FailureKind,
     QueryArrived,
     TargetAnswered,
     TargetFailed,
@@ -23,11 +13,21 @@
     TimerKey,
     TimerKind,
 )
-from nutmegstep.engine.state import AttemptState, EngineState, QueryState
-from nutmegstep.model import CoverageRule, IdempotentQuery, Shard
-from nutmegstep.routing import choose_replica, usable_replicas
-from nutmegstep.snapshot import choose_version, service_shards
-from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
+from nutmegstep.engine.finishing import (
+    drain_if_idle,
+    end_query,
+    finish_when_gathered,
+)
+from nutmegstep.engine.restarting import restart_or_finish, start_version
+from nutmegstep.engine.sending import close_attempt, send_shard
+from nutmegstep.engine.state import (
+    AttemptState,
+    EngineState,
+    OneShotSent,
+    QueryState,
+)
+from nutmegstep.snapshot import choose_version
+from nutmegstep.verdict import Reason, Verdict, refuse
 
 __all__ = [
     'on_caller_gone',
@@ -37,231 +37,175 @@
     'on_timer',
 ]
 
+# A target that said that it is leaving gets no new work for this long; one
+# that comes back under the same name has restarted by then.
+_LEAVING_SECONDS = 10
+
 
 def on_query(
     state: EngineState,
     event: QueryArrived,
     now: float,
-) -> Iterator[Effect]:
+    effects: list[Effect],
+) -> None:
     """Pin a version and send one target request per shard."""
     query = event.query
-    service = state.fleet.services_by_name.get(query.service)
-    if service is None:
-        yield _refuse_unsent(event, Reason.UNKNOWN_SERVICE, 'not declared')
+    reason = refusal_reason(state, query.service, now)
+    if reason is not None:
+        _refuse_unsent(event, reason, 'not accepted', effects)
+        return
+    if now >= query.deadline:
+        reason = Reason.DEADLINE_EXCEEDED
+        _refuse_unsent(event, reason, 'arrived after its deadline', effects)
         return
-    version = choose_version(state.versions_by_index.get(service.index, ()))
+    service = state.fleet.services_by_name[query.service]
+    versions = state.versions_by_index.get(service.index, ())
+    version = choose_version(versions, service, state.held, now)
     if version is None:
-        yield _refuse_unsent(
-            event,
-            Reason.SNAPSHOT_UNAVAILABLE,
-            f'no version of index {service.index} is known',
-        )
+        detail = f'no version of index {service.index} can be served'
+        _refuse_unsent(event, Reason.SNAPSHOT_UNAVAILABLE, detail, effects)
         return
-    shards_by_name = _requested_shards(
-        query,
-        service_shards(service, version),
-    )
-    query_state = QueryState(
-        event.query_id,
-        query,
-        service,
-        version.number,
-        shards_by_name,
-        pending=set(shards_by_name),
-    )
+    state.restarts.earn()
+    query_state = QueryState(event.query_id, query, service, 0, {})
     state.queries_by_id[event.query_id] = query_state
-    yield SetTimer(
-        TimerKey(TimerKind.DEADLINE, event.query_id),
-        query.deadline,
-    )
-    for shard in shards_by_name.values():
-        yield from _send_shard(state, query_state, shard, now)
-    yield from _finish_when_gathered(state, query_state)
+    timer = TimerKey(TimerKind.DEADLINE, event.query_id)
+    effects.append(SetTimer(timer, query.deadline))
+    start_version(state, query_state, version, now, effects)
 
 
 def on_target_answered(
     state: EngineState,
     event: TargetAnswered,
     now: float,
-) -> Iterator[Effect]:
+    effects: list[Effect],
+) -> None:
     """Store the sub-answer of a shard."""
-    attempt = _close_attempt(state, event.attempt_id)
-    query = state.queries_by_id.get(attempt.query_id) if attempt else None
-    if attempt is None or query is None:
+    attempt = state.attempts_by_id.get(event.attempt_id)
+    if attempt is None:
+        return
+    waiting = state.one_shots_by_id.get(attempt.query_id)
+    if isinstance(waiting, OneShotSent):
+        one_shot.on_one_shot_answered(state, waiting, event, effects)
+        return
+    close_attempt(state, event.attempt_id)
+    query = state.queries_by_id.get(attempt.query_id)
+    if query is None:
         return
     query.attempt_ids.discard(event.attempt_id)
+    query.may_have_run = True
     if event.index_version != query.version:
-        yield from _retry_shard(state, query, attempt, now)
+        _retry_shard(state, query, attempt, 'other_version', now, effects)
         return
+    state.held.note_held(query.service.index, query.version, attempt.target)
     query.pending.discard(attempt.shard)
     query.results_by_shard[attempt.shard] = event.body
-    yield from _finish_when_gathered(state, query)
+    finish_when_gathered(state, query, effects)
 
 
 def on_target_failed(
     state: EngineState,
     event: TargetFailed,
     now: float,
-) -> Iterator[Effect]:
+    effects: list[Effect],
+) -> None:
     """Try another replica, or record the shard as lacking."""
-    attempt = _close_attempt(state, event.attempt_id)
-    query = state.queries_by_id.get(attempt.query_id) if attempt else None
-    if attempt is None or query is None:
+    attempt = state.attempts_by_id.get(event.attempt_id)
+    if attempt is None:
+        return
+    if event.kind is FailureKind.DRAINING:
+        until = now + _LEAVING_SECONDS
+        state.leaving_until_by_target[attempt.target] = until
+    waiting = state.one_shots_by_id.get(attempt.query_id)
+    if isinstance(waiting, OneShotSent):
+        one_shot.on_one_shot_failed(state, waiting, event, now, effects)
+        return
+    close_attempt(state, event.attempt_id)
+    query = state.queries_by_id.get(attempt.query_id)
+    if query is None:
         return
     query.attempt_ids.discard(event.attempt_id)
-    yield from _retry_shard(state, query, attempt, now)
+    query.may_have_run = query.may_have_run or event.may_have_run
+    if event.kind is FailureKind.VERSION_GONE:
+        _note_versions(state, query, attempt, event, now)
+    _retry_shard(state, query, attempt, event.kind.value, now, effects)
 
 
 def on_timer(
     state: EngineState,
     event: TimerFired,
     now: float,
-) -> Iterator[Effect]:
-    """End a query whose deadline has passed."""
-    query = state.queries_by_id.get(event.timer.query_id)
-    if query is None or event.timer.kind is not TimerKind.DEADLINE:
+    effects: list[Effect],
+) -> None:
+    """End a request whose deadline has passed."""
+    if event.timer.kind is not TimerKind.DEADLINE:
+        return
+    query_id = event.timer.query_id
+    if query_id in state.one_shots_by_id:
+        one_shot.on_one_shot_deadline(state, query_id, effects)
         return
-    for shard in tuple(query.pending):
+    query = state.queries_by_id.get(query_id)
+    if query is None:
+        return
+    for shard in query.pending:
         query.lacking_by_shard[shard] = 'deadline_exceeded'
     query.pending.clear()
-    yield from _finish_when_gathered(state, query)
+    finish_when_gathered(state, query, effects)
 
 
 def on_caller_gone(
     state: EngineState,
     event: CallerGone,
     now: float,
-) -> Iterator[Effect]:
+    effects: list[Effect],
+) -> None:
     """Cancel the attempts of a query whose caller has gone."""
-    query = state.queries_by_id.pop(event.query_id, None)
+    if event.query_id in state.one_shots_by_id:
+        one_shot.on_one_shot_gone(state, event.query_id, effects)
+        return
+    query = state.queries_by_id.get(event.query_id)
     if query is not None:
-        yield from _cancel_all(state, query)
+        end_query(state, query, effects)
+        drain_if_idle(state, effects)
 
 
 def _refuse_unsent(
     event: QueryArrived,
     reason: Reason,
     detail: str,
-) -> ReplyRefusal:
+    effects: list[Effect],
+) -> None:
     refusal = refuse(Verdict.NOT_RUN, reason, detail)
-    return ReplyRefusal(event.query_id, refusal)
+    effects.append(ReplyRefusal(event.query_id, refusal))
 
 
-def _requested_shards(
-    query: IdempotentQuery,
-    shards_by_name: dict[str, Shard],
-) -> dict[str, Shard]:
-    if query.record_key is None:
-        return shards_by_name
-    names = sorted(shards_by_name)
-    position = xxhash.xxh3_64_intdigest(query.record_key.encode()) % len(names)
-    return {names[position]: shards_by_name[names[position]]}
-
-
-def _send_shard(
+def _note_versions(
     state: EngineState,
     query: QueryState,
-    shard: Shard,
+    attempt: AttemptState,
+    event: TargetFailed,
     now: float,
-) -> Iterator[Effect]:
-    tried = query.tried_by_shard.setdefault(shard.name, set())
-    candidates = [
-        target
-        for target in usable_replicas(
-            shard,
-            state.fleet.targets_by_name,
-            state.withdrawn_domains,
-            state.draining_targets,
-        )
-        if target.name not in tried
-    ]
-    target = choose_replica(
-        candidates,
-        state.in_flight_by_target,
-        state.failure_domain,
-    )
-    if target is None:
-        query.pending.discard(shard.name)
-        query.lacking_by_shard[shard.name] = 'no_replica'
-        return
-    tried.add(target.name)
-    state.last_attempt_id += 1
-    attempt_id = state.last_attempt_id
-    state.attempts_by_id[attempt_id] = AttemptState(
-        query.query_id,
-        shard.name,
-        target.name,
-        now,
-    )
-    state.in_flight_by_target[target.name] += 1
-    query.attempt_ids.add(attempt_id)
-    yield SendToTarget(
-        attempt_id,
-        query.query_id,
-        target.name,
-        shard.name,
-        query.version,
-        query.request.body,
-        query.request.deadline,
-        query.request.traceparent,
-    )
-
-
-def _close_attempt(
-    state: EngineState,
-    attempt_id: int,
-) -> AttemptState | None:
-    attempt = state.attempts_by_id.pop(attempt_id, None)
-    if attempt is not None:
-        state.in_flight_by_target[attempt.target] -= 1
-    return attempt
+) -> None:
+    index = query.service.index
+    for number in event.held_versions:
+        state.held.note_held(index, number, attempt.target)
+    state.held.note_lacking(index, query.version, attempt.target, now)
 
 
 def _retry_shard(
     state: EngineState,
     query: QueryState,
     attempt: AttemptState,
+    reason: str,
     now: float,
-) -> Iterator[Effect]:
-    shard = query.shards_by_name[attempt.shard]
-    yield from _send_shard(state, query, shard, now)
-    yield from _finish_when_gathered(state, query)
-
-
-def _cancel_all(state: EngineState, query: QueryState) -> Iterator[Effect]:
-    yield CancelTimer(TimerKey(TimerKind.DEADLINE, query.query_id))
-    for attempt_id in query.attempt_ids:
-        _close_attempt(state, attempt_id)
-        yield CancelAttempt(attempt_id)
-
-
-def _finish_when_gathered(
-    state: EngineState,
-    query: QueryState,
-) -> Iterator[Effect]:
-    if query.pending or query.query_id not in state.queries_by_id:
-        return
-    del state.queries_by_id[query.query_id]
-    yield from _cancel_all(state, query)
-    whole = query.service.coverage is CoverageRule.WHOLE
-    if query.lacking_by_shard and (whole or not query.results_by_shard):
-        yield ReplyRefusal(query.query_id, _incomplete(query))
+    effects: list[Effect],
+) -> None:
+    if attempt.shard not in query.pending:
         return
-    answer = build_answer(
-        query.service.name,
-        query.version,
-        query.results_by_shard,
-        query.lacking_by_shard,
-    )
-    yield ReplyAnswer(query.query_id, answer)
-
-
-def _incomplete(query: QueryState) -> Refusal:
-    reasons = set(query.lacking_by_shard.values())
-    late = 'deadline_exceeded' in reasons
-    return refuse(
-        Verdict.MAY_HAVE_RUN,
-        Reason.DEADLINE_EXCEEDED if late else Reason.INCOMPLETE,
-        f'{len(query.lacking_by_shard)} of {len(query.shards_by_name)} '
-        f'shards are lacking: {sorted(reasons)}',
-    )
+    shard = query.shards_by_name[attempt.shard]
+    if state.retries.spend():
+        send_shard(state, query, shard, now, effects)
+    else:
+        query.pending.discard(shard.name)
+    if shard.name not in query.pending:
+        query.lacking_by_shard[shard.name] = reason
+    restart_or_finish(state, query, shard, now, effects)
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from nutmegstep.hedging import RESTART_SHARE, RETRY_SHARE, TokenBudget
 from nutmegstep.model import (
     Fleet,
     IdempotentQuery,
@@ -13,8 +14,18 @@
     Service,
     Shard,
 )
+from nutmegstep.snapshot import HeldVersions
 
-__all__ = ['AttemptState', 'EngineState', 'QueryState', 'empty_fleet']
+__all__ = [
+    'AttemptState',
+    'EngineState',
+    'OneShotClaiming',
+    'OneShotReady',
+    'OneShotSent',
+    'OneShotState',
+    'QueryState',
+    'empty_fleet',
+]
 
 
 def empty_fleet() -> Fleet:
@@ -34,13 +45,13 @@
 
 @dataclass(slots=True)
 class QueryState:
-    """One query in flight.
+    """One idempotent query in flight.
 
     Parameters
     ----------
     query_id : int
         Identifier given by the runtime.
-    request : IdempotentQuery or OneShotRequest
+    request : IdempotentQuery
         What the caller asked for.
     service : Service
         Declaration at the time of arrival.
@@ -51,7 +62,7 @@
     """
 
     query_id: int
-    request: IdempotentQuery | OneShotRequest
+    request: IdempotentQuery
     service: Service
     version: int
     shards_by_name: dict[str, Shard]
@@ -60,7 +71,52 @@
     lacking_by_shard: dict[str, str] = field(default_factory=dict)
     tried_by_shard: dict[str, set[str]] = field(default_factory=dict)
     attempt_ids: set[int] = field(default_factory=set)
-    permit: SendPermit | None = None
+    tried_versions: set[int] = field(default_factory=set)
+    may_have_run: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class OneShotClaiming:
+    """A one-shot request that waits for its claim; it cannot be sent."""
+
+    query_id: int
+    request: OneShotRequest
+
+
+@dataclass(frozen=True, slots=True)
+class OneShotReady:
+    """A one-shot request that may be sent once.
+
+    Notes
+    -----
+    Only a won claim, or the proof that the earlier send was not executed,
+    builds it; see `nutmegstep.engine.one_shot`.
+    """
+
+    query_id: int
+    request: OneShotRequest
+    permit: SendPermit
+    tried: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class OneShotSent:
+    """A one-shot request that a target may have executed.
+
+    Notes
+    -----
+    The permit is inside `spent` and the send function does not take this
+    type, so a second send does not pass the type check.
+    """
+
+    query_id: int
+    request: OneShotRequest
+    attempt_id: int
+    version: int
+    spent: OneShotReady
+
+
+OneShotState = OneShotClaiming | OneShotSent
 
 
 @dataclass(slots=True)
@@ -75,8 +131,20 @@
     )
     withdrawn_domains: frozenset[str] = frozenset()
     draining_targets: frozenset[str] = frozenset()
+    withdrawn_since: float | None = None
     queries_by_id: dict[int, QueryState] = field(default_factory=dict)
+    one_shots_by_id: dict[int, OneShotState] = field(default_factory=dict)
+    abandoned_claims: set[int] = field(default_factory=set)
     attempts_by_id: dict[int, AttemptState] = field(default_factory=dict)
     in_flight_by_target: Counter[str] = field(default_factory=Counter)
+    held: HeldVersions = field(default_factory=HeldVersions)
+    retries: TokenBudget = field(
+        default_factory=lambda: TokenBudget(RETRY_SHARE),
+    )
+    restarts: TokenBudget = field(
+        default_factory=lambda: TokenBudget(RESTART_SHARE),
+    )
     last_attempt_id: int = 0
     draining: bool = False
+    drain_finished: bool = False
+    leaving_until_by_target: dict[str, float] = field(default_factory=dict)
--- a/nutmegstep/snapshot/__init__.py
+++ b/nutmegstep/snapshot/__init__.py
@@ -1,5 +1,10 @@
 """Choice of the index version of a query."""
 
-from nutmegstep.snapshot.core import choose_version, service_shards
+from nutmegstep.snapshot.core import (
+    MAX_RESTARTS,
+    HeldVersions,
+    choose_version,
+    service_shards,
+)
 
-__all__ = ['choose_version', 'service_shards']
+__all__ = ['MAX_RESTARTS', 'HeldVersions', 'choose_version', 'service_shards']
--- a/nutmegstep/snapshot/core.py
+++ b/nutmegstep/snapshot/core.py
@@ -1,21 +1,124 @@
 """Chooses one index version for all shards of a query."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Final
 
 from nutmegstep.model import IndexVersion, Service, Shard
 
-__all__ = ['choose_version', 'service_shards']
+__all__ = ['MAX_RESTARTS', 'HeldVersions', 'choose_version', 'service_shards']
 
+MAX_RESTARTS: Final = 2
 
-def choose_version(versions: Sequence[IndexVersion]) -> IndexVersion | None:
-    """Return the newest version, or None when the catalogue is empty.
+# A target loads a version some time after the catalogue lists it. Without an
+# expiry a version that all replicas once lacked would never be asked for.
+_LACKING_SECONDS: Final = 1
 
-    Examples
-    --------
-    >>> choose_version([IndexVersion(1, {}), IndexVersion(2, {})]).number
-    2
+_VersionKey = tuple[str, int]
+
+
+@dataclass(slots=True)
+class HeldVersions:
+    """Which targets were seen to hold or to lack an index version."""
+
+    holders_by_version: dict[_VersionKey, set[str]] = field(
+        default_factory=dict,
+    )
+    lacking_until_by_version: dict[_VersionKey, dict[str, float]] = field(
+        default_factory=dict,
+    )
+
+    def note_held(self, index: str, number: int, target: str) -> bool:
+        """Record that a target holds a version.
+
+        Returns
+        -------
+        bool
+            Whether this was not known before.
+        """
+        key = (index, number)
+        holders = self.holders_by_version.get(key)
+        if holders is None:
+            holders = self.holders_by_version.setdefault(key, set())
+        if target in holders:
+            return False
+        holders.add(target)
+        self.lacking_until_by_version.get(key, {}).pop(target, None)
+        return True
+
+    def note_lacking(
+        self,
+        index: str,
+        number: int,
+        target: str,
+        now: float,
+    ) -> None:
+        """Record that a target said that it does not hold a version."""
+        key = (index, number)
+        self.holders_by_version.get(key, set()).discard(target)
+        lacking = self.lacking_until_by_version.setdefault(key, {})
+        lacking[target] = now + _LACKING_SECONDS
+
+    def lacks(self, index: str, number: int, target: str, now: float) -> bool:
+        """Return whether a target is known to lack a version."""
+        lacking = self.lacking_until_by_version.get((index, number))
+        return lacking is not None and lacking.get(target, now) > now
+
+    def keep_only(self, index: str, numbers: Collection[int]) -> None:
+        """Forget versions of an index that left the catalogue."""
+        for by_version in (
+            self.holders_by_version,
+            self.lacking_until_by_version,
+        ):
+            gone = [
+                key
+                for key in by_version
+                if key[0] == index and key[1] not in numbers
+            ]
+            for key in gone:
+                del by_version[key]
+
+
+def choose_version(
+    versions: Sequence[IndexVersion],
+    service: Service,
+    held: HeldVersions,
+    now: float,
+    excluded: Collection[int] = (),
+) -> IndexVersion | None:
+    """Return the version that a new query is pinned to.
+
+    Parameters
+    ----------
+    versions : Sequence of IndexVersion
+        The catalogue of the index.
+    service : Service
+        Service whose shards must be held.
+    held : HeldVersions
+        What targets said about the versions they hold.
+    now : float
+        Monotonic instant in seconds.
+    excluded : Collection of int, optional
+        Versions that the query has tried before.
+
+    Returns
+    -------
+    IndexVersion or None
+        The newest version of which every shard has a replica that was seen to
+        hold it, else the newest one that no replica set is known to lack.
     """
-    return max(versions, key=lambda version: version.number, default=None)
+    newest_first = sorted(
+        (known for known in versions if known.number not in excluded),
+        key=lambda version: version.number,
+        reverse=True,
+    )
+    for version in newest_first:
+        if _is_held_everywhere(version, service, held):
+            return version
+    for candidate in newest_first:
+        if not _is_lacked_somewhere(candidate, service, held, now):
+            return candidate
+    return None
 
 
 def service_shards(
@@ -28,3 +131,34 @@
         for shard in version.shards_by_name.values()
         if shard.group in service.groups
     }
+
+
+def _covered(service: Service, version: IndexVersion) -> Iterable[Shard]:
+    return service_shards(service, version).values()
+
+
+def _is_held_everywhere(
+    version: IndexVersion,
+    service: Service,
+    held: HeldVersions,
+) -> bool:
+    holders = held.holders_by_version.get((service.index, version.number))
+    return holders is not None and all(
+        not holders.isdisjoint(shard.replicas)
+        for shard in _covered(service, version)
+    )
+
+
+def _is_lacked_somewhere(
+    version: IndexVersion,
+    service: Service,
+    held: HeldVersions,
+    now: float,
+) -> bool:
+    return any(
+        all(
+            held.lacks(service.index, version.number, target, now)
+            for target in shard.replicas
+        )
+        for shard in _covered(service, version)
+    )
--- /dev/null
+++ b/tests/engine/test_scatter.py
@@ -0,0 +1,108 @@
+"""Tests of scatter, retries, restarts and verdicts of queries."""
+
+from nutmegstep.engine import effects as fx
+from nutmegstep.engine import events as ev
+from nutmegstep.model import CoverageRule
+from nutmegstep.verdict import Reason, Verdict
+
+
+def _answer(send, **fields):
+    fields = {'index_version': send.index_version, 'boot_id': 'b'} | fields
+    return ev.TargetAnswered(send.attempt_id, body=b'1', **fields)
+
+
+def _fail(send, kind=ev.FailureKind.RESET, ran=True, held=()):
+    return ev.TargetFailed(send.attempt_id, kind, ran, held)
+
+
+def test_late_and_unknown_answers_change_nothing(build) -> None:
+    """Guards against an answer of one query reaching another one (G5)."""
+    engine = build()
+    engine.query()
+    first, second = engine.of(fx.SendToTarget)
+    assert not engine.apply(ev.TargetAnswered(99, 1, 'b', b'x'))
+    engine.apply(_answer(first))
+    assert not engine.apply(_answer(first))
+    engine.apply(_answer(second))
+    assert engine.of(fx.ReplyAnswer)[0].answer.covered == ('a', 'b')
+    assert not engine.state.attempts_by_id
+
+
+def test_other_version_is_discarded(build) -> None:
+    """Guards against an answer that mixes two snapshots (G1)."""
+    engine = build()
+    engine.query()
+    first, _ = engine.of(fx.SendToTarget)
+    engine.apply(_answer(first, index_version=2))
+    again = engine.sole(fx.SendToTarget)
+    assert (again.shard, again.index_version) == (first.shard, 1)
+    assert again.target != first.target
+
+
+def test_version_gone_restarts_at_most_twice(build) -> None:
+    """Guards against endless restarts and against mixed snapshots."""
+    engine = build()
+    engine.versions(1, 2, 3, 4)
+    engine.query()
+    versions = [engine.of(fx.SendToTarget)[0].index_version]
+    while not engine.of(fx.ReplyRefusal):
+        send = engine.of(fx.SendToTarget)[0]
+        versions.append(send.index_version)
+        gone = ev.FailureKind.VERSION_GONE
+        engine.apply(_fail(send, gone, ran=False))
+    assert set(versions) == {4, 3, 2}
+    refusal = engine.of(fx.ReplyRefusal)[0].refusal
+    assert refusal.reason is Reason.SNAPSHOT_UNAVAILABLE
+
+
+def test_partial_answer_names_every_lacking_shard(build) -> None:
+    """Guards against an answer that claims shards it does not cover (G2)."""
+    engine = build(CoverageRule.PARTIAL)
+    engine.query()
+    first, second = engine.of(fx.SendToTarget)
+    engine.apply(_answer(first))
+    engine.apply(ev.TimerFired(ev.TimerKey(ev.TimerKind.DEADLINE, 1)), 1)
+    answer = engine.of(fx.ReplyAnswer)[0].answer
+    assert [shard.name for shard in answer.lacking] == [second.shard]
+    assert answer.lacking[0].reason == 'deadline_exceeded'
+    assert engine.of(fx.CancelAttempt)[0].attempt_id == second.attempt_id
+
+
+def test_unsent_failures_are_not_run(build) -> None:
+    """Guards against `may_have_run` when no byte left, and the reverse."""
+    for ran in (False, True):
+        engine = build()
+        engine.query(record_key='k')
+        while not engine.of(fx.ReplyRefusal):
+            engine.apply(_fail(engine.of(fx.SendToTarget)[0], ran=ran))
+        refusal = engine.of(fx.ReplyRefusal)[0].refusal
+        expected = Verdict.MAY_HAVE_RUN if ran else Verdict.NOT_RUN
+        assert refusal.verdict is expected
+        assert refusal.attempt_verdict is expected
+
+
+def test_withdrawn_domains_and_drains_bind_retries(build) -> None:
+    """Guards against new work for leaving targets (G4, G8)."""
+    engine = build()
+    engine.query(record_key='k')
+    send = engine.sole(fx.SendToTarget)
+    drained = frozenset((f'{send.shard}-2',))
+    engine.apply(ev.ControlChanged(frozenset(('domain-1',)), drained))
+    engine.apply(_fail(send))
+    assert not engine.of(fx.SendToTarget)
+    assert engine.of(fx.ReplyRefusal)
+
+
+def test_drain_waits_for_requests_in_flight(build) -> None:
+    """Guards against a stop that cuts off a request (G9)."""
+    engine = build()
+    engine.query(record_key='k')
+    send = engine.sole(fx.SendToTarget)
+    assert not engine.apply(ev.DrainStarted())
+    engine.query(2)
+    assert engine.of(fx.ReplyRefusal)[0].refusal.reason is Reason.DRAINING
+    engine.apply(_answer(send))
+    assert [type(effect) for effect in engine.effects[-2:]] == [
+        fx.ReplyAnswer,
+        fx.FinishDrain,
+    ]
