Choose replicas by measurements and hedge within a budget

Replica choice knew only the number of requests in flight, without a bound. It now takes the better of two by latency times (in flight + 1), prefers the VM's failure domain, leaves out slow replicas but for probes, and keeps to an adaptive limit between 1 and the smaller of slots and connections. Shards without a free slot wait; withdrawals and drains are checked again when they are sent. A test found that a withdrawal did not reach shards waiting at full targets; it does now.

--- a/nutmegstep/engine/control.py
+++ b/nutmegstep/engine/control.py
@@ -53,6 +53,8 @@
     """Replace the configuration by a newer one; never by an older one."""
     if event.fleet.generation > state.fleet.generation:
         state.fleet = event.fleet
+        state.targets.adopt(event.fleet)
+        state.recheck_waiting = True
 
 
 def on_catalogue(
@@ -76,6 +78,8 @@
     """Replace the withdrawn failure domains and the draining targets."""
     state.withdrawn_domains = event.withdrawn_domains
     state.draining_targets = event.draining_targets
+    # Waiting shards may have lost their last replica, or gained one.
+    state.recheck_waiting = True
     if state.failure_domain not in event.withdrawn_domains:
         state.withdrawn_since = None
     elif state.withdrawn_since is None:
--- a/nutmegstep/engine/core.py
+++ b/nutmegstep/engine/core.py
@@ -23,6 +23,7 @@
     TimerFired,
 )
 from nutmegstep.engine.state import EngineState
+from nutmegstep.engine.waiting import serve_waiting
 
 __all__ = ['reduce']
 
@@ -52,6 +53,8 @@
     """
     effects: list[Effect] = []
     _FUNCTION_BY_EVENT[type(event)](state, event, now, effects)
+    if state.released or state.recheck_waiting:
+        serve_waiting(state, now, effects)
     return effects
 
 
--- a/nutmegstep/engine/finishing.py
+++ b/nutmegstep/engine/finishing.py
@@ -4,7 +4,6 @@
 
 from nutmegstep.coverage import build_answer
 from nutmegstep.engine.effects import (
-    CancelAttempt,
     CancelTimer,
     Effect,
     FinishDrain,
@@ -12,7 +11,7 @@
     ReplyRefusal,
 )
 from nutmegstep.engine.events import TimerKey, TimerKind
-from nutmegstep.engine.sending import close_attempt
+from nutmegstep.engine.sending import give_up_attempt
 from nutmegstep.engine.state import EngineState, QueryState
 from nutmegstep.model import CoverageRule
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
@@ -42,12 +41,12 @@
 def cancel_attempts(
     state: EngineState,
     query: QueryState,
+    now: float,
     effects: list[Effect],
 ) -> None:
     """Cancel the attempts of a query that have no outcome yet."""
     for attempt_id in query.attempt_ids:
-        close_attempt(state, attempt_id)
-        effects.append(CancelAttempt(attempt_id))
+        give_up_attempt(state, attempt_id, now, effects)
         query.may_have_run = True
     query.attempt_ids.clear()
 
@@ -55,22 +54,25 @@
 def end_query(
     state: EngineState,
     query: QueryState,
+    now: float,
     effects: list[Effect],
 ) -> None:
-    """Forget a query, its timer and its attempts."""
+    """Forget a query, its timers and its attempts."""
     del state.queries_by_id[query.query_id]
     effects.append(CancelTimer(TimerKey(TimerKind.DEADLINE, query.query_id)))
-    cancel_attempts(state, query, effects)
+    effects.append(CancelTimer(TimerKey(TimerKind.HEDGE, query.query_id)))
+    cancel_attempts(state, query, now, effects)
 
 
 def refuse_query(
     state: EngineState,
     query: QueryState,
     refusal: Refusal,
+    now: float,
     effects: list[Effect],
 ) -> None:
     """End a query with a refusal."""
-    end_query(state, query, effects)
+    end_query(state, query, now, effects)
     effects.append(ReplyRefusal(query.query_id, refusal))
     drain_if_idle(state, effects)
 
@@ -78,6 +80,7 @@
 def finish_when_gathered(
     state: EngineState,
     query: QueryState,
+    now: float,
     effects: list[Effect],
 ) -> None:
     """Reply once every shard has an outcome."""
@@ -85,9 +88,9 @@
         return
     whole = query.service.coverage is CoverageRule.WHOLE
     if query.lacking_by_shard and (whole or not query.results_by_shard):
-        refuse_query(state, query, _incomplete(query), effects)
+        refuse_query(state, query, _incomplete(query), now, effects)
         return
-    end_query(state, query, effects)
+    end_query(state, query, now, effects)
     answer = build_answer(
         query.service.name,
         query.version,
--- a/nutmegstep/engine/one_shot.py
+++ b/nutmegstep/engine/one_shot.py
@@ -378,8 +378,9 @@
     shard = requested_shard(ready.request.record_key, shards)
     target = choose_replica(
         candidates_of(state, shard, ready.tried, now),
-        state.in_flight_by_target,
+        state.targets,
         state.failure_domain,
+        state.random,
     )
     return None if target is None else (version, shard, target)
 
--- a/nutmegstep/engine/restarting.py
+++ b/nutmegstep/engine/restarting.py
@@ -7,6 +7,7 @@
     refuse_query,
     sent_verdict,
 )
+from nutmegstep.engine.hedges import arm_hedges, probe_slow_replica
 from nutmegstep.engine.sending import requested_shard, send_shard
 from nutmegstep.engine.state import EngineState, QueryState
 from nutmegstep.model import IndexVersion, Shard
@@ -27,19 +28,25 @@
     shards = service_shards(query.service, version)
     if not shards:
         detail = f'version {version.number} has no shard of the service'
-        _refuse_snapshot(state, query, detail, effects)
+        _refuse_snapshot(state, query, detail, now, effects)
         return
     query.version = version.number
     query.tried_versions.add(version.number)
     query.shards_by_name = _requested(query.request.record_key, shards)
-    query.pending = set(query.shards_by_name)
+    query.pending = dict.fromkeys(query.shards_by_name)
+    query.waiting = set()
+    query.hedged = set()
+    query.hedge_rounds = 0
     query.results_by_shard = {}
     query.lacking_by_shard = {}
     query.tried_by_shard = {}
     state.retries.earn(len(query.shards_by_name))
+    state.hedges.earn(len(query.shards_by_name))
     for shard in query.shards_by_name.values():
         send_shard(state, query, shard, now, effects)
-    finish_when_gathered(state, query, effects)
+        probe_slow_replica(state, query, shard, now, effects)
+    arm_hedges(query, now, effects)
+    finish_when_gathered(state, query, now, effects)
 
 
 def restart_or_finish(
@@ -56,14 +63,14 @@
         shard,
         now,
     ):
-        finish_when_gathered(state, query, effects)
+        finish_when_gathered(state, query, now, effects)
         return
     version = _next_version(state, query, now)
     if version is None:
         detail = f'no replica of shard {shard.name} holds the version'
-        _refuse_snapshot(state, query, detail, effects)
+        _refuse_snapshot(state, query, detail, now, effects)
         return
-    cancel_attempts(state, query, effects)
+    cancel_attempts(state, query, now, effects)
     start_version(state, query, version, now, effects)
 
 
@@ -115,6 +122,7 @@
     state: EngineState,
     query: QueryState,
     detail: str,
+    now: float,
     effects: list[Effect],
 ) -> None:
     refusal = refuse(
@@ -122,4 +130,4 @@
         Reason.SNAPSHOT_UNAVAILABLE,
         detail,
     )
-    refuse_query(state, query, refusal, effects)
+    refuse_query(state, query, refusal, now, effects)
--- a/nutmegstep/engine/scatter.py
+++ b/nutmegstep/engine/scatter.py
@@ -1,5 +1,7 @@
 """Sends target requests and gathers their outcomes."""
 
+from typing import Final
+
 from nutmegstep.engine import one_shot
 from nutmegstep.engine.control import refusal_reason
 from nutmegstep.engine.effects import Effect, ReplyRefusal, SetTimer
@@ -18,6 +20,7 @@
     end_query,
     finish_when_gathered,
 )
+from nutmegstep.engine.hedges import cancel_twins, has_twin, on_hedge_timer
 from nutmegstep.engine.restarting import restart_or_finish, start_version
 from nutmegstep.engine.sending import close_attempt, send_shard
 from nutmegstep.engine.state import (
@@ -26,6 +29,7 @@
     OneShotSent,
     QueryState,
 )
+from nutmegstep.hedging import LatencyWindow
 from nutmegstep.snapshot import choose_version
 from nutmegstep.verdict import Reason, Verdict, refuse
 
@@ -39,7 +43,9 @@
 
 # A target that said that it is leaving gets no new work for this long; one
 # that comes back under the same name has restarted by then.
-_LEAVING_SECONDS = 10
+_LEAVING_SECONDS: Final = 10
+
+_UNANSWERED: Final = frozenset((FailureKind.TIMEOUT, FailureKind.SILENT))
 
 
 def on_query(
@@ -66,7 +72,11 @@
         _refuse_unsent(event, Reason.SNAPSHOT_UNAVAILABLE, detail, effects)
         return
     state.restarts.earn()
-    query_state = QueryState(event.query_id, query, service, 0, {})
+    window = state.window_by_service.setdefault(
+        service.name,
+        LatencyWindow(),
+    )
+    query_state = QueryState(event.query_id, query, service, 0, {}, window)
     state.queries_by_id[event.query_id] = query_state
     timer = TimerKey(TimerKind.DEADLINE, event.query_id)
     effects.append(SetTimer(timer, query.deadline))
@@ -93,13 +103,17 @@
         return
     query.attempt_ids.discard(event.attempt_id)
     query.may_have_run = True
+    _measure(state, query, attempt, now)
     if event.index_version != query.version:
         _retry_shard(state, query, attempt, 'other_version', now, effects)
         return
     state.held.note_held(query.service.index, query.version, attempt.target)
-    query.pending.discard(attempt.shard)
+    if attempt.shard not in query.pending:
+        return
+    del query.pending[attempt.shard]
     query.results_by_shard[attempt.shard] = event.body
-    finish_when_gathered(state, query, effects)
+    cancel_twins(state, query, attempt.shard, now, effects)
+    finish_when_gathered(state, query, now, effects)
 
 
 def on_target_failed(
@@ -112,9 +126,7 @@
     attempt = state.attempts_by_id.get(event.attempt_id)
     if attempt is None:
         return
-    if event.kind is FailureKind.DRAINING:
-        until = now + _LEAVING_SECONDS
-        state.leaving_until_by_target[attempt.target] = until
+    _note_failure(state, attempt, event.kind, now)
     waiting = state.one_shots_by_id.get(attempt.query_id)
     if isinstance(waiting, OneShotSent):
         one_shot.on_one_shot_failed(state, waiting, event, now, effects)
@@ -137,7 +149,10 @@
     effects: list[Effect],
 ) -> None:
     """End a request whose deadline has passed."""
-    if event.timer.kind is not TimerKind.DEADLINE:
+    if event.timer.kind is TimerKind.HEDGE:
+        hedged = state.queries_by_id.get(event.timer.query_id)
+        if hedged is not None:
+            on_hedge_timer(state, hedged, now, effects)
         return
     query_id = event.timer.query_id
     if query_id in state.one_shots_by_id:
@@ -149,7 +164,7 @@
     for shard in query.pending:
         query.lacking_by_shard[shard] = 'deadline_exceeded'
     query.pending.clear()
-    finish_when_gathered(state, query, effects)
+    finish_when_gathered(state, query, now, effects)
 
 
 def on_caller_gone(
@@ -164,7 +179,7 @@
         return
     query = state.queries_by_id.get(event.query_id)
     if query is not None:
-        end_query(state, query, effects)
+        end_query(state, query, now, effects)
         drain_if_idle(state, effects)
 
 
@@ -178,6 +193,37 @@
     effects.append(ReplyRefusal(event.query_id, refusal))
 
 
+def _measure(
+    state: EngineState,
+    query: QueryState,
+    attempt: AttemptState,
+    now: float,
+) -> None:
+    seconds = now - attempt.started
+    query.window.add(seconds)
+    stats = state.targets.stats_by_name.get(attempt.target)
+    if stats is not None:
+        stats.answered(seconds)
+
+
+def _note_failure(
+    state: EngineState,
+    attempt: AttemptState,
+    kind: FailureKind,
+    now: float,
+) -> None:
+    if kind is FailureKind.DRAINING:
+        until = now + _LEAVING_SECONDS
+        state.leaving_until_by_target[attempt.target] = until
+    stats = state.targets.stats_by_name.get(attempt.target)
+    if stats is None:
+        return
+    if kind is FailureKind.SHED:
+        stats.shed()
+    elif kind in _UNANSWERED:
+        stats.unanswered(now - attempt.started)
+
+
 def _note_versions(
     state: EngineState,
     query: QueryState,
@@ -201,11 +247,13 @@
 ) -> None:
     if attempt.shard not in query.pending:
         return
+    if has_twin(state, query, attempt.shard):
+        return
     shard = query.shards_by_name[attempt.shard]
     if state.retries.spend():
         send_shard(state, query, shard, now, effects)
     else:
-        query.pending.discard(shard.name)
+        del query.pending[shard.name]
     if shard.name not in query.pending:
         query.lacking_by_shard[shard.name] = reason
     restart_or_finish(state, query, shard, now, effects)
--- a/nutmegstep/engine/sending.py
+++ b/nutmegstep/engine/sending.py
@@ -1,10 +1,11 @@
 """Sends target requests; withdrawals and drains are checked in the same step."""
 
+from collections import deque
 from typing import Final
 
 import xxhash
 
-from nutmegstep.engine.effects import Effect, SendToTarget
+from nutmegstep.engine.effects import CancelAttempt, Effect, SendToTarget
 from nutmegstep.engine.state import AttemptState, EngineState, QueryState
 from nutmegstep.model import Shard, Target
 from nutmegstep.routing import choose_replica, usable_replicas
@@ -13,11 +14,15 @@
     'candidates_of',
     'close_attempt',
     'open_attempt',
+    'give_up_attempt',
     'requested_shard',
+    'send_attempt',
     'send_shard',
+    'untried_holders',
 ]
 
 _NONE_TRIED: Final[frozenset[str]] = frozenset()
+_MAX_WAITING_ENTRIES: Final = 1024
 
 
 def requested_shard(
@@ -74,7 +79,7 @@
         target,
         now,
     )
-    state.in_flight_by_target[target] += 1
+    state.targets.stats_by_name[target].in_flight += 1
     return attempt_id
 
 
@@ -84,11 +89,33 @@
 ) -> AttemptState | None:
     """Forget an attempt; None when it is unknown or already closed."""
     attempt = state.attempts_by_id.pop(attempt_id, None)
-    if attempt is not None:
-        state.in_flight_by_target[attempt.target] -= 1
+    if attempt is None:
+        return None
+    stats = state.targets.stats_by_name.get(attempt.target)
+    # A target that left the configuration meanwhile has no statistics; one
+    # that came back starts at zero.
+    if stats is not None and stats.in_flight:
+        stats.in_flight -= 1
+        state.released.append(attempt.target)
     return attempt
 
 
+def give_up_attempt(
+    state: EngineState,
+    attempt_id: int,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Cancel an attempt and count its time as a lower bound."""
+    attempt = close_attempt(state, attempt_id)
+    if attempt is None:
+        return
+    stats = state.targets.stats_by_name.get(attempt.target)
+    if stats is not None:
+        stats.unanswered(now - attempt.started)
+    effects.append(CancelAttempt(attempt_id))
+
+
 def send_shard(
     state: EngineState,
     query: QueryState,
@@ -96,50 +123,98 @@
     now: float,
     effects: list[Effect],
 ) -> None:
-    """Send the request of a shard, or record the shard as lacking."""
-    tried = query.tried_by_shard.get(shard.name, _NONE_TRIED)
+    """Send the request of a shard, let it wait, or record it as lacking."""
+    candidates = untried_holders(state, query, shard, now)
+    if not candidates:
+        del query.pending[shard.name]
+        query.lacking_by_shard.setdefault(shard.name, 'no_replica')
+        return
     target = choose_replica(
-        _holders(state, query, shard, tried, now),
-        state.in_flight_by_target,
+        candidates,
+        state.targets,
         state.failure_domain,
+        state.random,
     )
     if target is None:
-        query.pending.discard(shard.name)
-        query.lacking_by_shard.setdefault(shard.name, 'no_replica')
+        _wait_for_slot(state, query, shard, candidates)
         return
-    query.tried_by_shard[shard.name] = {*tried, target.name}
-    attempt_id = open_attempt(
-        state,
-        query.query_id,
-        shard.name,
-        target.name,
-        now,
-    )
+    send_attempt(state, query, shard, target.name, now, effects)
+
+
+def send_attempt(  # noqa: WPS211
+    state: EngineState,
+    query: QueryState,
+    shard: Shard,
+    target: str,
+    now: float,
+    effects: list[Effect],
+    *,
+    fresh_connection: bool = False,
+) -> None:
+    """Send the request of a shard to a target with a free slot."""
+    tried = query.tried_by_shard.get(shard.name)
+    if tried is None:
+        query.tried_by_shard[shard.name] = {target}
+    else:
+        tried.add(target)
+    attempt_id = open_attempt(state, query.query_id, shard.name, target, now)
     query.attempt_ids.add(attempt_id)
     effects.append(
         SendToTarget(
             attempt_id,
             query.query_id,
-            target.name,
+            target,
             shard.name,
             query.version,
             query.request.body,
             query.request.deadline,
             query.request.traceparent,
+            fresh_connection,
         ),
     )
 
 
-def _holders(
+def untried_holders(
     state: EngineState,
     query: QueryState,
     shard: Shard,
-    tried: frozenset[str] | set[str],
     now: float,
 ) -> list[Target]:
+    """Return the replicas that may still answer a shard of a query."""
+    tried = query.tried_by_shard.get(shard.name, _NONE_TRIED)
     index = query.service.index
     return [
         target
         for target in candidates_of(state, shard, tried, now)
         if not state.held.lacks(index, query.version, target.name, now)
     ]
+
+
+def _wait_for_slot(
+    state: EngineState,
+    query: QueryState,
+    shard: Shard,
+    candidates: list[Target],
+) -> None:
+    query.waiting.add(shard.name)
+    for target in candidates:
+        waiting = state.waiting_by_target.setdefault(target.name, deque())
+        if len(waiting) >= _MAX_WAITING_ENTRIES:
+            _drop_ended(state, waiting)
+        waiting.append((query.query_id, shard.name))
+
+
+def _drop_ended(
+    state: EngineState,
+    waiting: deque[tuple[int, str]],
+) -> None:
+    # A shard waits at each of its replicas and is sent from one; the entries
+    # at the others are dropped when they are met, or here.
+    live = [
+        (query_id, shard)
+        for query_id, shard in waiting
+        if query_id in state.queries_by_id
+        and shard in state.queries_by_id[query_id].waiting
+    ]
+    waiting.clear()
+    waiting.extend(live)
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -1,10 +1,16 @@
 """State that the reducer owns."""
 
-from collections import Counter
+from collections import deque
 from dataclasses import dataclass, field
 from random import Random
 
-from nutmegstep.hedging import RESTART_SHARE, RETRY_SHARE, TokenBudget
+from nutmegstep.hedging import (
+    HEDGE_SHARE,
+    RESTART_SHARE,
+    RETRY_SHARE,
+    LatencyWindow,
+    TokenBudget,
+)
 from nutmegstep.model import (
     Fleet,
     IdempotentQuery,
@@ -14,6 +20,7 @@
     Service,
     Shard,
 )
+from nutmegstep.routing import TargetTable
 from nutmegstep.snapshot import HeldVersions
 
 __all__ = [
@@ -59,6 +66,8 @@
         Pinned index version.
     shards_by_name : dict
         Shards that the answer must cover or list as lacking.
+    window : LatencyWindow
+        Latencies of the service.
     """
 
     query_id: int
@@ -66,7 +75,11 @@
     service: Service
     version: int
     shards_by_name: dict[str, Shard]
-    pending: set[str] = field(default_factory=set)
+    window: LatencyWindow
+    pending: dict[str, None] = field(default_factory=dict)
+    waiting: set[str] = field(default_factory=set)
+    hedged: set[str] = field(default_factory=set)
+    hedge_rounds: int = 0
     results_by_shard: dict[str, bytes] = field(default_factory=dict)
     lacking_by_shard: dict[str, str] = field(default_factory=dict)
     tried_by_shard: dict[str, set[str]] = field(default_factory=dict)
@@ -136,7 +149,16 @@
     one_shots_by_id: dict[int, OneShotState] = field(default_factory=dict)
     abandoned_claims: set[int] = field(default_factory=set)
     attempts_by_id: dict[int, AttemptState] = field(default_factory=dict)
-    in_flight_by_target: Counter[str] = field(default_factory=Counter)
+    targets: TargetTable = field(default_factory=TargetTable)
+    window_by_service: dict[str, LatencyWindow] = field(default_factory=dict)
+    waiting_by_target: dict[str, deque[tuple[int, str]]] = field(
+        default_factory=dict,
+    )
+    released: list[str] = field(default_factory=list)
+    recheck_waiting: bool = False
+    hedges: TokenBudget = field(
+        default_factory=lambda: TokenBudget(HEDGE_SHARE),
+    )
     held: HeldVersions = field(default_factory=HeldVersions)
     retries: TokenBudget = field(
         default_factory=lambda: TokenBudget(RETRY_SHARE),
--- /dev/null
+++ b/nutmegstep/engine/waiting.py
@@ -0,0 +1,51 @@
+"""Sends shards that wait for a free slot of a target."""
+
+from nutmegstep.engine.effects import Effect
+from nutmegstep.engine.finishing import finish_when_gathered
+from nutmegstep.engine.sending import send_shard
+from nutmegstep.engine.state import EngineState
+
+__all__ = ['serve_waiting']
+
+
+def serve_waiting(
+    state: EngineState,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Give the slots that became free to waiting shards, oldest first.
+
+    Withdrawals and drains are checked again by `send_shard`.
+    """
+    if state.recheck_waiting:
+        # Withdrawals and drains also concern shards that wait at full targets.
+        state.recheck_waiting = False
+        for name in tuple(state.waiting_by_target):
+            _serve_target(state, name, now, effects, only_free=False)
+    while state.released:
+        _serve_target(state, state.released.pop(), now, effects)
+
+
+def _serve_target(
+    state: EngineState,
+    target: str,
+    now: float,
+    effects: list[Effect],
+    *,
+    only_free: bool = True,
+) -> None:
+    waiting = state.waiting_by_target.get(target, ())
+    # Bounded by the length at the start: a shard may have to wait again.
+    left = len(waiting)
+    while left and waiting:
+        left -= 1
+        stats = state.targets.stats_by_name.get(target)
+        if only_free and stats is not None and not stats.free:
+            return
+        query_id, shard = state.waiting_by_target[target].popleft()
+        query = state.queries_by_id.get(query_id)
+        if query is None or shard not in query.waiting:
+            continue
+        query.waiting.discard(shard)
+        send_shard(state, query, query.shards_by_name[shard], now, effects)
+        finish_when_gathered(state, query, now, effects)
--- a/nutmegstep/hedging/__init__.py
+++ b/nutmegstep/hedging/__init__.py
@@ -1,4 +1,4 @@
-"""Budgets of hedges, retries and restarts."""
+"""Hedge delay and the budgets of hedges, retries and restarts."""
 
 from nutmegstep.hedging.core import (
     HEDGE_SHARE,
@@ -6,5 +6,13 @@
     RETRY_SHARE,
     TokenBudget,
 )
+from nutmegstep.hedging.latency import LatencyWindow, silence_bound
 
-__all__ = ['HEDGE_SHARE', 'RESTART_SHARE', 'RETRY_SHARE', 'TokenBudget']
+__all__ = [
+    'HEDGE_SHARE',
+    'RESTART_SHARE',
+    'RETRY_SHARE',
+    'LatencyWindow',
+    'TokenBudget',
+    'silence_bound',
+]
--- /dev/null
+++ b/nutmegstep/hedging/latency.py
@@ -0,0 +1,62 @@
+"""Recent latencies of a service and the delays that follow from them."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+__all__ = ['LatencyWindow', 'silence_bound']
+
+_WINDOW_ANSWERS: Final = 512
+# Sorting the window on each answer would cost more than the whole decision.
+_ANSWERS_PER_UPDATE: Final = 64
+_HEDGE_QUANTILE: Final = 0.95
+_TAIL_QUANTILE: Final = 0.99
+_FIRST_HEDGE_SECONDS: Final = 0.05
+_FIRST_TAIL_SECONDS: Final = 0.1
+_SILENCE_FACTOR: Final = 4
+_MIN_SILENCE_SECONDS: Final = 0.05
+
+
+@dataclass(slots=True)
+class LatencyWindow:
+    """The latest target request latencies of a service.
+
+    Parameters
+    ----------
+    hedge_delay : float
+        The p95 in seconds; a default until enough answers were counted.
+    tail : float
+        The p99 in seconds.
+
+    Notes
+    -----
+    A histogram without decay, as HDR histograms are, would keep the p95 of an
+    earlier load; the ring forgets after 512 answers.
+    """
+
+    hedge_delay: float = _FIRST_HEDGE_SECONDS
+    tail: float = _FIRST_TAIL_SECONDS
+    count: int = 0
+    ring: list[float] = field(default_factory=list)
+
+    def add(self, seconds: float) -> None:
+        """Count an answer."""
+        if len(self.ring) < _WINDOW_ANSWERS:
+            self.ring.append(seconds)
+        else:
+            self.ring[self.count % _WINDOW_ANSWERS] = seconds
+        self.count += 1
+        if self.count % _ANSWERS_PER_UPDATE == 0:
+            ordered = sorted(self.ring)
+            self.hedge_delay = ordered[int(len(ordered) * _HEDGE_QUANTILE)]
+            self.tail = ordered[int(len(ordered) * _TAIL_QUANTILE)]
+
+
+def silence_bound(tail: float) -> float:
+    """Return after how many seconds without a byte a request moves.
+
+    Examples
+    --------
+    >>> silence_bound(0.001), silence_bound(0.1)
+    (0.05, 0.4)
+    """
+    return max(_MIN_SILENCE_SECONDS, tail * _SILENCE_FACTOR)
--- a/nutmegstep/routing/__init__.py
+++ b/nutmegstep/routing/__init__.py
@@ -1,5 +1,18 @@
 """Choice of the replica for a target request."""
 
-from nutmegstep.routing.core import choose_replica, usable_replicas
+from nutmegstep.routing.core import (
+    PROBE_SHARE,
+    choose_replica,
+    is_slow,
+    usable_replicas,
+)
+from nutmegstep.routing.statistics import TargetStats, TargetTable
 
-__all__ = ['choose_replica', 'usable_replicas']
+__all__ = [
+    'PROBE_SHARE',
+    'TargetStats',
+    'TargetTable',
+    'choose_replica',
+    'is_slow',
+    'usable_replicas',
+]
--- a/nutmegstep/routing/core.py
+++ b/nutmegstep/routing/core.py
@@ -1,10 +1,20 @@
 """Chooses replicas among the targets that may receive new work."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
+from random import Random
+from typing import Final
 
 from nutmegstep.model import Shard, Target
+from nutmegstep.routing.statistics import TargetStats, TargetTable
 
-__all__ = ['choose_replica', 'usable_replicas']
+__all__ = ['PROBE_SHARE', 'choose_replica', 'is_slow', 'usable_replicas']
+
+PROBE_SHARE: Final = 0.01
+
+# The margin, in seconds, keeps the distance between failure domains (3 ms
+# there and back) from making a remote replica of a fast service slow.
+_SLOW_FACTOR: Final = 3
+_SLOW_MARGIN: Final = 0.005
 
 
 def usable_replicas(
@@ -44,20 +54,67 @@
     ]
 
 
+def is_slow(stats: TargetStats, fastest: float) -> bool:
+    """Return whether a target is much slower than the fastest replica."""
+    return stats.latency > fastest * _SLOW_FACTOR + _SLOW_MARGIN
+
+
 def choose_replica(
-    candidates: Collection[Target],
-    in_flight_by_target: Mapping[str, int],
+    candidates: Sequence[Target],
+    table: TargetTable,
     failure_domain: str,
+    random: Random,
 ) -> Target | None:
-    """Return the candidate with the fewest requests in flight.
+    """Return the replica for a request, or None when no slot is free.
 
-    Among equals a target in `failure_domain` goes first.
+    Parameters
+    ----------
+    candidates : Sequence of Target
+        Replicas that may receive the request.
+    table : TargetTable
+        Measurements of the VM.
+    failure_domain : str
+        Failure domain of the VM; its targets go first.
+    random : random.Random
+        Draws the two that are compared.
+
+    Returns
+    -------
+    Target or None
+        The better of two by expected latency times (in flight + 1). Slow
+        replicas are left out as long as a faster one is a candidate.
     """
-    return min(
-        candidates,
-        key=lambda target: (
-            in_flight_by_target[target.name],
-            target.failure_domain != failure_domain,
-        ),
-        default=None,
+    stats_by_name = table.stats_by_name
+    fastest = min(
+        (stats_by_name[target.name].latency for target in candidates),
+        default=0,
     )
+    free = [
+        target
+        for target in candidates
+        if stats_by_name[target.name].free
+        and not is_slow(stats_by_name[target.name], fastest)
+    ]
+    near = [
+        target for target in free if target.failure_domain == failure_domain
+    ]
+    return _better_of_two(near or free, stats_by_name, random)
+
+
+def _better_of_two(
+    targets: list[Target],
+    stats_by_name: Mapping[str, TargetStats],
+    random: Random,
+) -> Target | None:
+    if len(targets) < 2:
+        return targets[0] if targets else None
+    first = int(random.random() * len(targets))
+    other = int(random.random() * (len(targets) - 1))
+    if other >= first:
+        other += 1
+    pair = (targets[first], targets[other])
+    return min(pair, key=lambda target: _cost(stats_by_name[target.name]))
+
+
+def _cost(stats: TargetStats) -> float:
+    return stats.latency * (stats.in_flight + 1)
--- /dev/null
+++ b/nutmegstep/routing/statistics.py
@@ -0,0 +1,96 @@
+"""Measurements of targets and the limit of concurrent requests to each."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from nutmegstep.model import Fleet, Target
+
+__all__ = ['TargetStats', 'TargetTable']
+
+# Latency that is assumed of a target without a measurement, in seconds.
+_FIRST_LATENCY: Final = 0.01
+_LATENCY_WEIGHT: Final = 0.2
+_MIN_LIMIT: Final = 1
+
+
+@dataclass(slots=True)
+class TargetStats:
+    """What this VM measured of a target.
+
+    Parameters
+    ----------
+    ceiling : int
+        Upper bound of the limit.
+    limit : float
+        Requests that this VM may have in flight to the target.
+    latency : float
+        Moving average in seconds.
+    in_flight : int
+        Requests without an outcome.
+
+    Examples
+    --------
+    >>> stats = TargetStats(ceiling=4, limit=4)
+    >>> stats.shed()
+    >>> stats.limit
+    2.0
+    """
+
+    ceiling: int
+    limit: float
+    latency: float = _FIRST_LATENCY
+    in_flight: int = 0
+
+    @property
+    def free(self) -> bool:
+        """Whether another request may be sent."""
+        return self.in_flight < int(self.limit)
+
+    def answered(self, seconds: float) -> None:
+        """Count an answer; raises the limit by one per window of answers."""
+        self.latency += (seconds - self.latency) * _LATENCY_WEIGHT
+        raised = self.limit + 1 / self.limit
+        self.limit = raised if raised < self.ceiling else self.ceiling
+
+    def unanswered(self, seconds: float) -> None:
+        """Count a request that was given up after some seconds.
+
+        Its latency is at least that long; a shorter wait says nothing.
+        """
+        if seconds > self.latency:
+            self.latency += (seconds - self.latency) * _LATENCY_WEIGHT
+
+    def shed(self) -> None:
+        """Halve the limit after a target refused work."""
+        self.limit = max(_MIN_LIMIT, self.limit / 2)
+
+
+@dataclass(slots=True)
+class TargetTable:
+    """Statistics of all targets of the configuration in force."""
+
+    stats_by_name: dict[str, TargetStats] = field(default_factory=dict)
+
+    def adopt(self, fleet: Fleet) -> None:
+        """Add new targets, drop removed ones, and apply changed ceilings.
+
+        A ceiling never exceeds the connections that this VM may open: a
+        request must not wait for a connection after the decision to send it.
+        """
+        self.stats_by_name = dict(self._adopted(fleet))
+
+    def _adopted(self, fleet: Fleet) -> Iterable[tuple[str, TargetStats]]:
+        for target in fleet.targets_by_name.values():
+            ceiling = _ceiling(target, fleet.entry_vms_max)
+            known = self.stats_by_name.get(target.name)
+            if known is None:
+                known = TargetStats(ceiling, ceiling)
+            known.ceiling = ceiling
+            known.limit = min(known.limit, ceiling)
+            yield target.name, known
+
+
+def _ceiling(target: Target, entry_vms_max: int) -> int:
+    connections = target.connections // (2 * entry_vms_max)
+    return max(_MIN_LIMIT, min(target.slots, connections))
--- /dev/null
+++ b/tests/engine/test_hedges.py
@@ -0,0 +1,79 @@
+"""Tests of hedges, probes and shards that wait for a slot."""
+
+from nutmegstep.engine import effects as fx
+from nutmegstep.engine import events as ev
+
+HEDGE = ev.TimerFired(ev.TimerKey(ev.TimerKind.HEDGE, 1))
+
+
+def test_hedge_goes_elsewhere_and_the_loser_is_cancelled(build) -> None:
+    """Guards against a hedge to the straggler and against double answers."""
+    engine = build()
+    engine.query(record_key='k')
+    send = engine.sole(fx.SendToTarget)
+    engine.apply(HEDGE, 0.1)
+    hedge = engine.sole(fx.SendToTarget)
+    assert hedge.target != send.target
+    engine.apply(ev.TargetAnswered(hedge.attempt_id, 1, 'b', b'1'), 0.2)
+    assert engine.sole(fx.CancelAttempt).attempt_id == send.attempt_id
+    assert engine.sole(fx.ReplyAnswer).answer.complete
+    late = ev.TargetAnswered(send.attempt_id, 1, 'b', b'2')
+    assert not engine.apply(late, 0.3)
+
+
+def test_no_hedge_without_budget_or_free_slot(build) -> None:
+    """Guards against extra load beyond 5% or on busy targets."""
+    for case in ('budget', 'slots'):
+        engine = build()
+        engine.query()
+        if case == 'budget':
+            engine.state.hedges.tokens = 0
+        else:
+            for stats in engine.state.targets.stats_by_name.values():
+                stats.in_flight = stats.ceiling
+        engine.apply(HEDGE, 0.1)
+        assert not engine.of(fx.SendToTarget)
+
+
+def test_last_replica_is_asked_on_a_fresh_connection(build) -> None:
+    """Guards against a query lost to one silent connection."""
+    engine = build()
+    domains = frozenset(('domain-1', 'domain-2'))
+    engine.apply(ev.ControlChanged(domains, frozenset()))
+    engine.query(record_key='k')
+    send = engine.sole(fx.SendToTarget)
+    engine.apply(HEDGE, 0.1)
+    assert not engine.of(fx.SendToTarget)
+    engine.apply(HEDGE, 0.5)
+    moved = engine.sole(fx.SendToTarget)
+    assert (moved.target, moved.fresh_connection) == (send.target, True)
+
+
+def test_slow_replica_is_probed_at_most_once_in_a_hundred(build) -> None:
+    """Guards against probes without a hedge, without budget or too many."""
+    engine = build()
+    stats_by_name = engine.state.targets.stats_by_name
+    for number in range(1, 2001):
+        stats_by_name['a-0'].latency = 1
+        engine.query(number)
+        sends = engine.of(fx.SendToTarget)
+        probes = [send for send in sends if send.target == 'a-0']
+        assert len(sends) == 2 + len(probes)
+        engine.apply(ev.CallerGone(number))
+    assert 0 < engine.state.last_attempt_id - 4000 <= 40
+
+
+def test_waiting_shard_gets_a_freed_slot_unless_withdrawn(build) -> None:
+    """Guards against queued work for a failure domain that left (G4)."""
+    engine = build()
+    for stats in engine.state.targets.stats_by_name.values():
+        stats.limit = 1
+    for number in range(1, 5):
+        engine.query(number, record_key='k')
+    assert not engine.of(fx.SendToTarget)
+    engine.apply(ev.CallerGone(1))
+    assert engine.sole(fx.SendToTarget).query_id == 4
+    engine.query(5, record_key='k')
+    every = frozenset(('domain-0', 'domain-1', 'domain-2'))
+    engine.apply(ev.ControlChanged(every, frozenset()))
+    assert engine.sole(fx.ReplyRefusal).query_id == 5
--- /dev/null
+++ b/tests/routing/test_core.py
@@ -0,0 +1,52 @@
+"""Tests of replica choice and of the adaptive limit."""
+
+from random import Random
+
+import pytest
+
+from nutmegstep.model import Fleet, Target
+from nutmegstep.routing import TargetTable, choose_replica
+
+
+@pytest.fixture
+def table() -> TargetTable:
+    """Return statistics of three targets, one per failure domain."""
+    targets = [Target(name, '::1', 1, name, 4, 1, 80) for name in 'abc']
+    made = TargetTable()
+    by_name = {target.name: target for target in targets}
+    made.adopt(Fleet(1, {}, by_name, 7, {}))
+    return made
+
+
+def _choices(table, names, domain='a'):
+    targets = [Target(name, '::1', 1, name, 4, 1, 80) for name in names]
+    random = Random(3)
+    chosen = [choose_replica(targets, table, domain, random) for _ in range(50)]
+    return {target.name if target else None for target in chosen}
+
+
+def test_own_domain_goes_first_unless_slow(table) -> None:
+    """Guards against cross-domain traffic and against a near straggler."""
+    assert _choices(table, 'abc') == {'a'}
+    table.stats_by_name['a'].latency = 1
+    assert _choices(table, 'abc') == {'b', 'c'}
+    assert _choices(table, 'a') == {'a'}
+
+
+def test_no_replica_without_a_free_slot(table) -> None:
+    """Guards against more requests in flight than the limit."""
+    for name in 'bc':
+        table.stats_by_name[name].in_flight = 4
+    table.stats_by_name['a'].latency = 1
+    assert _choices(table, 'abc') == {None}
+
+
+def test_limit_halves_on_a_shed_and_recovers(table) -> None:
+    """Guards against a limit below 1, above the ceiling, or stuck."""
+    stats = table.stats_by_name['a']
+    for _ in range(5):
+        stats.shed()
+    assert stats.limit == 1
+    for _ in range(40):
+        stats.answered(0.01)
+    assert stats.limit == stats.ceiling == 4
