Add admission, bounded queues and singleflight

Every query started at once, so overload grew without a bound. A service now has a limit that follows the limits of its targets; other queries wait in a bounded queue per class or are refused with a prepared refusal. Identical queries in flight share one scatter while each caller keeps its deadline.

--- /dev/null
+++ b/nutmegstep/admission/__init__.py
@@ -0,0 +1,5 @@
+"""Concurrency limits and bounded queues of queries."""
+
+from nutmegstep.admission.core import Admission, Decision
+
+__all__ = ['Admission', 'Decision']
--- /dev/null
+++ b/nutmegstep/engine/admitting.py
@@ -0,0 +1,244 @@
+"""Admits queries, lets them wait or refuses them, and joins identical ones."""
+
+from typing import Final
+
+from nutmegstep.admission import Decision
+from nutmegstep.engine.control import refusal_reason
+from nutmegstep.engine.effects import Effect, ReplyRefusal, SetTimer
+from nutmegstep.engine.events import QueryArrived, TimerKey, TimerKind
+from nutmegstep.engine.finishing import refuse_query
+from nutmegstep.engine.restarting import refuse_snapshot, start_version
+from nutmegstep.engine.state import EngineState, QueryState
+from nutmegstep.hedging import LatencyWindow
+from nutmegstep.model import IdempotentQuery, Service
+from nutmegstep.routing import usable_replicas
+from nutmegstep.snapshot import choose_version, service_shards
+from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
+
+__all__ = ['admit_queued', 'on_query', 'refusal_at_head']
+
+# The limit follows the adaptive limits of the targets; computing it for each
+# query would cost a pass over all replicas.
+_LIMIT_SECONDS: Final = 0.1
+
+_OVERLOADED: Final = refuse(
+    Verdict.NOT_RUN,
+    Reason.OVERLOADED,
+    'the queue of the class is full',
+)
+_TOO_LATE: Final = refuse(
+    Verdict.NOT_RUN,
+    Reason.DEADLINE_EXCEEDED,
+    'the deadline would pass before an answer',
+)
+
+
+def refusal_at_head(
+    state: EngineState,
+    service: str,
+    now: float,
+) -> Refusal | None:
+    """Return the refusal that needs only the head of an idempotent request.
+
+    Parameters
+    ----------
+    state : EngineState
+        Not changed.
+    service : str
+        Name of the service.
+    now : float
+        Monotonic instant in seconds.
+
+    Returns
+    -------
+    Refusal or None
+        None when the body must be read.
+    """
+    reason = refusal_reason(state, service, now)
+    if reason is not None:
+        return refuse(Verdict.NOT_RUN, reason, 'not accepted')
+    work_class = state.fleet.services_by_name[service].work_class
+    return _OVERLOADED if state.admission.is_full(work_class) else None
+
+
+def on_query(
+    state: EngineState,
+    event: QueryArrived,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Join an identical query, or start, queue or refuse this one."""
+    query = event.query
+    reason = refusal_reason(state, query.service, now)
+    if reason is not None:
+        refusal = refuse(Verdict.NOT_RUN, reason, 'not accepted')
+        effects.append(ReplyRefusal(event.query_id, refusal))
+        return
+    if now >= query.deadline:
+        effects.append(ReplyRefusal(event.query_id, _TOO_LATE))
+        return
+    identical = state.query_by_content.get(_content(query))
+    if identical is None:
+        _admit(state, event, now, effects)
+        return
+    identical.deadline = max(identical.deadline, query.deadline)
+    _add_caller(state, identical, event, effects)
+
+
+def admit_queued(
+    state: EngineState,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Start waiting queries for which there is room again."""
+    state.has_room = False
+
+    def limit_of(service: str) -> int:
+        declared = state.fleet.services_by_name.get(service)
+        return 0 if declared is None else _limit(state, declared, now)
+
+    while True:
+        query_id = state.admission.take_next(limit_of)
+        if query_id is None:
+            return
+        query = state.queries_by_id[query_id]
+        query.queued = False
+        state.admission.start(query.service.name, query.cost)
+        if now + query.window.expected >= query.deadline:
+            refuse_query(state, query, _TOO_LATE, now, effects)
+        else:
+            _start(state, query, now, effects)
+
+
+def _admit(
+    state: EngineState,
+    event: QueryArrived,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    service = state.fleet.services_by_name[event.query.service]
+    query = _new_query(state, event, service)
+    decision = state.admission.decide(
+        service.name,
+        service.work_class,
+        query.cost,
+        _limit(state, service, now),
+    )
+    if decision is Decision.REFUSE:
+        effects.append(ReplyRefusal(event.query_id, _OVERLOADED))
+        return
+    late = now + query.window.expected >= query.deadline
+    if decision is Decision.QUEUE and late:
+        effects.append(ReplyRefusal(event.query_id, _TOO_LATE))
+        return
+    state.queries_by_id[event.query_id] = query
+    state.query_by_content[_content(event.query)] = query
+    _add_caller(state, query, event, effects)
+    if decision is Decision.QUEUE:
+        _enqueue(state, query, now, effects)
+        return
+    state.admission.start(service.name, query.cost)
+    _start(state, query, now, effects)
+
+
+def _new_query(
+    state: EngineState,
+    event: QueryArrived,
+    service: Service,
+) -> QueryState:
+    window = state.window_by_service.get(service.name)
+    if window is None:
+        window = LatencyWindow()
+        state.window_by_service[service.name] = window
+    return QueryState(
+        event.query_id,
+        event.query,
+        service,
+        event.query.deadline,
+        window,
+        cost=_cost(state, event.query, service),
+    )
+
+
+def _start(
+    state: EngineState,
+    query: QueryState,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    state.restarts.earn()
+    index = query.service.index
+    versions = state.versions_by_index.get(index, ())
+    version = choose_version(versions, query.service, state.held, now)
+    if version is None:
+        detail = f'no version of index {index} can be served'
+        refuse_snapshot(state, query, detail, now, effects)
+        return
+    start_version(state, query, version, now, effects)
+
+
+def _enqueue(
+    state: EngineState,
+    query: QueryState,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    query.queued = True
+    dropped_id = state.admission.enqueue(
+        query.query_id,
+        query.service.name,
+        query.service.work_class,
+        query.cost,
+    )
+    if dropped_id is not None:
+        dropped = state.queries_by_id[dropped_id]
+        refuse_query(state, dropped, _OVERLOADED, now, effects)
+
+
+def _add_caller(
+    state: EngineState,
+    query: QueryState,
+    event: QueryArrived,
+    effects: list[Effect],
+) -> None:
+    query.callers[event.query_id] = event.query.request_id
+    state.query_by_caller[event.query_id] = query
+    timer = TimerKey(TimerKind.DEADLINE, event.query_id)
+    effects.append(SetTimer(timer, event.query.deadline))
+
+
+def _content(query: IdempotentQuery) -> tuple[str, str | None, bytes]:
+    return (query.service, query.record_key, query.body)
+
+
+def _cost(state: EngineState, query: IdempotentQuery, service: Service) -> int:
+    if query.record_key is not None:
+        return 1
+    versions = state.versions_by_index.get(service.index, ())
+    return len(service_shards(service, versions[-1])) if versions else 1
+
+
+def _limit(state: EngineState, service: Service, now: float) -> int:
+    limit, until = state.limit_by_service.get(service.name, (0, now))
+    if now >= until:
+        limit = _computed_limit(state, service)
+        state.limit_by_service[service.name] = (limit, now + _LIMIT_SECONDS)
+    return limit
+
+
+def _computed_limit(state: EngineState, service: Service) -> int:
+    versions = state.versions_by_index.get(service.index, ())
+    shards = service_shards(service, versions[-1]) if versions else {}
+    slots_by_shard = [
+        sum(
+            int(state.targets.stats_by_name[target.name].limit)
+            for target in usable_replicas(
+                shard,
+                state.fleet.targets_by_name,
+                state.withdrawn_domains,
+                state.draining_targets,
+            )
+        )
+        for shard in shards.values()
+    ]
+    return min(slots_by_shard, default=1) * len(slots_by_shard)
--- a/nutmegstep/engine/control.py
+++ b/nutmegstep/engine/control.py
@@ -54,7 +54,7 @@
     if event.fleet.generation > state.fleet.generation:
         state.fleet = event.fleet
         state.targets.adopt(event.fleet)
-        state.recheck_waiting = True
+        _reconsider(state)
 
 
 def on_catalogue(
@@ -67,6 +67,7 @@
     state.versions_by_index[event.index] = event.versions
     numbers = {version.number for version in event.versions}
     state.held.keep_only(event.index, numbers)
+    _reconsider(state)
 
 
 def on_control(
@@ -79,7 +80,7 @@
     state.withdrawn_domains = event.withdrawn_domains
     state.draining_targets = event.draining_targets
     # Waiting shards may have lost their last replica, or gained one.
-    state.recheck_waiting = True
+    _reconsider(state)
     if state.failure_domain not in event.withdrawn_domains:
         state.withdrawn_since = None
     elif state.withdrawn_since is None:
@@ -95,3 +96,9 @@
     """Refuse new requests and finish when none is in flight."""
     state.draining = True
     drain_if_idle(state, effects)
+
+
+def _reconsider(state: EngineState) -> None:
+    state.limit_by_service.clear()
+    state.recheck_waiting = True
+    state.has_room = True
--- a/nutmegstep/engine/core.py
+++ b/nutmegstep/engine/core.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 from nutmegstep.engine import control, one_shot, scatter
+from nutmegstep.engine.admitting import admit_queued, on_query
 from nutmegstep.engine.effects import Effect
 from nutmegstep.engine.events import (
     CallerGone,
@@ -53,15 +54,16 @@
     """
     effects: list[Effect] = []
     _FUNCTION_BY_EVENT[type(event)](state, event, now, effects)
-    if state.released or state.recheck_waiting:
+    while state.released or state.recheck_waiting or state.has_room:
         serve_waiting(state, now, effects)
+        admit_queued(state, now, effects)
     return effects
 
 
 _FUNCTION_BY_EVENT: Final[MappingProxyType[type, _ReduceFunction]] = (
     MappingProxyType(
         {
-            QueryArrived: scatter.on_query,
+            QueryArrived: on_query,
             OneShotArrived: one_shot.on_one_shot,
             TargetAnswered: scatter.on_target_answered,
             TargetFailed: scatter.on_target_failed,
--- a/nutmegstep/engine/finishing.py
+++ b/nutmegstep/engine/finishing.py
@@ -13,7 +13,7 @@
 from nutmegstep.engine.events import TimerKey, TimerKind
 from nutmegstep.engine.sending import give_up_attempt
 from nutmegstep.engine.state import EngineState, QueryState
-from nutmegstep.model import CoverageRule
+from nutmegstep.model import Answer, CoverageRule
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
 __all__ = [
@@ -21,6 +21,8 @@
     'drain_if_idle',
     'end_query',
     'finish_when_gathered',
+    'leave_query',
+    'outcome_of',
     'refuse_query',
     'sent_verdict',
 ]
@@ -59,8 +61,13 @@
 ) -> None:
     """Forget a query, its timers and its attempts."""
     del state.queries_by_id[query.query_id]
-    effects.append(CancelTimer(TimerKey(TimerKind.DEADLINE, query.query_id)))
-    effects.append(CancelTimer(TimerKey(TimerKind.HEDGE, query.query_id)))
+    request = query.request
+    content = (request.service, request.record_key, request.body)
+    state.query_by_content.pop(content, None)
+    for caller in query.callers:
+        del state.query_by_caller[caller]
+        effects.append(CancelTimer(TimerKey(TimerKind.DEADLINE, caller)))
+    _leave_admission(state, query, effects)
     cancel_attempts(state, query, now, effects)
 
 
@@ -71,9 +78,10 @@
     now: float,
     effects: list[Effect],
 ) -> None:
-    """End a query with a refusal."""
+    """End a query with a refusal to each caller."""
     end_query(state, query, now, effects)
-    effects.append(ReplyRefusal(query.query_id, refusal))
+    for caller in query.callers:
+        effects.append(ReplyRefusal(caller, refusal))
     drain_if_idle(state, effects)
 
 
@@ -86,20 +94,44 @@
     """Reply once every shard has an outcome."""
     if query.pending:
         return
-    whole = query.service.coverage is CoverageRule.WHOLE
-    if query.lacking_by_shard and (whole or not query.results_by_shard):
-        refuse_query(state, query, _incomplete(query), now, effects)
+    outcome = outcome_of(query)
+    if isinstance(outcome, Refusal):
+        refuse_query(state, query, outcome, now, effects)
         return
     end_query(state, query, now, effects)
-    answer = build_answer(
+    for caller in query.callers:
+        effects.append(ReplyAnswer(caller, outcome))
+    drain_if_idle(state, effects)
+
+
+def outcome_of(query: QueryState) -> Answer | Refusal:
+    """Return what a caller is told; shards without an outcome are late."""
+    lacking = query.lacking_by_shard | dict.fromkeys(query.pending, _LATE)
+    whole = query.service.coverage is CoverageRule.WHOLE
+    if not query.shards_by_name or (
+        lacking and (whole or not query.results_by_shard)
+    ):
+        return _incomplete(query, lacking)
+    return build_answer(
         query.service.name,
         query.version,
         query.shards_by_name.keys(),
-        query.results_by_shard,
-        query.lacking_by_shard,
+        # The query of the other callers may go on and add results.
+        query.results_by_shard.copy(),
+        lacking,
     )
-    effects.append(ReplyAnswer(query.query_id, answer))
-    drain_if_idle(state, effects)
+
+
+def leave_query(
+    state: EngineState,
+    query: QueryState,
+    caller: int,
+    effects: list[Effect],
+) -> None:
+    """Let one of several callers of a query go; the query goes on."""
+    del query.callers[caller]
+    del state.query_by_caller[caller]
+    effects.append(CancelTimer(TimerKey(TimerKind.DEADLINE, caller)))
 
 
 def drain_if_idle(state: EngineState, effects: list[Effect]) -> None:
@@ -113,11 +145,29 @@
     effects.append(FinishDrain())
 
 
-def _incomplete(query: QueryState) -> Refusal:
-    reasons = set(query.lacking_by_shard.values())
+def _leave_admission(
+    state: EngineState,
+    query: QueryState,
+    effects: list[Effect],
+) -> None:
+    if query.queued:
+        service = query.service
+        state.admission.remove(query.query_id, service.work_class)
+        return
+    state.admission.finish(query.service.name, query.cost)
+    state.has_room = True
+    if query.shards_by_name:
+        effects.append(CancelTimer(TimerKey(TimerKind.HEDGE, query.query_id)))
+
+
+def _incomplete(query: QueryState, lacking: dict[str, str]) -> Refusal:
+    if query.queued:
+        detail = 'the deadline passed in the queue'
+        return refuse(Verdict.NOT_RUN, Reason.DEADLINE_EXCEEDED, detail)
+    reasons = set(lacking.values())
     return refuse(
         sent_verdict(query),
         Reason.DEADLINE_EXCEEDED if _LATE in reasons else Reason.INCOMPLETE,
-        f'{len(query.lacking_by_shard)} of {len(query.shards_by_name)} '
+        f'{len(lacking)} of {len(query.shards_by_name)} '
         f'shards are lacking: {sorted(reasons)}',
     )
--- a/nutmegstep/engine/restarting.py
+++ b/nutmegstep/engine/restarting.py
@@ -14,7 +14,7 @@
 from nutmegstep.snapshot import MAX_RESTARTS, choose_version, service_shards
 from nutmegstep.verdict import Reason, refuse
 
-__all__ = ['restart_or_finish', 'start_version']
+__all__ = ['refuse_snapshot', 'restart_or_finish', 'start_version']
 
 
 def start_version(
@@ -28,7 +28,7 @@
     shards = service_shards(query.service, version)
     if not shards:
         detail = f'version {version.number} has no shard of the service'
-        _refuse_snapshot(state, query, detail, now, effects)
+        refuse_snapshot(state, query, detail, now, effects)
         return
     query.version = version.number
     query.tried_versions.add(version.number)
@@ -68,7 +68,7 @@
     version = _next_version(state, query, now)
     if version is None:
         detail = f'no replica of shard {shard.name} holds the version'
-        _refuse_snapshot(state, query, detail, now, effects)
+        refuse_snapshot(state, query, detail, now, effects)
         return
     cancel_attempts(state, query, now, effects)
     start_version(state, query, version, now, effects)
@@ -104,7 +104,7 @@
 ) -> IndexVersion | None:
     if len(query.tried_versions) > MAX_RESTARTS:
         return None
-    if now >= query.request.deadline:
+    if now >= query.deadline:
         return None
     version = choose_version(
         state.versions_by_index.get(query.service.index, ()),
@@ -118,13 +118,14 @@
     return version
 
 
-def _refuse_snapshot(
+def refuse_snapshot(
     state: EngineState,
     query: QueryState,
     detail: str,
     now: float,
     effects: list[Effect],
 ) -> None:
+    """Refuse a query for which no version can be served."""
     refusal = refuse(
         sent_verdict(query),
         Reason.SNAPSHOT_UNAVAILABLE,
--- a/nutmegstep/engine/scatter.py
+++ b/nutmegstep/engine/scatter.py
@@ -3,25 +3,24 @@
 from typing import Final
 
 from nutmegstep.engine import one_shot
-from nutmegstep.engine.control import refusal_reason
-from nutmegstep.engine.effects import Effect, ReplyRefusal, SetTimer
+from nutmegstep.engine.effects import Effect, ReplyAnswer, ReplyRefusal
 from nutmegstep.engine.events import (
     CallerGone,
     FailureKind,
-    QueryArrived,
     TargetAnswered,
     TargetFailed,
     TimerFired,
-    TimerKey,
     TimerKind,
 )
 from nutmegstep.engine.finishing import (
     drain_if_idle,
     end_query,
     finish_when_gathered,
+    leave_query,
+    outcome_of,
 )
 from nutmegstep.engine.hedges import cancel_twins, has_twin, on_hedge_timer
-from nutmegstep.engine.restarting import restart_or_finish, start_version
+from nutmegstep.engine.restarting import restart_or_finish
 from nutmegstep.engine.sending import close_attempt, send_shard
 from nutmegstep.engine.state import (
     AttemptState,
@@ -29,13 +28,11 @@
     OneShotSent,
     QueryState,
 )
-from nutmegstep.hedging import LatencyWindow
-from nutmegstep.snapshot import choose_version
-from nutmegstep.verdict import Reason, Verdict, refuse
+from nutmegstep.model import Answer
+from nutmegstep.verdict import Refusal
 
 __all__ = [
     'on_caller_gone',
-    'on_query',
     'on_target_answered',
     'on_target_failed',
     'on_timer',
@@ -48,41 +45,6 @@
 _UNANSWERED: Final = frozenset((FailureKind.TIMEOUT, FailureKind.SILENT))
 
 
-def on_query(
-    state: EngineState,
-    event: QueryArrived,
-    now: float,
-    effects: list[Effect],
-) -> None:
-    """Pin a version and send one target request per shard."""
-    query = event.query
-    reason = refusal_reason(state, query.service, now)
-    if reason is not None:
-        _refuse_unsent(event, reason, 'not accepted', effects)
-        return
-    if now >= query.deadline:
-        reason = Reason.DEADLINE_EXCEEDED
-        _refuse_unsent(event, reason, 'arrived after its deadline', effects)
-        return
-    service = state.fleet.services_by_name[query.service]
-    versions = state.versions_by_index.get(service.index, ())
-    version = choose_version(versions, service, state.held, now)
-    if version is None:
-        detail = f'no version of index {service.index} can be served'
-        _refuse_unsent(event, Reason.SNAPSHOT_UNAVAILABLE, detail, effects)
-        return
-    state.restarts.earn()
-    window = state.window_by_service.setdefault(
-        service.name,
-        LatencyWindow(),
-    )
-    query_state = QueryState(event.query_id, query, service, 0, {}, window)
-    state.queries_by_id[event.query_id] = query_state
-    timer = TimerKey(TimerKind.DEADLINE, event.query_id)
-    effects.append(SetTimer(timer, query.deadline))
-    start_version(state, query_state, version, now, effects)
-
-
 def on_target_answered(
     state: EngineState,
     event: TargetAnswered,
@@ -158,8 +120,27 @@
     if query_id in state.one_shots_by_id:
         one_shot.on_one_shot_deadline(state, query_id, effects)
         return
-    query = state.queries_by_id.get(query_id)
-    if query is None:
+    query = state.query_by_caller.get(query_id)
+    if query is not None:
+        _on_deadline(state, query, query_id, now, effects)
+
+
+def _on_deadline(
+    state: EngineState,
+    query: QueryState,
+    query_id: int,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    if len(query.callers) > 1:
+        leave_query(state, query, query_id, effects)
+        effects.append(_reply(query_id, outcome_of(query)))
+        return
+    if query.queued:
+        refusal = outcome_of(query)
+        end_query(state, query, now, effects)
+        effects.append(_reply(query_id, refusal))
+        drain_if_idle(state, effects)
         return
     for shard in query.pending:
         query.lacking_by_shard[shard] = 'deadline_exceeded'
@@ -177,20 +158,20 @@
     if event.query_id in state.one_shots_by_id:
         one_shot.on_one_shot_gone(state, event.query_id, effects)
         return
-    query = state.queries_by_id.get(event.query_id)
-    if query is not None:
+    query = state.query_by_caller.get(event.query_id)
+    if query is None:
+        return
+    if len(query.callers) > 1:
+        leave_query(state, query, event.query_id, effects)
+    else:
         end_query(state, query, now, effects)
         drain_if_idle(state, effects)
 
 
-def _refuse_unsent(
-    event: QueryArrived,
-    reason: Reason,
-    detail: str,
-    effects: list[Effect],
-) -> None:
-    refusal = refuse(Verdict.NOT_RUN, reason, detail)
-    effects.append(ReplyRefusal(event.query_id, refusal))
+def _reply(caller: int, outcome: Answer | Refusal) -> Effect:
+    if isinstance(outcome, Refusal):
+        return ReplyRefusal(caller, outcome)
+    return ReplyAnswer(caller, outcome)
 
 
 def _measure(
--- a/nutmegstep/engine/sending.py
+++ b/nutmegstep/engine/sending.py
@@ -167,7 +167,7 @@
             shard.name,
             query.version,
             query.request.body,
-            query.request.deadline,
+            query.deadline,
             query.request.traceparent,
             fresh_connection,
         ),
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from nutmegstep.admission import Admission
 from nutmegstep.hedging import (
     HEDGE_SHARE,
     RESTART_SHARE,
@@ -62,20 +63,32 @@
         What the caller asked for.
     service : Service
         Declaration at the time of arrival.
+    deadline : float
+        Latest deadline of the callers.
+    window : LatencyWindow
+        Latencies of the service.
+    cost : int
+        Shard requests that admission counts.
+    queued : bool
+        Whether the query still waits for its start.
+    callers : dict
+        Request identifier of each caller that waits for the answer.
     version : int
         Pinned index version.
     shards_by_name : dict
         Shards that the answer must cover or list as lacking.
-    window : LatencyWindow
-        Latencies of the service.
     """
 
     query_id: int
     request: IdempotentQuery
     service: Service
-    version: int
-    shards_by_name: dict[str, Shard]
+    deadline: float
     window: LatencyWindow
+    cost: int = 1
+    queued: bool = False
+    callers: dict[int, str] = field(default_factory=dict)
+    version: int = 0
+    shards_by_name: dict[str, Shard] = field(default_factory=dict)
     pending: dict[str, None] = field(default_factory=dict)
     waiting: set[str] = field(default_factory=set)
     hedged: set[str] = field(default_factory=set)
@@ -146,6 +159,16 @@
     draining_targets: frozenset[str] = frozenset()
     withdrawn_since: float | None = None
     queries_by_id: dict[int, QueryState] = field(default_factory=dict)
+    query_by_caller: dict[int, QueryState] = field(default_factory=dict)
+    query_by_content: dict[
+        tuple[str, str | None, bytes],
+        QueryState,
+    ] = field(default_factory=dict)
+    admission: Admission = field(default_factory=Admission)
+    limit_by_service: dict[str, tuple[int, float]] = field(
+        default_factory=dict,
+    )
+    has_room: bool = False
     one_shots_by_id: dict[int, OneShotState] = field(default_factory=dict)
     abandoned_claims: set[int] = field(default_factory=set)
     attempts_by_id: dict[int, AttemptState] = field(default_factory=dict)
--- a/nutmegstep/hedging/latency.py
+++ b/nutmegstep/hedging/latency.py
@@ -26,6 +26,8 @@
         The p95 in seconds; a default until enough answers were counted.
     tail : float
         The p99 in seconds.
+    expected : float
+        The median in seconds; 0 until enough answers were counted.
 
     Notes
     -----
@@ -35,6 +37,7 @@
 
     hedge_delay: float = _FIRST_HEDGE_SECONDS
     tail: float = _FIRST_TAIL_SECONDS
+    expected: float = 0
     count: int = 0
     ring: list[float] = field(default_factory=list)
 
@@ -47,6 +50,7 @@
         self.count += 1
         if self.count % _ANSWERS_PER_UPDATE == 0:
             ordered = sorted(self.ring)
+            self.expected = ordered[len(ordered) // 2]
             self.hedge_delay = ordered[int(len(ordered) * _HEDGE_QUANTILE)]
             self.tail = ordered[int(len(ordered) * _TAIL_QUANTILE)]
 
--- a/tests/engine/conftest.py
+++ b/tests/engine/conftest.py
@@ -67,7 +67,7 @@
 
     def query(self, query_id: int = 1, now: float = 0, **fields: Any) -> None:
         """Let a query arrive that has one second left."""
-        fields.setdefault('body', b'{}')
+        fields.setdefault('body', str(query_id).encode())
         fields.setdefault('deadline', now + 1)
         query = IdempotentQuery(f'r-{query_id}', 'stock', **fields)
         self.apply(QueryArrived(query_id, query), now)
--- /dev/null
+++ b/tests/engine/test_admitting.py
@@ -0,0 +1,70 @@
+"""Tests of admission, queueing and singleflight in the reducer."""
+
+from nutmegstep.engine import effects as fx
+from nutmegstep.engine import events as ev
+from nutmegstep.engine.admitting import refusal_at_head
+from nutmegstep.model import CoverageRule
+from nutmegstep.verdict import Reason, Verdict
+
+
+def _deadline(query_id):
+    return ev.TimerFired(ev.TimerKey(ev.TimerKind.DEADLINE, query_id))
+
+
+def _answer(engine, send, now=0):
+    engine.apply(ev.TargetAnswered(send.attempt_id, 1, 'b', b'1'), now)
+
+
+def test_identical_queries_share_one_scatter(build) -> None:
+    """Guards against double load and against a lost or shared reply (G5)."""
+    engine = build(CoverageRule.PARTIAL)
+    engine.query(1, body=b'same')
+    first, second = engine.of(fx.SendToTarget)
+    engine.query(2, now=0.5, body=b'same')
+    engine.query(3, now=0.5, body=b'same')
+    assert not engine.of(fx.SendToTarget)
+    _answer(engine, first, 0.6)
+    engine.apply(_deadline(1), 1)
+    early = engine.sole(fx.ReplyAnswer)
+    assert (early.query_id, len(early.answer.covered)) == (1, 1)
+    assert not engine.of(fx.CancelAttempt)
+    engine.apply(ev.CallerGone(2), 1)
+    _answer(engine, second, 1.1)
+    late = engine.sole(fx.ReplyAnswer)
+    assert (late.query_id, late.answer.complete) == (3, True)
+    assert len(early.answer.results_by_shard) == 1
+    assert not engine.state.query_by_caller
+
+
+def test_queue_is_bounded_and_drained_in_order(build) -> None:
+    """Guards against unbounded queues and against `may_have_run` in them."""
+    engine = build()
+    number = 0
+    while refusal_at_head(engine.state, 'stock', 0) is None:
+        number += 1
+        engine.query(number)
+    engine.query(number + 1)
+    refusal = engine.sole(fx.ReplyRefusal).refusal
+    assert refusal.reason is Reason.OVERLOADED
+    assert refusal.verdict is Verdict.NOT_RUN
+    started = number - engine.state.admission.queued
+    engine.apply(ev.CallerGone(1))
+    sends = engine.of(fx.SendToTarget)
+    assert {send.query_id for send in sends} == {started + 1}
+    engine.apply(_deadline(number), 1)
+    refusal = engine.sole(fx.ReplyRefusal).refusal
+    assert refusal.reason is Reason.DEADLINE_EXCEEDED
+    assert refusal.verdict is Verdict.NOT_RUN
+
+
+def test_queued_query_that_is_too_late_is_dropped(build) -> None:
+    """Guards against work whose answer nobody waits for."""
+    engine = build()
+    number = 0
+    while not engine.state.admission.queued:
+        number += 1
+        engine.query(number)
+    engine.state.window_by_service['stock'].expected = 0.3
+    engine.apply(ev.CallerGone(1), 0.8)
+    assert not engine.of(fx.SendToTarget)
+    assert engine.sole(fx.ReplyRefusal).query_id == number
