--- /dev/null
+++ b/nutmegstep/engine/finishing.py
@@ -0,0 +1,173 @@
+"""Ends queries with an answer or a refusal."""
+
+from typing import Final
+
+from nutmegstep.coverage import build_answer
+from nutmegstep.engine.effects import (
+    CancelTimer,
+    Effect,
+    FinishDrain,
+    ReplyAnswer,
+    ReplyRefusal,
+)
+from nutmegstep.engine.events import TimerKey, TimerKind
+from nutmegstep.engine.sending import give_up_attempt
+from nutmegstep.engine.state import EngineState, QueryState
+from nutmegstep.model import Answer, CoverageRule
+from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
+
+__all__ = [
+    'cancel_attempts',
+    'drain_if_idle',
+    'end_query',
+    'finish_when_gathered',
+    'leave_query',
+    'outcome_of',
+    'refuse_query',
+    'sent_verdict',
+]
+
+_LATE: Final = 'deadline_exceeded'
+
+
+def sent_verdict(query: QueryState) -> Verdict:
+    """Return whether a target may have executed a part of a query.
+
+    Attempts without an outcome count: their bytes may have left.
+    """
+    if query.may_have_run or query.attempt_ids:
+        return Verdict.MAY_HAVE_RUN
+    return Verdict.NOT_RUN
+
+
+def cancel_attempts(
+    state: EngineState,
+    query: QueryState,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Cancel the attempts of a query that have no outcome yet."""
+    for attempt_id in query.attempt_ids:
+        give_up_attempt(state, attempt_id, now, effects)
+        query.may_have_run = True
+    query.attempt_ids.clear()
+
+
+def end_query(
+    state: EngineState,
+    query: QueryState,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Forget a query, its timers and its attempts."""
+    del state.queries_by_id[query.query_id]
+    request = query.request
+    content = (request.service, request.record_key, request.body)
+    state.query_by_content.pop(content, None)
+    for caller in query.callers:
+        del state.query_by_caller[caller]
+        effects.append(CancelTimer(TimerKey(TimerKind.DEADLINE, caller)))
+    _leave_admission(state, query, effects)
+    cancel_attempts(state, query, now, effects)
+
+
+def refuse_query(
+    state: EngineState,
+    query: QueryState,
+    refusal: Refusal,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """End a query with a refusal to each caller."""
+    end_query(state, query, now, effects)
+    for caller in query.callers:
+        effects.append(ReplyRefusal(caller, refusal))
+    drain_if_idle(state, effects)
+
+
+def finish_when_gathered(
+    state: EngineState,
+    query: QueryState,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Reply once every shard has an outcome."""
+    if query.pending:
+        return
+    outcome = outcome_of(query)
+    if isinstance(outcome, Refusal):
+        refuse_query(state, query, outcome, now, effects)
+        return
+    end_query(state, query, now, effects)
+    for caller in query.callers:
+        effects.append(ReplyAnswer(caller, outcome))
+    drain_if_idle(state, effects)
+
+
+def outcome_of(query: QueryState) -> Answer | Refusal:
+    """Return what a caller is told; shards without an outcome are late."""
+    lacking = query.lacking_by_shard | dict.fromkeys(query.pending, _LATE)
+    whole = query.service.coverage is CoverageRule.WHOLE
+    if not query.shards_by_name or (
+        lacking and (whole or not query.results_by_shard)
+    ):
+        return _incomplete(query, lacking)
+    return build_answer(
+        query.service.name,
+        query.version,
+        query.shards_by_name.keys(),
+        # The query of the other callers may go on and add results.
+        query.results_by_shard.copy(),
+        lacking,
+    )
+
+
+def leave_query(
+    state: EngineState,
+    query: QueryState,
+    caller: int,
+    effects: list[Effect],
+) -> None:
+    """Let one of several callers of a query go; the query goes on."""
+    del query.callers[caller]
+    del state.query_by_caller[caller]
+    effects.append(CancelTimer(TimerKey(TimerKind.DEADLINE, caller)))
+
+
+def drain_if_idle(state: EngineState, effects: list[Effect]) -> None:
+    """Let the process stop when it drains and no request is left."""
+    if not state.draining or state.drain_finished:
+        return
+    # An abandoned claim must still be released when the platform decides it.
+    if state.queries_by_id or state.one_shots_by_id or state.abandoned_claims:
+        return
+    state.drain_finished = True
+    effects.append(FinishDrain())
+
+
+def _leave_admission(
+    state: EngineState,
+    query: QueryState,
+    effects: list[Effect],
+) -> None:
+    if query.queued:
+        service = query.service
+        state.admission.remove(query.query_id, service.work_class)
+        return
+    state.admission.finish(query.service.name, query.cost)
+    state.has_room = True
+    if query.shards_by_name:
+        effects.append(CancelTimer(TimerKey(TimerKind.HEDGE, query.query_id)))
+
+
+def _incomplete(query: QueryState, lacking: dict[str, str]) -> Refusal:
+    if query.queued:
+        detail = 'the deadline passed in the queue'
+        return refuse(Verdict.NOT_RUN, Reason.DEADLINE_EXCEEDED, detail)
+    reasons = set(lacking.values())
+    return refuse(
+        sent_verdict(query),
+        Reason.DEADLINE_EXCEEDED if _LATE in reasons else Reason.INCOMPLETE,
+        f'{len(lacking)} of {len(query.shards_by_name)} '
+        f'shards are lacking: {sorted(reasons)}',
+    )
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -1,9 +1,17 @@
 """State that the reducer owns."""
 
-from collections import Counter
+from collections import deque
 from dataclasses import dataclass, field
 from random import Random
 
+from nutmegstep.admission import Admission
+from nutmegstep.hedging import (
+    HEDGE_SHARE,
+    RESTART_SHARE,
+    RETRY_SHARE,
+    LatencyWindow,
+    TokenBudget,
+)
 from nutmegstep.model import (
     Fleet,
     IdempotentQuery,
@@ -13,8 +21,19 @@
     Service,
     Shard,
 )
+from nutmegstep.routing import TargetTable
+from nutmegstep.snapshot import HeldVersions
 
-__all__ = ['AttemptState', 'EngineState', 'QueryState', 'empty_fleet']
+__all__ = [
+    'AttemptState',
+    'EngineState',
+    'OneShotClaiming',
+    'OneShotReady',
+    'OneShotSent',
+    'OneShotState',
+    'QueryState',
+    'empty_fleet',
+]
 
 
 def empty_fleet() -> Fleet:
@@ -34,16 +53,26 @@
 
 @dataclass(slots=True)
 class QueryState:
-    """One query in flight.
+    """One idempotent query in flight.
 
     Parameters
     ----------
     query_id : int
         Identifier given by the runtime.
-    request : IdempotentQuery or OneShotRequest
+    request : IdempotentQuery
         What the caller asked for.
     service : Service
         Declaration at the time of arrival.
+    deadline : float
+        Latest deadline of the callers.
+    window : LatencyWindow
+        Latencies of the service.
+    cost : int
+        Shard requests that admission counts.
+    queued : bool
+        Whether the query still waits for its start.
+    callers : dict
+        Request identifier of each caller that waits for the answer.
     version : int
         Pinned index version.
     shards_by_name : dict
@@ -51,16 +80,69 @@
     """
 
     query_id: int
-    request: IdempotentQuery | OneShotRequest
+    request: IdempotentQuery
     service: Service
-    version: int
-    shards_by_name: dict[str, Shard]
-    pending: set[str] = field(default_factory=set)
+    deadline: float
+    window: LatencyWindow
+    cost: int = 1
+    queued: bool = False
+    callers: dict[int, str] = field(default_factory=dict)
+    version: int = 0
+    shards_by_name: dict[str, Shard] = field(default_factory=dict)
+    pending: dict[str, None] = field(default_factory=dict)
+    waiting: set[str] = field(default_factory=set)
+    hedged: set[str] = field(default_factory=set)
+    hedge_rounds: int = 0
     results_by_shard: dict[str, bytes] = field(default_factory=dict)
     lacking_by_shard: dict[str, str] = field(default_factory=dict)
     tried_by_shard: dict[str, set[str]] = field(default_factory=dict)
     attempt_ids: set[int] = field(default_factory=set)
-    permit: SendPermit | None = None
+    tried_versions: set[int] = field(default_factory=set)
+    may_have_run: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class OneShotClaiming:
+    """A one-shot request that waits for its claim; it cannot be sent."""
+
+    query_id: int
+    request: OneShotRequest
+
+
+@dataclass(frozen=True, slots=True)
+class OneShotReady:
+    """A one-shot request that may be sent once.
+
+    Notes
+    -----
+    Only a won claim, or the proof that the earlier send was not executed,
+    builds it; see `nutmegstep.engine.one_shot`.
+    """
+
+    query_id: int
+    request: OneShotRequest
+    permit: SendPermit
+    tried: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class OneShotSent:
+    """A one-shot request that a target may have executed.
+
+    Notes
+    -----
+    The permit is inside `spent` and the send function does not take this
+    type, so a second send does not pass the type check.
+    """
+
+    query_id: int
+    request: OneShotRequest
+    attempt_id: int
+    version: int
+    spent: OneShotReady
+
+
+OneShotState = OneShotClaiming | OneShotSent
 
 
 @dataclass(slots=True)
@@ -75,8 +157,39 @@
     )
     withdrawn_domains: frozenset[str] = frozenset()
     draining_targets: frozenset[str] = frozenset()
+    withdrawn_since: float | None = None
     queries_by_id: dict[int, QueryState] = field(default_factory=dict)
+    query_by_caller: dict[int, QueryState] = field(default_factory=dict)
+    query_by_content: dict[
+        tuple[str, str | None, bytes],
+        QueryState,
+    ] = field(default_factory=dict)
+    admission: Admission = field(default_factory=Admission)
+    limit_by_service: dict[str, tuple[int, float]] = field(
+        default_factory=dict,
+    )
+    has_room: bool = False
+    one_shots_by_id: dict[int, OneShotState] = field(default_factory=dict)
+    abandoned_claims: set[int] = field(default_factory=set)
     attempts_by_id: dict[int, AttemptState] = field(default_factory=dict)
-    in_flight_by_target: Counter[str] = field(default_factory=Counter)
+    targets: TargetTable = field(default_factory=TargetTable)
+    window_by_service: dict[str, LatencyWindow] = field(default_factory=dict)
+    waiting_by_target: dict[str, deque[tuple[int, str]]] = field(
+        default_factory=dict,
+    )
+    released: list[str] = field(default_factory=list)
+    recheck_waiting: bool = False
+    hedges: TokenBudget = field(
+        default_factory=lambda: TokenBudget(HEDGE_SHARE),
+    )
+    held: HeldVersions = field(default_factory=HeldVersions)
+    retries: TokenBudget = field(
+        default_factory=lambda: TokenBudget(RETRY_SHARE),
+    )
+    restarts: TokenBudget = field(
+        default_factory=lambda: TokenBudget(RESTART_SHARE),
+    )
     last_attempt_id: int = 0
     draining: bool = False
+    drain_finished: bool = False
+    leaving_until_by_target: dict[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/nutmegstep/hedging/__init__.py
@@ -0,0 +1,18 @@
+"""Hedge delay and the budgets of hedges, retries and restarts."""
+
+from nutmegstep.hedging.core import (
+    HEDGE_SHARE,
+    RESTART_SHARE,
+    RETRY_SHARE,
+    TokenBudget,
+)
+from nutmegstep.hedging.latency import LatencyWindow, silence_bound
+
+__all__ = [
+    'HEDGE_SHARE',
+    'RESTART_SHARE',
+    'RETRY_SHARE',
+    'LatencyWindow',
+    'TokenBudget',
+    'silence_bound',
+]
