Type the platform client's failures and reuse connections

Cause: the thin client opened a connection for each call, raised untyped errors and had no delete, watch or VM list, so a caller could not tell a write that may have taken effect from one that did not. ObjectClient returns Result values with `may_have_applied`, keeps idle connections and counts calls by kind. PlatformClient stays as a facade that raises, because serve and the stand-ins' main module use it.

--- a/nutmegstep/platform_api/__init__.py
+++ b/nutmegstep/platform_api/__init__.py
@@ -1,5 +1,34 @@
 """Client of the platform's object API."""
 
-from nutmegstep.platform_api.core import ObjectReply, PlatformClient
+from nutmegstep.platform_api.core import (
+    CALL_TIMEOUT,
+    IDLE_TIMEOUT,
+    WATCH_POLL,
+    ObjectClient,
+)
+from nutmegstep.platform_api.records import (
+    CallKind,
+    ChangedObject,
+    PlatformFailure,
+    PlatformFailureKind,
+    StoredObject,
+    VmRecord,
+    WatchReply,
+)
+from nutmegstep.platform_api.simple import ObjectReply, PlatformClient
 
-__all__ = ['ObjectReply', 'PlatformClient']
+__all__ = [
+    'CALL_TIMEOUT',
+    'IDLE_TIMEOUT',
+    'WATCH_POLL',
+    'CallKind',
+    'ChangedObject',
+    'ObjectClient',
+    'ObjectReply',
+    'PlatformClient',
+    'PlatformFailure',
+    'PlatformFailureKind',
+    'StoredObject',
+    'VmRecord',
+    'WatchReply',
+]
--- /dev/null
+++ b/nutmegstep/platform_api/connection.py
@@ -0,0 +1,152 @@
+"""One HTTP/1.1 connection to the platform."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Final, Self
+
+import h11
+
+__all__ = ['HttpCall', 'HttpReply', 'PlatformConnection']
+
+_READ_BYTES: Final = 65536
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """A request to send."""
+
+    method: str
+    path: str
+    body: bytes = b''
+    headers: Sequence[tuple[str, str]] = ()
+
+
+@dataclass(slots=True)
+class HttpReply:
+    """A response that was read completely."""
+
+    status: int = 0
+    version: str = ''
+    chunks: list[bytes] = field(default_factory=list)
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return b''.join(self.chunks)
+
+
+class PlatformConnection:
+    """Carries one exchange at a time.
+
+    Parameters
+    ----------
+    host : str
+        Value of the Host header.
+    reader : asyncio.StreamReader
+        Receiving side.
+    writer : asyncio.StreamWriter
+        Sending side.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.idle_since = float(0)
+        self.bytes_sent = False
+        self._host = host
+        self._reader = reader
+        self._writer = writer
+        self._http = h11.Connection(h11.CLIENT)
+
+    @classmethod
+    async def open(cls, host: str, port: int) -> Self:
+        """Connect.
+
+        Raises
+        ------
+        OSError
+            The platform cannot be reached.
+        """
+        reader, writer = await asyncio.open_connection(host, port)
+        return cls(f'{host}:{port}', reader, writer)
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another exchange can start."""
+        if self._reader.at_eof() or self._writer.is_closing():
+            return False
+        return self._http.our_state is h11.IDLE
+
+    async def exchange(self, call: HttpCall) -> HttpReply:
+        """Send a request and read its response.
+
+        Raises
+        ------
+        OSError
+            The connection failed.
+        h11.RemoteProtocolError
+            The response is malformed or ended early.
+        """
+        self.bytes_sent = False
+        message = self._encode(call)
+        self.bytes_sent = True
+        self._writer.write(message)
+        reply = await self._read_reply()
+        if self._http.our_state is h11.DONE:
+            if self._http.their_state is h11.DONE:
+                self._http.start_next_cycle()
+        return reply
+
+    def close(self) -> None:
+        """Close at once."""
+        self._writer.transport.abort()
+
+    def _encode(self, call: HttpCall) -> bytes:
+        head = h11.Request(
+            method=call.method,
+            target=call.path,
+            headers=[
+                ('Host', self._host),
+                ('Content-Length', str(len(call.body))),
+                *call.headers,
+            ],
+        )
+        parts = (
+            self._http.send(head),
+            self._http.send(h11.Data(data=call.body)),
+            self._http.send(h11.EndOfMessage()),
+        )
+        return b''.join(part or b'' for part in parts)
+
+    async def _read_reply(self) -> HttpReply:
+        reply = HttpReply()
+        event = await self._next_event()
+        while not isinstance(event, h11.EndOfMessage):
+            _take(reply, event)
+            event = await self._next_event()
+        return reply
+
+    async def _next_event(self) -> h11.Event:
+        event = self._http.next_event()
+        while event is h11.NEED_DATA:
+            received = await self._reader.read(_READ_BYTES)
+            self._http.receive_data(received)
+            event = self._http.next_event()
+        if not isinstance(event, h11.Event):
+            raise ConnectionResetError('connection is paused')
+        return event
+
+
+def _take(reply: HttpReply, event: h11.Event) -> None:
+    if isinstance(event, h11.Response):
+        reply.status = event.status_code
+        tags = dict(event.headers)
+        reply.version = tags.get(b'etag', b'').decode('latin-1')
+    elif isinstance(event, h11.Data):
+        reply.chunks.append(bytes(event.data))
+    elif isinstance(event, h11.ConnectionClosed):
+        raise ConnectionResetError('connection closed before a reply')
