Add watches, the VM list and faults to the platform stand-in

Cause: lost answers, outages, lags and older versions could not be imitated. Faults are fields of `PlatformStandIn.faults` and can be switched at any time; calls are counted by kind. Lags are measured on the clock that is passed in, so tests are deterministic.

--- a/nutmegstep/standins/platform.py
+++ b/nutmegstep/standins/platform.py
@@ -1,57 +1,264 @@
-"""Stand-in for the platform's object API."""
+"""Stand-in for the platform's object API, with switchable faults."""
 
-from dataclasses import dataclass
+import asyncio
+import enum
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass, field
 
+import orjson
+
+from nutmegstep.clock import Clock, SystemClock
+from nutmegstep.platform_api import CallKind, VmRecord
 from nutmegstep.web import HttpRequest, HttpResponse
 
-__all__ = ['PlatformStandIn']
+__all__ = ['Outage', 'PlatformFaults', 'PlatformStandIn']
 
 _PREFIX = '/objects/'
+_VALUE_BYTES = 1_000_000
+_POLL_MS = 30_000
+_MILLISECONDS = 1000
+_LAG_POLL_SECONDS = 0.01
+_CONFLICT = 412
+
+
+@enum.unique
+class Outage(enum.Enum):
+    """How the platform is away."""
+
+    NONE = 'none'
+    ERRORS = 'errors'
+    SILENT = 'silent'
 
 
 @dataclass(slots=True)
+class PlatformFaults:
+    """Faults; each can be switched at any time.
+
+    Parameters
+    ----------
+    outage : Outage
+        Answer 503, or never.
+    delay : float
+        Seconds before each call is handled.
+    lose_answers : int
+        Number of coming writes that take effect and are never answered.
+    watch_lag : float
+        Seconds until a watch reports a change.
+    list_lag : float
+        Seconds until the VM list shows a change.
+    older_by : int
+        Reads return the value this many writes before the newest.
+    """
+
+    outage: Outage = Outage.NONE
+    delay: float = 0
+    lose_answers: int = 0
+    watch_lag: float = 0
+    list_lag: float = 0
+    older_by: int = 0
+
+
+@dataclass(frozen=True, slots=True)
 class _Stored:
-    version: int
-    document: bytes
+    revision: int
+    document: bytes | None
+    at: float
+
+    @property
+    def version(self) -> str:
+        return '' if self.document is None else f'"{self.revision}"'
+
+
+@dataclass(frozen=True, slots=True)
+class _VmList:
+    at: float
+    vms: tuple[VmRecord, ...]
+
+
+@dataclass(slots=True)
+class _Counts:
+    since: float
+    by_kind: Counter[CallKind] = field(default_factory=Counter)
 
 
 class PlatformStandIn:
-    """Objects with versions and conditional updates, in memory."""
+    """Objects with versions and conditional updates, in memory.
+
+    Parameters
+    ----------
+    clock : Clock, optional
+        Clock for lags and rates.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
+        self.faults = PlatformFaults()
+        self._clock = clock or SystemClock()
         self._revision = 0
-        self._stored_by_name: dict[str, _Stored] = {}
+        self._history_by_name: dict[str, list[_Stored]] = {}
+        self._vm_lists = [_VmList(float('-inf'), ())]
+        self._counts = _Counts(self._clock.monotonic())
+        self._changed = asyncio.Event()
+
+    @property
+    def calls_by_kind(self) -> Counter[CallKind]:
+        """Calls that arrived since the last `reset_counts`."""
+        return self._counts.by_kind
+
+    def rate_by_kind(self) -> dict[CallKind, float]:
+        """Return calls per second since the last `reset_counts`."""
+        elapsed = self._clock.monotonic() - self._counts.since
+        return {
+            kind: calls / elapsed if elapsed else float(0)
+            for kind, calls in self._counts.by_kind.items()
+        }
+
+    def reset_counts(self) -> None:
+        """Start counting anew."""
+        self._counts = _Counts(self._clock.monotonic())
+
+    def set_vms(self, vms: Sequence[VmRecord]) -> None:
+        """Replace the list of VMs."""
+        self._vm_lists.append(_VmList(self._clock.monotonic(), tuple(vms)))
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request of the object API."""
-        if not request.path.startswith(_PREFIX):
+        kind = _kind(request)
+        if kind is None:
             return HttpResponse(404)
+        self._counts.by_kind[kind] += 1
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay)
+        if self.faults.outage is Outage.ERRORS:
+            return HttpResponse(503)
+        if self.faults.outage is Outage.SILENT:
+            await asyncio.Event().wait()
+        return await self._answer(kind, request)
+
+    async def _answer(
+        self,
+        kind: CallKind,
+        request: HttpRequest,
+    ) -> HttpResponse:
+        if kind is CallKind.WATCH:
+            return await self._watch(request)
+        if kind is CallKind.VMS:
+            return self._vms()
         name = request.path.removeprefix(_PREFIX)
-        if request.method == 'GET':
+        if kind is CallKind.GET:
             return self._get(name)
-        if request.method == 'PUT':
-            return self._put(name, request)
-        return HttpResponse(405)
+        response = self._write(name, kind, request)
+        if response.status != _CONFLICT and self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            await asyncio.Event().wait()
+        return response
 
     def _get(self, name: str) -> HttpResponse:
-        stored = self._stored_by_name.get(name)
-        if stored is None:
+        history = self._history_by_name.get(name, [])
+        position = max(0, len(history) - 1 - self.faults.older_by)
+        stored = next(iter(history[position:]), None)
+        if stored is None or stored.document is None:
             return HttpResponse(404)
-        return HttpResponse(200, stored.document, _etag(stored))
-
-    def _put(self, name: str, request: HttpRequest) -> HttpResponse:
-        stored = self._stored_by_name.get(name)
-        expected = request.headers.get('if-match')
-        if expected is not None:
-            if stored is None or expected != f'"{stored.version}"':
-                return HttpResponse(412)
-        if request.headers.get('if-none-match') == '*' and stored:
-            return HttpResponse(412)
+        return HttpResponse(200, stored.document, (('ETag', stored.version),))
+
+    def _write(
+        self,
+        name: str,
+        kind: CallKind,
+        request: HttpRequest,
+    ) -> HttpResponse:
+        history = self._history_by_name.get(name, [])
+        current = history[-1].version if history else ''
+        expected = request.headers.get('if-match', current)
+        creates = request.headers.get('if-none-match') == '*'
+        if expected != current or (creates and current):
+            return HttpResponse(_CONFLICT)
+        if kind is CallKind.DELETE:
+            if not current:
+                return HttpResponse(404)
+            self._store(name, None)
+            return HttpResponse(200)
+        if len(request.body) > _VALUE_BYTES:
+            return HttpResponse(413)
+        stored = self._store(name, request.body)
+        return HttpResponse(200, b'', (('ETag', stored.version),))
+
+    def _store(self, name: str, document: bytes | None) -> _Stored:
         self._revision += 1
-        created = _Stored(self._revision, request.body)
-        self._stored_by_name[name] = created
-        return HttpResponse(200, b'', _etag(created))
+        stored = _Stored(self._revision, document, self._clock.monotonic())
+        self._history_by_name.setdefault(name, []).append(stored)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return stored
+
+    async def _watch(self, request: HttpRequest) -> HttpResponse:
+        names = request.query.get('names', '').split(',')
+        since = int(request.query.get('since', '0'))
+        poll = int(request.query.get('timeout_ms', _POLL_MS)) / _MILLISECONDS
+        try:
+            async with asyncio.timeout(poll):
+                changed = await self._wait_for_change(names, since)
+        except TimeoutError:
+            changed = []
+        document = {
+            'revision': max(
+                [since, *(stored.revision for _, stored in changed)]
+            ),
+            'changed': [
+                {'name': name, 'version': stored.version}
+                for name, stored in changed
+            ],
+        }
+        return HttpResponse(200, orjson.dumps(document))
+
+    async def _wait_for_change(
+        self,
+        names: Sequence[str],
+        since: int,
+    ) -> list[tuple[str, _Stored]]:
+        while True:
+            changed = self._visible_changes(names, since)
+            if changed:
+                return changed
+            if self.faults.watch_lag:
+                await asyncio.sleep(_LAG_POLL_SECONDS)
+            else:
+                await self._changed.wait()
+
+    def _visible_changes(
+        self,
+        names: Sequence[str],
+        since: int,
+    ) -> list[tuple[str, _Stored]]:
+        latest = self._clock.monotonic() - self.faults.watch_lag
+        newest_by_name = {
+            name: stored
+            for name in names
+            for stored in self._history_by_name.get(name, [])
+            if stored.at <= latest
+        }
+        return [
+            (name, stored)
+            for name, stored in newest_by_name.items()
+            if stored.revision > since
+        ]
+
+    def _vms(self) -> HttpResponse:
+        latest = self._clock.monotonic() - self.faults.list_lag
+        visible = [known for known in self._vm_lists if known.at <= latest]
+        records = [asdict(vm) for vm in visible[-1].vms]
+        return HttpResponse(200, orjson.dumps(records))
 
 
-def _etag(stored: _Stored) -> tuple[tuple[str, str], ...]:
-    return (('ETag', f'"{stored.version}"'),)
+def _kind(request: HttpRequest) -> CallKind | None:
+    if request.path == '/watch':
+        return CallKind.WATCH
+    if request.path == '/vms':
+        return CallKind.VMS
+    if not request.path.startswith(_PREFIX):
+        return None
+    return {
+        'GET': CallKind.GET,
+        'PUT': CallKind.PUT,
+        'DELETE': CallKind.DELETE,
+    }.get(request.method)
