Declare services, targets and the fleet in TOML files

Cause: the configuration existed only as a data class built by a stand-in. Files are validated by pydantic models; problems name file, line, field and what is allowed. The published value has a generation, a digest and its publisher.

--- /dev/null
+++ b/nutmegstep/declarations/control.py
@@ -0,0 +1,118 @@
+"""Published form of withdrawals and drains, the object `control/state`."""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from pydantic import TypeAdapter
+
+__all__ = [
+    'ControlChange',
+    'ControlDocument',
+    'ControlSubject',
+    'Register',
+    'apply_change',
+    'decode_control',
+    'encode_control',
+]
+
+
+@enum.unique
+class ControlSubject(enum.Enum):
+    """What operators take out of service."""
+
+    FAILURE_DOMAIN = 'failure_domain'
+    TARGET = 'target'
+
+
+@dataclass(frozen=True, slots=True)
+class Register:
+    """State of one name; a merge takes the higher counter.
+
+    Parameters
+    ----------
+    counter : int
+        Grows with every change.
+    withdrawn : bool
+        Whether the name is out of service; wins at equal counters.
+    changed_by : str
+        Operator of the latest change.
+    """
+
+    counter: int
+    withdrawn: bool
+    changed_by: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class ControlDocument:
+    """All registers; a name that is absent is in service."""
+
+    failure_domains_by_name: Mapping[str, Register] = field(
+        default_factory=dict,
+    )
+    targets_by_name: Mapping[str, Register] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ControlChange:
+    """A change that an operator asks for."""
+
+    subject: ControlSubject
+    name: str
+    withdrawn: bool
+    changed_by: str
+
+
+_control_adapter = TypeAdapter(ControlDocument)
+
+
+def encode_control(document: ControlDocument) -> bytes:
+    """Return the JSON form."""
+    return _control_adapter.dump_json(document)
+
+
+def decode_control(value: bytes) -> ControlDocument:
+    """Return the registers of a JSON document.
+
+    Raises
+    ------
+    pydantic.ValidationError
+        The document does not match the model.
+    """
+    return _control_adapter.validate_json(value)
+
+
+def apply_change(
+    document: ControlDocument,
+    change: ControlChange,
+) -> ControlDocument:
+    """Return the registers after a change; the same when it is in force.
+
+    Examples
+    --------
+    >>> change = ControlChange(ControlSubject.TARGET, 'a', True, 'ilze')
+    >>> drained = apply_change(ControlDocument(), change)
+    >>> drained.targets_by_name['a'].counter
+    1
+    >>> apply_change(drained, change) is drained
+    True
+    """
+    is_target = change.subject is ControlSubject.TARGET
+    registers = (
+        document.targets_by_name
+        if is_target
+        else document.failure_domains_by_name
+    )
+    current = registers.get(change.name, Register(0, withdrawn=False))
+    if current.withdrawn == change.withdrawn:
+        return document
+    register = Register(
+        current.counter + 1,
+        change.withdrawn,
+        change.changed_by,
+    )
+    changed = {**registers, change.name: register}
+    if is_target:
+        return ControlDocument(document.failure_domains_by_name, changed)
+    return ControlDocument(changed, document.targets_by_name)
--- a/nutmegstep/declarations/core.py
+++ b/nutmegstep/declarations/core.py
@@ -1,7 +1,12 @@
-"""Published form of the configuration and of the index catalogue."""
+"""Configuration and index catalogue as they are stored at the platform."""
 
 from pydantic import TypeAdapter
+from returns.pipeline import is_successful
 
+from nutmegstep.declarations.published import (
+    decode_published,
+    encode_published,
+)
 from nutmegstep.model import Fleet, IndexVersion
 
 __all__ = [
@@ -11,29 +16,37 @@
     'encode_fleet',
 ]
 
-_fleet_adapter = TypeAdapter(Fleet)
 _versions_adapter = TypeAdapter(tuple[IndexVersion, ...])
 
 
-def encode_fleet(fleet: Fleet) -> bytes:
-    """Return the JSON form of a configuration."""
-    return _fleet_adapter.dump_json(fleet)
+def encode_fleet(fleet: Fleet, published_by: str = '') -> bytes:
+    """Return the published form of a configuration.
+
+    Raises
+    ------
+    ValueError
+        The value is above a megabyte.
+    """
+    encoded = encode_published(fleet, published_by)
+    if is_successful(encoded):
+        return encoded.unwrap()
+    raise ValueError(f'configuration has {encoded.failure()} bytes')
 
 
 def decode_fleet(document: bytes) -> Fleet:
-    """Return the configuration of a JSON document.
+    """Return the configuration of a published value.
 
     Raises
     ------
-    pydantic.ValidationError
-        The document does not match the model.
+    ValueError
+        The value is malformed.
 
     Examples
     --------
     >>> decode_fleet(encode_fleet(Fleet(3, {}, {}, 2, {}))).generation
     3
     """
-    return _fleet_adapter.validate_json(document)
+    return decode_published(document).fleet
 
 
 def encode_catalogue(versions: tuple[IndexVersion, ...]) -> bytes:
--- /dev/null
+++ b/nutmegstep/declarations/locate.py
@@ -0,0 +1,42 @@
+"""Finds the line of a field in a TOML document.
+
+The TOML reader of the standard library reports lines for syntax errors
+only. Declarations use plain keys and table headers, so a scan of the lines
+finds the place of a field that the models refuse.
+"""
+
+import re
+from collections.abc import Sequence
+from typing import Final
+
+__all__ = ['line_of']
+
+_HEADER: Final = re.compile(r'\s*\[([^\[\]]+)\]')
+_KEY: Final = re.compile(r'\s*([\w."-]+)\s*=')
+
+
+def line_of(text: str, location: Sequence[str]) -> int | None:
+    r"""Return the line of a field or of the nearest table around it.
+
+    Examples
+    --------
+    >>> line_of('[fleet]\nentry_vms_max = 0', ('fleet', 'entry_vms_max'))
+    2
+    >>> line_of('[targets]\na = {slots = 0}', ('targets', 'a', 'slots'))
+    2
+    """
+    header: tuple[str, ...] = ()
+    nearest: tuple[int, int | None] = (0, None)
+    wanted = tuple(location)
+    for number, line in enumerate(text.splitlines(), start=1):
+        opened = _HEADER.match(line)
+        header = _split(opened.group(1)) if opened else header
+        key = _KEY.match(line)
+        path = (*header, *_split(key.group(1))) if key else header
+        if len(path) > nearest[0] and path == wanted[: len(path)]:
+            nearest = (len(path), number)
+    return nearest[1]
+
+
+def _split(dotted: str) -> tuple[str, ...]:
+    return tuple(part.strip().strip('"') for part in dotted.split('.'))
