Add the operators' commands

Cause: operators had no way to check, publish or withdraw anything. publish and the four control commands write conditionally, read back after a lost answer and name the other operator's change in a conflict. Without the platform, control changes go to an entry VM through OperatorInterface, whose gRPC side is connected in cli/operators.py; until then those calls, status, explain and forget end with code 5. Conclusion: covered by tests against the stand-in with conflicts, lost answers and both kinds of outage; calls to entry VMs only against a fake.

--- /dev/null
+++ b/nutmegstep/cli/asking.py
@@ -0,0 +1,31 @@
+"""Asks entry VMs in turn until one answers."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from nutmegstep.cli.exit_codes import CommandFailure, ExitCode
+from nutmegstep.cli.operators import PeerFailure
+
+__all__ = ['ask_in_turn']
+
+_Answer = TypeVar('_Answer')
+
+
+async def ask_in_turn(
+    addresses: Sequence[str],
+    ask: Callable[[str], Awaitable[Result[_Answer, PeerFailure]]],
+) -> Result[_Answer, CommandFailure]:
+    """Return the first answer, or the failures of all addresses."""
+    details = []
+    code = ExitCode.UNAVAILABLE
+    for address in addresses:
+        asked = await ask(address)
+        if is_successful(asked):
+            return Success(asked.unwrap())
+        failure = asked.failure()
+        details.append(f'{address}: {failure.detail}')
+        code = ExitCode.UNCERTAIN if failure.may_have_applied else code
+    return Failure(CommandFailure(code, '; '.join(details)))
--- /dev/null
+++ b/nutmegstep/cli/controlling.py
@@ -0,0 +1,200 @@
+"""Changes of withdrawals and drains in the object `control/state`."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from nutmegstep.cli.exit_codes import CommandFailure, ExitCode
+from nutmegstep.cli.operators import OperatorInterface
+from nutmegstep.declarations import (
+    ControlChange,
+    ControlDocument,
+    ControlSubject,
+    Register,
+    apply_change,
+    decode_control,
+    encode_control,
+)
+from nutmegstep.platform_api import ObjectClient, PlatformFailureKind
+
+__all__ = ['CONTROL_OBJECT', 'Applied', 'change_control']
+
+CONTROL_OBJECT: Final = 'control/state'
+# Operators rarely change withdrawals at the same time, and relays write only
+# after an outage; five conflicts in a row mean that something else is wrong.
+_ATTEMPTS: Final = 5
+_NEVER: Final = Register(0, withdrawn=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """A change that is in force.
+
+    Parameters
+    ----------
+    through : str
+        ``platform`` or the address of the entry VM that took it.
+    already : bool
+        Whether nothing had to be written.
+    """
+
+    through: str
+    already: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Read:
+    version: str | None
+    document: ControlDocument
+
+
+async def change_control(
+    client: ObjectClient,
+    interface: OperatorInterface,
+    entries: Sequence[str],
+    change: ControlChange,
+) -> Result[Applied, CommandFailure]:
+    """Apply a change at the platform, or through an entry VM without it.
+
+    Parameters
+    ----------
+    client : ObjectClient
+        Platform.
+    interface : OperatorInterface
+        Calls entry VMs.
+    entries : sequence of str
+        Entry VMs to ask in turn when the platform gives no answer.
+    change : ControlChange
+        What to change.
+
+    Returns
+    -------
+    returns.result.Result
+        How it was applied; `CONFLICT` when another operator set the same
+        name otherwise meanwhile.
+    """
+    stored = await _change_at_platform(client, change)
+    if is_successful(stored):
+        return stored
+    failure = stored.failure()
+    if failure.code not in {ExitCode.UNAVAILABLE, ExitCode.UNCERTAIN}:
+        return stored
+    return await _change_at_peers(interface, entries, change, failure)
+
+
+async def _change_at_platform(
+    client: ObjectClient,
+    change: ControlChange,
+) -> Result[Applied, CommandFailure]:
+    first: Register | None = None
+    code = ExitCode.UNAVAILABLE
+    for _ in range(_ATTEMPTS):
+        read = await _read(client)
+        if not is_successful(read):
+            return Failure(_or_uncertain(read.failure(), code))
+        stored = read.unwrap()
+        first = first or _register(stored.document, change)
+        decided = _decide(stored.document, change, first)
+        if decided is not None:
+            return decided
+        written = await _write(client, stored, change)
+        if is_successful(written):
+            return written
+        failure = written.failure()
+        if failure.code is ExitCode.UNAVAILABLE:
+            return Failure(_or_uncertain(failure, code))
+        if failure.code is ExitCode.UNCERTAIN:
+            code = ExitCode.UNCERTAIN
+    detail = f'{_ATTEMPTS} writes of {CONTROL_OBJECT} were not accepted'
+    return Failure(CommandFailure(code, detail))
+
+
+def _decide(
+    document: ControlDocument,
+    change: ControlChange,
+    first: Register,
+) -> Result[Applied, CommandFailure] | None:
+    """Return the outcome if nothing is to be written, else None."""
+    current = _register(document, change)
+    if current.withdrawn == change.withdrawn:
+        already = current.counter == first.counter
+        return Success(Applied('platform', already))
+    if current.counter > first.counter:
+        return Failure(_conflict(change, current))
+    return None
+
+
+async def _write(
+    client: ObjectClient,
+    stored: _Read,
+    change: ControlChange,
+) -> Result[Applied, CommandFailure]:
+    value = encode_control(apply_change(stored.document, change))
+    written = await client.put(CONTROL_OBJECT, value, stored.version)
+    if is_successful(written):
+        return Success(Applied('platform'))
+    failure = written.failure()
+    code = ExitCode.UNAVAILABLE
+    if failure.may_have_applied:
+        code = ExitCode.UNCERTAIN
+    elif failure.kind is PlatformFailureKind.CONFLICT:
+        code = ExitCode.CONFLICT
+    return Failure(CommandFailure(code, failure.detail))
+
+
+def _or_uncertain(failure: CommandFailure, code: ExitCode) -> CommandFailure:
+    """Keep in mind that an earlier write may have taken effect."""
+    if failure.code is ExitCode.UNAVAILABLE:
+        return CommandFailure(code, failure.detail)
+    return failure
+
+
+async def _read(client: ObjectClient) -> Result[_Read, CommandFailure]:
+    called = await client.get(CONTROL_OBJECT)
+    if not is_successful(called):
+        failure = called.failure()
+        if failure.kind is PlatformFailureKind.NOT_FOUND:
+            return Success(_Read(None, ControlDocument()))
+        return Failure(CommandFailure(ExitCode.UNAVAILABLE, failure.detail))
+    stored = called.unwrap()
+    try:
+        document = decode_control(stored.document)
+    except ValueError as error:
+        detail = f'stored {CONTROL_OBJECT} is malformed: {error}'
+        return Failure(CommandFailure(ExitCode.INVALID, detail))
+    return Success(_Read(stored.version, document))
+
+
+async def _change_at_peers(
+    interface: OperatorInterface,
+    entries: Sequence[str],
+    change: ControlChange,
+    failure: CommandFailure,
+) -> Result[Applied, CommandFailure]:
+    code = failure.code
+    details = [f'platform: {failure.detail}']
+    for address in entries:
+        applied = await interface.apply_through_peer(address, change)
+        if is_successful(applied):
+            return Success(Applied(address))
+        refused = applied.failure()
+        code = ExitCode.UNCERTAIN if refused.may_have_applied else code
+        details.append(f'{address}: {refused.detail}')
+    if not entries:
+        details.append('no entry VM is known, see --entry')
+    return Failure(CommandFailure(code, '; '.join(details)))
+
+
+def _register(document: ControlDocument, change: ControlChange) -> Register:
+    if change.subject is ControlSubject.TARGET:
+        return document.targets_by_name.get(change.name, _NEVER)
+    return document.failure_domains_by_name.get(change.name, _NEVER)
+
+
+def _conflict(change: ControlChange, current: Register) -> CommandFailure:
+    state = 'out of service' if current.withdrawn else 'in service'
+    detail = f'{current.changed_by} set {change.name} {state} meanwhile'
+    return CommandFailure(ExitCode.CONFLICT, detail)
--- a/nutmegstep/cli/core.py
+++ b/nutmegstep/cli/core.py
@@ -2,16 +2,61 @@
 
 import argparse
 import sys
+from collections.abc import Sequence
+from typing import Final
 
-from nutmegstep.cli import serve
+from nutmegstep.cli import (
+    check,
+    diff,
+    drain,
+    explain,
+    forget,
+    publish,
+    restore,
+    serve,
+    status,
+    undrain,
+    withdraw,
+)
+from nutmegstep.cli.exit_codes import describe_exit_codes
 
-__all__ = ['main']
+__all__ = ['build_parser', 'main']
 
+_COMMANDS: Final = (
+    serve,
+    check,
+    diff,
+    publish,
+    withdraw,
+    restore,
+    drain,
+    undrain,
+    status,
+    explain,
+    forget,
+)
 
-def main() -> None:
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser with all commands."""
+    parser = argparse.ArgumentParser(
+        prog='nutmegstep',
+        description=(
+            'Query tier that scatters requests over many shards.\n\n'
+            'To change the configuration: edit declaration files, then run '
+            'check, diff and publish.\n'
+            'To take load away: withdraw (failure domain) or drain (target).'
+        ),
+        epilog=describe_exit_codes(),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(required=True, metavar='COMMAND')
+    for command in _COMMANDS:
+        command.add_parser(commands)
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> None:
     """Parse the arguments, run a command and exit with its code."""
-    parser = argparse.ArgumentParser(prog='nutmegstep')
-    commands = parser.add_subparsers(required=True)
-    serve.add_parser(commands)
-    arguments = parser.parse_args()
+    arguments = build_parser().parse_args(argv)
     sys.exit(arguments.run(arguments))
--- /dev/null
+++ b/nutmegstep/cli/drain.py
@@ -0,0 +1,26 @@
+"""The `drain` command: takes a target out of service."""
+
+from typing import Final
+
+from nutmegstep.cli.control_command import (
+    ControlCommand,
+    add_control_command,
+)
+from nutmegstep.cli.options import Commands
+from nutmegstep.declarations import ControlSubject
+
+__all__ = ['add_parser']
+
+_COMMAND: Final = ControlCommand(
+    'drain',
+    'take a target out of service',
+    'Drain a target: it receives no new work within 5 s. '
+    'Without the platform the change goes through an entry VM.',
+    ControlSubject.TARGET,
+    withdrawn=True,
+)
+
+
+def add_parser(commands: Commands) -> None:
+    """Add the command to the parser."""
+    add_control_command(commands, _COMMAND)
--- /dev/null
+++ b/nutmegstep/cli/exit_codes.py
@@ -0,0 +1,46 @@
+"""Exit codes of the commands."""
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ['CommandFailure', 'ExitCode', 'describe_exit_codes']
+
+
+@enum.unique
+class ExitCode(enum.IntEnum):
+    """What a command's exit status means."""
+
+    OK = 0
+    DIFFERS = 1
+    USAGE = 2
+    INVALID = 3
+    CONFLICT = 4
+    UNAVAILABLE = 5
+    UNCERTAIN = 6
+    TOO_LARGE = 7
+
+
+@dataclass(frozen=True, slots=True)
+class CommandFailure:
+    """Why a command stopped, with its exit code."""
+
+    code: ExitCode
+    detail: str
+
+
+_LINES = (
+    (ExitCode.OK, 'done, or nothing to do'),
+    (ExitCode.DIFFERS, 'diff found differences'),
+    (ExitCode.USAGE, 'wrong arguments'),
+    (ExitCode.INVALID, 'declarations or a name are wrong'),
+    (ExitCode.CONFLICT, 'refused because of the change of another operator'),
+    (ExitCode.UNAVAILABLE, 'no answer; nothing was changed'),
+    (ExitCode.UNCERTAIN, 'the change may be in force; run the command again'),
+    (ExitCode.TOO_LARGE, 'the configuration is above a megabyte'),
+)
+
+
+def describe_exit_codes() -> str:
+    """Return the text for the end of each help page."""
+    lines = [f'  {int(code)}  {text}' for code, text in _LINES]
+    return '\n'.join(('exit codes:', *lines))
--- /dev/null
+++ b/nutmegstep/cli/forget.py
@@ -0,0 +1,48 @@
+"""The `forget` command: drops a VM that is gone from the roster."""
+
+import argparse
+import asyncio
+
+from returns.pipeline import is_successful
+
+from nutmegstep.cli.asking import ask_in_turn
+from nutmegstep.cli.exit_codes import ExitCode
+from nutmegstep.cli.operators import operator_interface
+from nutmegstep.cli.options import (
+    Commands,
+    add_command,
+    add_entry,
+    entry_addresses,
+)
+from nutmegstep.cli.output import print_failure, print_outcome
+
+__all__ = ['add_parser', 'execute']
+
+
+def add_parser(commands: Commands) -> None:
+    """Add the command to the parser."""
+    parser = add_command(
+        commands,
+        'forget',
+        'drop a VM that is gone for good from the roster',
+        'Drop a VM from the roster of its failure domain, so that cold targets'
+        ' can be used again. Only for a VM that is certainly stopped: two VMs'
+        ' could otherwise send to the same cold target.',
+    )
+    add_entry(parser, required=True)
+    parser.add_argument('vm', help='name of the VM')
+    parser.set_defaults(run=lambda found: asyncio.run(execute(found)))
+
+
+async def execute(arguments: argparse.Namespace) -> int:
+    """Ask an entry VM; return the exit code."""
+    interface = operator_interface()
+    asked = await ask_in_turn(
+        entry_addresses(arguments),
+        lambda entry: interface.forget_vm(entry, arguments.vm),
+    )
+    if not is_successful(asked):
+        return print_failure(arguments, asked.failure())
+    document = {'forgotten': arguments.vm}
+    print_outcome(arguments, document, [f'{arguments.vm} is forgotten'])
+    return ExitCode.OK
--- /dev/null
+++ b/nutmegstep/cli/options.py
@@ -0,0 +1,147 @@
+"""Flags that several commands share, each with an environment env_name."""
+
+import argparse
+import getpass
+import os
+import textwrap
+from pathlib import Path
+from typing import Final, TypeAlias
+
+from nutmegstep.cli.exit_codes import describe_exit_codes
+from nutmegstep.declarations import FILE_PATTERN
+from nutmegstep.platform_api import ObjectClient
+
+__all__ = [
+    'Commands',
+    'add_command',
+    'add_entry',
+    'add_operator',
+    'add_paths',
+    'add_platform',
+    'address',
+    'entry_addresses',
+    'operator_name',
+    'platform_client',
+]
+
+Commands: TypeAlias = 'argparse._SubParsersAction[argparse.ArgumentParser]'
+Address: TypeAlias = tuple[str, int]
+
+_ENTRY: Final = 'NUTMEGSTEP_ENTRY'
+_HELP_COLUMNS: Final = 78
+
+
+def add_command(
+    commands: Commands,
+    name: str,
+    summary: str,
+    description: str,
+) -> argparse.ArgumentParser:
+    """Add a command with `--json` and the table of exit codes."""
+    parser = commands.add_parser(
+        name,
+        help=summary,
+        description=textwrap.fill(description, _HELP_COLUMNS),
+        epilog=describe_exit_codes(),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        '--json',
+        action='store_true',
+        default=os.environ.get('NUTMEGSTEP_JSON', '') not in {'', '0'},
+        help='print one JSON document [env: NUTMEGSTEP_JSON=1]',
+    )
+    return parser
+
+
+def add_platform(parser: argparse.ArgumentParser) -> None:
+    """Add the address of the platform."""
+    env_name = 'NUTMEGSTEP_PLATFORM'
+    parser.add_argument(
+        '--platform',
+        metavar='HOST:PORT',
+        type=address,
+        default=os.environ.get(env_name),
+        required=env_name not in os.environ,
+        help=f"address of the platform's object API [env: {env_name}]",
+    )
+
+
+def add_operator(parser: argparse.ArgumentParser) -> None:
+    """Add the name that is stored with a change."""
+    env_name = 'NUTMEGSTEP_OPERATOR'
+    parser.add_argument(
+        '--operator',
+        metavar='NAME',
+        default=os.environ.get(env_name),
+        help=(
+            'name that other operators see beside this change; '
+            f'the name of the login by default [env: {env_name}]'
+        ),
+    )
+
+
+def add_entry(parser: argparse.ArgumentParser, *, required: bool) -> None:
+    """Add addresses of entry VMs."""
+    env_name = _ENTRY
+    parser.add_argument(
+        '--entry',
+        metavar='HOST:PORT',
+        action='append',
+        required=required and not os.environ.get(env_name),
+        help=(
+            'operator interface of an entry VM; may be repeated, asked in '
+            f'this order [env: {env_name}, separated by commas]'
+        ),
+    )
+
+
+def add_paths(parser: argparse.ArgumentParser) -> None:
+    """Add the declaration files."""
+    env_name = 'NUTMEGSTEP_DECLARATIONS'
+    known = os.environ.get(env_name, '.').split(os.pathsep)
+    parser.add_argument(
+        'paths',
+        metavar='PATH',
+        nargs='*',
+        type=Path,
+        default=[Path(name) for name in known],
+        help=(
+            f'file, or directory that is searched for {FILE_PATTERN}; the '
+            f'current directory by default [env: {env_name}, separated by '
+            f'{os.pathsep!r}]'
+        ),
+    )
+
+
+def entry_addresses(arguments: argparse.Namespace) -> list[str]:
+    """Return `--entry`, or the addresses of the environment variable."""
+    if arguments.entry:
+        return list(arguments.entry)
+    listed = os.environ.get(_ENTRY, '')
+    return [known for known in listed.split(',') if known]
+
+
+def address(text: str) -> Address:
+    """Return host and port of ``HOST:PORT``.
+
+    Examples
+    --------
+    >>> address('127.0.0.1:80')
+    ('127.0.0.1', 80)
+    """
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdecimal():
+        raise argparse.ArgumentTypeError(f'{text!r} is not HOST:PORT')
+    return host.strip('[]'), int(port)
+
+
+def platform_client(arguments: argparse.Namespace) -> ObjectClient:
+    """Return the client for `--platform`."""
+    host, port = arguments.platform
+    return ObjectClient(host, port)
+
+
+def operator_name(arguments: argparse.Namespace) -> str:
+    """Return `--operator` or the name of the login."""
+    return arguments.operator or getpass.getuser()
--- /dev/null
+++ b/nutmegstep/cli/publishing.py
@@ -0,0 +1,201 @@
+"""Conditional publication of a configuration."""
+
+from dataclasses import dataclass, replace
+from typing import Final
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from nutmegstep.cli.exit_codes import CommandFailure, ExitCode
+from nutmegstep.declarations import (
+    Change,
+    Published,
+    decode_published,
+    diff_fleets,
+    encode_published,
+    fleet_digest,
+)
+from nutmegstep.model import Fleet
+from nutmegstep.platform_api import (
+    ObjectClient,
+    PlatformFailure,
+    PlatformFailureKind,
+)
+
+__all__ = [
+    'FLEET_OBJECT',
+    'InForce',
+    'Plan',
+    'commit_plan',
+    'make_plan',
+    'read_in_force',
+]
+
+FLEET_OBJECT: Final = 'config/fleet'
+_ATTEMPTS: Final = 3
+_EMPTY: Final = Published(0, '', '', Fleet(0, {}, {}, 0, {}))
+_NOT_FOUND: Final = PlatformFailureKind.NOT_FOUND
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """Stored configuration; `version` is None when there is none."""
+
+    version: str | None
+    published: Published
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A publication that was not yet written.
+
+    Parameters
+    ----------
+    base : InForce
+        What it replaces.
+    fleet : Fleet
+        The configuration with its new generation.
+    operator : str
+        Who publishes.
+    """
+
+    base: InForce
+    fleet: Fleet
+    operator: str
+
+    @property
+    def changes(self) -> tuple[Change, ...]:
+        """Differences from the stored configuration."""
+        return diff_fleets(self.base.published.fleet, self.fleet)
+
+    @property
+    def unchanged(self) -> bool:
+        """Whether the same content has at least this generation."""
+        return self.is_done(self.base)
+
+    def is_done(self, stored: InForce) -> bool:
+        """Return whether `stored` makes the write unnecessary."""
+        return (
+            stored.published.digest == fleet_digest(self.fleet)
+            and stored.published.generation >= self.fleet.generation
+        )
+
+
+async def read_in_force(
+    client: ObjectClient,
+) -> Result[InForce, CommandFailure]:
+    """Read the stored configuration."""
+    called = await client.get(FLEET_OBJECT)
+    if not is_successful(called):
+        failure = called.failure()
+        if failure.kind is _NOT_FOUND:
+            return Success(InForce(None, _EMPTY))
+        return Failure(_unavailable(failure))
+    stored = called.unwrap()
+    try:
+        published = decode_published(stored.document)
+    except ValueError as error:
+        detail = f'stored {FLEET_OBJECT} is malformed: {error}'
+        return Failure(CommandFailure(ExitCode.INVALID, detail))
+    return Success(InForce(stored.version, published))
+
+
+def make_plan(
+    base: InForce,
+    fleet: Fleet,
+    operator: str,
+    highest_generation: int,
+) -> Plan:
+    """Choose the generation of a publication.
+
+    Parameters
+    ----------
+    base : InForce
+        Stored configuration.
+    fleet : Fleet
+        Collected configuration.
+    operator : str
+        Who publishes.
+    highest_generation : int
+        Highest generation known from entry VMs. It is above the stored one
+        after the platform was restored to an older state; nodes ignore a
+        publication that does not exceed it.
+    """
+    stored = base.published.generation
+    same = base.published.digest == fleet_digest(fleet)
+    if same and stored >= highest_generation:
+        generation = stored
+    else:
+        generation = max(stored, highest_generation) + 1
+    return Plan(base, replace(fleet, generation=generation), operator)
+
+
+async def commit_plan(
+    client: ObjectClient,
+    plan: Plan,
+) -> Result[InForce, CommandFailure]:
+    """Write a plan if nothing was published since it was made.
+
+    Notes
+    -----
+    After a lost answer the value is read back. An unchanged version means
+    that the write has not arrived; writing again under the same condition
+    is safe, because at most one of the two can be applied.
+    """
+    encoded = encode_published(plan.fleet, plan.operator)
+    if not is_successful(encoded):
+        detail = f'configuration has {encoded.failure()} bytes compressed'
+        return Failure(CommandFailure(ExitCode.TOO_LARGE, detail))
+    for _ in range(_ATTEMPTS):
+        written = await client.put(
+            FLEET_OBJECT,
+            encoded.unwrap(),
+            plan.base.version,
+        )
+        if is_successful(written):
+            published = Published(
+                plan.fleet.generation,
+                fleet_digest(plan.fleet),
+                plan.operator,
+                plan.fleet,
+            )
+            return Success(InForce(written.unwrap(), published))
+        failure = written.failure()
+        is_conflict = failure.kind is PlatformFailureKind.CONFLICT
+        if not (failure.may_have_applied or is_conflict):
+            return Failure(_unavailable(failure))
+        decided = await _read_back(client, plan)
+        if decided is not None:
+            return decided
+    detail = 'no write was answered; the publication may come into force'
+    return Failure(CommandFailure(ExitCode.UNCERTAIN, detail))
+
+
+async def _read_back(
+    client: ObjectClient,
+    plan: Plan,
+) -> Result[InForce, CommandFailure] | None:
+    read = await read_in_force(client)
+    if not is_successful(read):
+        detail = f'written, but not read back: {read.failure().detail}'
+        return Failure(CommandFailure(ExitCode.UNCERTAIN, detail))
+    stored = read.unwrap()
+    if plan.is_done(stored):
+        return Success(stored)
+    if stored.version == plan.base.version:
+        return None
+    return Failure(_conflict(plan, stored.published))
+
+
+def _conflict(plan: Plan, other: Published) -> CommandFailure:
+    changes = diff_fleets(plan.base.published.fleet, other.fleet)
+    listed = '; '.join(str(change) for change in changes) or 'no difference'
+    detail = (
+        f'{other.published_by} published generation {other.generation} '
+        f'meanwhile: {listed}'
+    )
+    return CommandFailure(ExitCode.CONFLICT, detail)
+
+
+def _unavailable(failure: PlatformFailure) -> CommandFailure:
+    return CommandFailure(ExitCode.UNAVAILABLE, failure.detail)
--- /dev/null
+++ b/nutmegstep/cli/status.py
@@ -0,0 +1,48 @@
+"""The `status` command: shows the state of an entry VM."""
+
+import argparse
+import asyncio
+from dataclasses import asdict
+
+from returns.pipeline import is_successful
+
+from nutmegstep.cli.asking import ask_in_turn
+from nutmegstep.cli.exit_codes import ExitCode
+from nutmegstep.cli.operators import operator_interface
+from nutmegstep.cli.options import (
+    Commands,
+    add_command,
+    add_entry,
+    entry_addresses,
+)
+from nutmegstep.cli.output import print_failure, print_outcome
+
+__all__ = ['add_parser', 'execute']
+
+
+def add_parser(commands: Commands) -> None:
+    """Add the command to the parser."""
+    parser = add_command(
+        commands,
+        'status',
+        'show the state of an entry VM',
+        'Show which configuration is in force on an entry VM, what is out of'
+        ' service and which alarms it has.',
+    )
+    add_entry(parser, required=True)
+    parser.set_defaults(run=lambda found: asyncio.run(execute(found)))
+
+
+async def execute(arguments: argparse.Namespace) -> int:
+    """Ask an entry VM; return the exit code."""
+    interface = operator_interface()
+    asked = await ask_in_turn(
+        entry_addresses(arguments),
+        interface.read_status,
+    )
+    if not is_successful(asked):
+        return print_failure(arguments, asked.failure())
+    document = asdict(asked.unwrap())
+    lines = [f'{name}: {found}' for name, found in document.items()]
+    print_outcome(arguments, document, lines)
+    return ExitCode.OK
