Exceed the counters of nodes and keep exit code 1 for errors

Cause, seen in a run by hand: `publish | head` stopped with BrokenPipeError before the write and exit code 1, the code that meant "diff found differences". Code 1 is what Python gives for any unexpected error, so a difference is now code 8, and a closed pipe no longer stops a command. Cause, found in review: after a restore of the platform a control change could get a counter below that of the nodes, which would ignore it. The change now exceeds the registers that entry VMs report and stores them.

--- a/nutmegstep/cli/controlling.py
+++ b/nutmegstep/cli/controlling.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from nutmegstep.cli.exit_codes import CommandFailure, ExitCode
+from nutmegstep.cli.generations import known_control
 from nutmegstep.cli.operators import OperatorInterface
 from nutmegstep.declarations import (
     ControlChange,
@@ -17,6 +18,7 @@
     apply_change,
     decode_control,
     encode_control,
+    merge_control,
 )
 from nutmegstep.platform_api import ObjectClient, PlatformFailureKind
 
@@ -76,7 +78,7 @@
         How it was applied; `CONFLICT` when another operator set the same
         name otherwise meanwhile.
     """
-    stored = await _change_at_platform(client, change)
+    stored = await _change_at_platform(client, interface, entries, change)
     if is_successful(stored):
         return stored
     failure = stored.failure()
@@ -86,21 +88,36 @@
 
 
 async def _change_at_platform(
+    client: ObjectClient,
+    interface: OperatorInterface,
+    entries: Sequence[str],
+    change: ControlChange,
+) -> Result[Applied, CommandFailure]:
+    read = await _read(client)
+    if not is_successful(read):
+        return Failure(read.failure())
+    heard = await known_control(client, interface, entries)
+    first = _register(merge_control(read.unwrap().document, heard), change)
+    return await _write_until_decided(client, change, heard, first)
+
+
+async def _write_until_decided(
     client: ObjectClient,
     change: ControlChange,
+    heard: ControlDocument,
+    first: Register,
 ) -> Result[Applied, CommandFailure]:
-    first: Register | None = None
     code = ExitCode.UNAVAILABLE
     for _ in range(_ATTEMPTS):
         read = await _read(client)
         if not is_successful(read):
             return Failure(_or_uncertain(read.failure(), code))
         stored = read.unwrap()
-        first = first or _register(stored.document, change)
-        decided = _decide(stored.document, change, first)
+        merged = _Read(stored.version, merge_control(stored.document, heard))
+        decided = _decide(stored.document, merged.document, change, first)
         if decided is not None:
             return decided
-        written = await _write(client, stored, change)
+        written = await _write(client, merged, change)
         if is_successful(written):
             return written
         failure = written.failure()
@@ -113,18 +130,22 @@
 
 
 def _decide(
-    document: ControlDocument,
+    stored: ControlDocument,
+    merged: ControlDocument,
     change: ControlChange,
     first: Register,
 ) -> Result[Applied, CommandFailure] | None:
     """Return the outcome if nothing is to be written, else None."""
-    current = _register(document, change)
-    if current.withdrawn == change.withdrawn:
-        already = current.counter == first.counter
-        return Success(Applied('platform', already))
-    if current.counter > first.counter:
-        return Failure(_conflict(change, current))
-    return None
+    current = _register(merged, change)
+    if current.withdrawn != change.withdrawn:
+        if current.counter > first.counter:
+            return Failure(_conflict(change, current))
+        return None
+    # Entry VMs know a newer register than the platform: it is stored again.
+    if current != _register(stored, change):
+        return None
+    already = current.counter == first.counter
+    return Success(Applied('platform', already))
 
 
 async def _write(
--- a/nutmegstep/cli/exit_codes.py
+++ b/nutmegstep/cli/exit_codes.py
@@ -11,13 +11,14 @@
     """What a command's exit status means."""
 
     OK = 0
-    DIFFERS = 1
+    UNEXPECTED = 1
     USAGE = 2
     INVALID = 3
     CONFLICT = 4
     UNAVAILABLE = 5
     UNCERTAIN = 6
     TOO_LARGE = 7
+    DIFFERS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,13 +31,14 @@
 
 _LINES = (
     (ExitCode.OK, 'done, or nothing to do'),
-    (ExitCode.DIFFERS, 'diff found differences'),
+    (ExitCode.UNEXPECTED, 'unexpected error, with a traceback'),
     (ExitCode.USAGE, 'wrong arguments'),
     (ExitCode.INVALID, 'declarations or a name are wrong'),
     (ExitCode.CONFLICT, 'refused because of the change of another operator'),
     (ExitCode.UNAVAILABLE, 'no answer; nothing was changed'),
     (ExitCode.UNCERTAIN, 'the change may be in force; run the command again'),
     (ExitCode.TOO_LARGE, 'the configuration is above a megabyte'),
+    (ExitCode.DIFFERS, 'diff found differences'),
 )
 
 
--- a/nutmegstep/cli/generations.py
+++ b/nutmegstep/cli/generations.py
@@ -1,6 +1,11 @@
-"""Finds the highest generation that entry VMs have."""
+"""Asks entry VMs for what may be newer than the stored values.
+
+The platform can be restored to an older state. Nodes keep what is higher,
+so a write has to exceed what they have.
+"""
 
 import asyncio
+import functools
 from collections.abc import Iterable, Sequence
 from itertools import groupby
 from operator import attrgetter
@@ -9,9 +14,10 @@
 from returns.pipeline import is_successful
 
 from nutmegstep.cli.operators import OperatorInterface
+from nutmegstep.declarations import ControlDocument, merge_control
 from nutmegstep.platform_api import ObjectClient, VmRecord
 
-__all__ = ['VMS_PER_DOMAIN', 'highest_generation']
+__all__ = ['VMS_PER_DOMAIN', 'highest_generation', 'known_control']
 
 # Entry VMs exchange generations, so a few of each failure domain know the
 # highest one of their side of a partition.
@@ -49,6 +55,18 @@
     return max(known, default=None)
 
 
+async def known_control(
+    client: ObjectClient,
+    interface: OperatorInterface,
+    addresses: Sequence[str],
+) -> ControlDocument:
+    """Return the merged registers of the entry VMs that answer."""
+    asked = addresses or await _listed_addresses(client)
+    answers = await asyncio.gather(*map(interface.read_control, asked))
+    known = [answer.unwrap() for answer in answers if is_successful(answer)]
+    return functools.reduce(merge_control, known, ControlDocument())
+
+
 async def _listed_addresses(client: ObjectClient) -> Sequence[str]:
     listed = await client.vms()
     return _choose(listed.unwrap()) if is_successful(listed) else ()
--- a/nutmegstep/cli/operators.py
+++ b/nutmegstep/cli/operators.py
@@ -9,7 +9,7 @@
 
 from returns.result import Failure, Result
 
-from nutmegstep.declarations import ControlChange
+from nutmegstep.declarations import ControlChange, ControlDocument
 
 __all__ = [
     'EntryStatus',
@@ -89,6 +89,12 @@
     ) -> Result[EntryStatus, PeerFailure]:
         """Read the state of the entry VM."""
 
+    async def read_control(
+        self,
+        address: str,
+    ) -> Result[ControlDocument, PeerFailure]:
+        """Read the withdrawals and drains that the entry VM knows."""
+
     async def explain(
         self,
         address: str,
@@ -123,6 +129,12 @@
     ) -> Result[EntryStatus, PeerFailure]:
         return Failure(_NOT_CONNECTED)
 
+    async def read_control(
+        self,
+        address: str,
+    ) -> Result[ControlDocument, PeerFailure]:
+        return Failure(_NOT_CONNECTED)
+
     async def explain(
         self,
         address: str,
--- a/nutmegstep/cli/publish.py
+++ b/nutmegstep/cli/publish.py
@@ -24,7 +24,7 @@
     operator_name,
     platform_client,
 )
-from nutmegstep.cli.output import print_failure, print_outcome
+from nutmegstep.cli.output import print_failure, print_lines, print_outcome
 from nutmegstep.cli.publishing import (
     Plan,
     commit_plan,
@@ -135,9 +135,8 @@
 
 def _print_changes(arguments: argparse.Namespace, plan: Plan) -> None:
     """Show the difference before the write; part of the result in JSON."""
-    if not arguments.json:
-        for change in plan.changes:
-            print(change, flush=True)
+    if plan.changes and not arguments.json:
+        print_lines(map(str, plan.changes))
 
 
 def _print_result(arguments: argparse.Namespace, plan: Plan) -> None:
--- a/nutmegstep/declarations/__init__.py
+++ b/nutmegstep/declarations/__init__.py
@@ -9,6 +9,7 @@
     apply_change,
     decode_control,
     encode_control,
+    merge_control,
 )
 from nutmegstep.declarations.core import (
     decode_catalogue,
@@ -54,4 +55,5 @@
     'encode_published',
     'find_files',
     'fleet_digest',
+    'merge_control',
 ]
--- a/nutmegstep/declarations/control.py
+++ b/nutmegstep/declarations/control.py
@@ -14,6 +14,7 @@
     'apply_change',
     'decode_control',
     'encode_control',
+    'merge_control',
 ]
 
 
@@ -116,3 +117,41 @@
     if is_target:
         return ControlDocument(document.failure_domains_by_name, changed)
     return ControlDocument(changed, document.targets_by_name)
+
+
+def merge_control(
+    first: ControlDocument,
+    second: ControlDocument,
+) -> ControlDocument:
+    """Return for each name the register with the higher counter.
+
+    Examples
+    --------
+    >>> older = ControlDocument({}, {'a': Register(1, False)})
+    >>> newer = ControlDocument({}, {'a': Register(1, True)})
+    >>> merge_control(newer, older).targets_by_name['a'].withdrawn
+    True
+    """
+    return ControlDocument(
+        _merge(first.failure_domains_by_name, second.failure_domains_by_name),
+        _merge(first.targets_by_name, second.targets_by_name),
+    )
+
+
+def _merge(
+    first: Mapping[str, Register],
+    second: Mapping[str, Register],
+) -> Mapping[str, Register]:
+    never = Register(0, withdrawn=False)
+    return {
+        name: max(
+            first.get(name, never),
+            second.get(name, never),
+            key=_rank,
+        )
+        for name in sorted({*first, *second})
+    }
+
+
+def _rank(register: Register) -> tuple[int, bool]:
+    return register.counter, register.withdrawn
--- a/nutmegstep/declarations/diff.py
+++ b/nutmegstep/declarations/diff.py
@@ -124,7 +124,15 @@
             for known in fields(before)
         ]
     return tuple(
-        FieldChange(name, str(old), str(new))
+        FieldChange(name, _show(old), _show(new))
         for name, old, new in pairs
         if old != new
     )
+
+
+def _show(found: object) -> str:
+    if isinstance(found, enum.Enum):
+        return str(found.value)
+    if isinstance(found, tuple):
+        return '+'.join(map(str, found))
+    return str(found)
--- a/tests/cli/test_controlling.py
+++ b/tests/cli/test_controlling.py
@@ -8,7 +8,9 @@
 from nutmegstep.cli.operators import PeerFailure
 from nutmegstep.declarations import (
     ControlChange,
+    ControlDocument,
     ControlSubject,
+    Register,
     decode_control,
 )
 from nutmegstep.standins.platform import Outage
@@ -20,7 +22,8 @@
 class _Peers:
     """Entry VMs of which only the second answers."""
 
-    def __init__(self) -> None:
+    def __init__(self, known: ControlDocument | None = None) -> None:
+        self.known = known or ControlDocument()
         self.applied: list[tuple[str, ControlChange]] = []
 
     async def apply_through_peer(
@@ -33,6 +36,12 @@
         self.applied.append((address, change))
         return Success(None)
 
+    async def read_control(
+        self,
+        address: str,
+    ) -> Result[ControlDocument, PeerFailure]:
+        return Success(self.known)
+
 
 async def _counter(platform) -> int:
     stored = (await platform.client.get(CONTROL_OBJECT)).unwrap()
@@ -85,3 +94,20 @@
     assert peers.applied == [('up:1', _DRAIN)]
     nobody = await change_control(platform.client, peers, [], _DRAIN)
     assert nobody.failure().code is ExitCode.UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    ('withdrawn', 'counter'),
+    [(True, 7), (False, 8)],
+)
+async def test_counter_exceeds_that_of_nodes(
+    platform,
+    withdrawn: bool,
+    counter: int,
+) -> None:
+    """Guards against a change that nodes ignore after a restore."""
+    known = ControlDocument({}, {'a': Register(7, withdrawn)})
+    peers = _Peers(known)
+    changed = await change_control(platform.client, peers, ['up:1'], _DRAIN)
+    assert not changed.unwrap().already
+    assert await _counter(platform) == counter
