Bound the values that the platform stand-in keeps

Cause: every value of an object was kept for reads of older versions. The stand-in keeps the newest four values of an object; `older_by` reaches back three writes at most. Revisions and times are kept for lagging watches.

--- a/nutmegstep/standins/platform.py
+++ b/nutmegstep/standins/platform.py
@@ -4,7 +4,7 @@
 import enum
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 
 import orjson
 
@@ -20,6 +20,9 @@
 _MILLISECONDS = 1000
 _LAG_POLL_SECONDS = 0.01
 _CONFLICT = 412
+# Values kept for reads of older versions. Claim journals are rewritten many
+# times a second and may reach a megabyte, so older values are dropped.
+_KEPT_VALUES = 4
 
 
 @enum.unique
@@ -48,7 +51,7 @@
     list_lag : float
         Seconds until the VM list shows a change.
     older_by : int
-        Reads return the value this many writes before the newest.
+        Reads return the value this many writes before the newest, at most 3.
     """
 
     outage: Outage = Outage.NONE
@@ -155,7 +158,8 @@
 
     def _get(self, name: str) -> HttpResponse:
         history = self._history_by_name.get(name, [])
-        position = max(0, len(history) - 1 - self.faults.older_by)
+        older_by = min(self.faults.older_by, _KEPT_VALUES - 1)
+        position = max(0, len(history) - 1 - older_by)
         stored = next(iter(history[position:]), None)
         if stored is None or stored.document is None:
             return HttpResponse(404)
@@ -186,7 +190,11 @@
     def _store(self, name: str, document: bytes | None) -> _Stored:
         self._revision += 1
         stored = _Stored(self._revision, document, self._clock.monotonic())
-        self._history_by_name.setdefault(name, []).append(stored)
+        history = self._history_by_name.setdefault(name, [])
+        history.append(stored)
+        dropped = len(history) - _KEPT_VALUES - 1
+        if dropped >= 0 and history[dropped].document:
+            history[dropped] = replace(history[dropped], document=b'')
         self._changed.set()
         self._changed = asyncio.Event()
         return stored
