Make the pool for targets whole

The thin pool had an unbounded queue, scanned all targets on a cancel, never closed idle connections and reported every failure as sent. Deadline and permission are now checked in the step that writes, a cancelled queued attempt is reported as not run, and silent connections are closed when a fresh one answers. Events that effects raise wait until the effects of the current event are performed; a refused send could otherwise cancel a send that had not happened yet.

Spans and metrics are not part of it yet.

--- a/nutmegstep/runtime/core.py
+++ b/nutmegstep/runtime/core.py
@@ -1,6 +1,7 @@
 """Feeds events to the reducer and performs its effects."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from types import MappingProxyType
 from typing import Any, Final
@@ -59,13 +60,28 @@
         self._clock = clock
         self._pool = pool
         self._last_query_id = 0
+        self._pending: deque[Event] = deque()
+        self._dispatching = False
         self._reply_by_query: dict[int, asyncio.Future[Reply]] = {}
         self._timer_by_key: dict[TimerKey, asyncio.TimerHandle] = {}
 
     def dispatch(self, event: Event) -> None:
-        """Apply an event and perform its effects."""
-        for effect in reduce(self.state, event, self._clock.monotonic()):
-            _PERFORM_BY_EFFECT[type(effect)](self, effect)
+        """Apply an event and perform its effects.
+
+        Notes
+        -----
+        An effect may report an event at once, such as a refused send. That
+        event waits until all effects of the current one are performed;
+        otherwise a cancel could overtake the send that it belongs to.
+        """
+        self._pending.append(event)
+        if self._dispatching:
+            return
+        self._dispatching = True
+        try:
+            self._drain_pending()
+        finally:
+            self._dispatching = False
 
     async def ask(self, query: IdempotentQuery) -> Reply:
         """Return the answer or the refusal of a query.
@@ -93,6 +109,12 @@
             if self._reply_by_query.pop(query_id, None) is not None:
                 self.dispatch(CallerGone(query_id))
 
+    def _drain_pending(self) -> None:
+        while self._pending:
+            now = self._clock.monotonic()
+            for effect in reduce(self.state, self._pending.popleft(), now):
+                _PERFORM_BY_EFFECT[type(effect)](self, effect)
+
     def _perform_send(self, effect: SendToTarget) -> None:
         fleet = self.state.fleet
         target = fleet.targets_by_name[effect.target]
--- a/nutmegstep/targets/__init__.py
+++ b/nutmegstep/targets/__init__.py
@@ -1,5 +1,5 @@
 """HTTP client pool for targets."""
 
-from nutmegstep.targets.core import TargetPool
+from nutmegstep.targets.core import SendCheck, SilenceLimit, TargetPool
 
-__all__ = ['TargetPool']
+__all__ = ['SendCheck', 'SilenceLimit', 'TargetPool']
--- a/nutmegstep/targets/connection.py
+++ b/nutmegstep/targets/connection.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection to a target."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -8,27 +9,32 @@
 import h11
 
 from nutmegstep.engine.effects import SendToTarget
-from nutmegstep.engine.events import FailureKind, TargetAnswered, TargetFailed
+from nutmegstep.engine.events import FailureKind, TargetFailed
+from nutmegstep.targets.wire import (
+    Outcome,
+    ResponseParts,
+    encode_request,
+    read_outcome,
+)
 
 __all__ = ['OutcomeCallback', 'TargetConnection']
 
-OutcomeCallback = Callable[[TargetAnswered | TargetFailed], None]
+OutcomeCallback = Callable[[Outcome], None]
+_ConnectionCallback = Callable[['TargetConnection'], None]
 
-_STATUS_OK: Final = 200
-_STATUS_CONFLICT: Final = 409
-_STATUS_UNAVAILABLE: Final = 503
-_MILLISECONDS: Final = 1000
+_USER_TIMEOUT_MS: Final = 1000
+_ANSWER_BYTES: Final = 4 * 1024 * 1024
 
 
 @dataclass(slots=True)
 class _Exchange:
     """The request in flight on a connection."""
 
-    effect: SendToTarget
+    attempt_id: int
     on_outcome: OutcomeCallback
-    status: int = 0
-    headers: dict[bytes, bytes] = field(default_factory=dict)
-    chunks: list[bytes] = field(default_factory=list)
+    request_bytes: int = 0
+    handed_over: bool = False
+    response: ResponseParts = field(default_factory=ResponseParts)
 
 
 class TargetConnection(asyncio.Protocol):
@@ -36,20 +42,35 @@
 
     Parameters
     ----------
-    host_header : str
+    host_header : bytes
         Value of the ``Host`` header.
     on_idle : Callable
         Called when the connection may be used again.
     on_closed : Callable
         Called once when the connection is gone.
+
+    Attributes
+    ----------
+    opened_at : float
+        Monotonic instant at which the connection was established.
+    silent_since : float or None
+        Instant of the send when no byte of the response has arrived yet.
+    idle_since : float
+        Instant at which the connection became idle; set by the pool.
+    answers : int
+        Number of complete responses.
     """
 
     def __init__(
         self,
-        host_header: str,
-        on_idle: Callable[['TargetConnection'], None],
-        on_closed: Callable[['TargetConnection'], None],
+        host_header: bytes,
+        on_idle: _ConnectionCallback,
+        on_closed: _ConnectionCallback,
     ) -> None:
+        self.opened_at = float(0)
+        self.silent_since: float | None = None
+        self.idle_since = float(0)
+        self.answers = 0
         self._host = host_header
         self._on_idle = on_idle
         self._on_closed = on_closed
@@ -57,15 +78,25 @@
         self._exchange: _Exchange | None = None
         self._transport: asyncio.Transport | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can take a request."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Keep the transport and bound the time for unacknowledged bytes."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.get_extra_info('socket').setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            _USER_TIMEOUT_MS,
+        )
 
     def send(
         self,
         effect: SendToTarget,
-        timeout: float,
+        now: float,
         on_outcome: OutcomeCallback,
     ) -> None:
         """Hand a request to the kernel.
@@ -74,130 +105,131 @@
         ----------
         effect : SendToTarget
             The request.
-        timeout : float
-            Seconds left until the deadline.
+        now : float
+            Monotonic instant of the send.
         on_outcome : Callable
-            Takes the outcome exactly once, unless the attempt is aborted.
+            Takes the outcome exactly once.
         """
-        self._exchange = _Exchange(effect, on_outcome)
-        request = h11.Request(
-            method='POST',
-            target=f'/shards/{effect.shard}',
-            headers=[
-                ('Host', self._host),
-                ('X-Request-Id', str(effect.attempt_id)),
-                ('X-Timeout-Ms', str(int(timeout * _MILLISECONDS))),
-                ('Index-Version', str(effect.index_version)),
-                ('traceparent', effect.traceparent),
-                ('Content-Length', str(len(effect.body))),
-            ],
-        )
-        parts = (
-            self._http.send(request),
-            self._http.send(h11.Data(data=effect.body)),
-            self._http.send(h11.EndOfMessage()),
-        )
-        if self._transport is not None:
-            self._transport.write(b''.join(part or b'' for part in parts))
-
-    def abort(self) -> None:
-        """Close the connection and forget the request in flight."""
+        exchange = _Exchange(effect.attempt_id, on_outcome)
+        self._exchange = exchange
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            self.fail(FailureKind.RESET)
+            return
+        seconds_left = effect.deadline - now
+        try:
+            request = encode_request(
+                self._http,
+                self._host,
+                effect,
+                seconds_left,
+            )
+        except h11.LocalProtocolError:
+            self.fail(FailureKind.INVALID)
+            return
+        exchange.request_bytes = len(request)
+        self.silent_since = now
+        transport.write(request)
+        # The write buffer was empty, so `write` called `send` at once. The
+        # transport closes itself when that call fails; no byte left then.
+        exchange.handed_over = not transport.is_closing()
+
+    def fail(self, kind: FailureKind) -> None:
+        """Close the connection and report the request in flight as failed."""
+        exchange = self._exchange
         self._exchange = None
+        self.silent_since = None
+        may_have_run = exchange is not None and self._was_handed_over(exchange)
         if self._transport is not None:
             self._transport.abort()
+        if exchange is not None:
+            exchange.on_outcome(
+                TargetFailed(exchange.attempt_id, kind, may_have_run),
+            )
 
     def data_received(self, data: bytes) -> None:
         """Parse what the target sent."""
-        try:
-            self._http.receive_data(data)
-            self._read_events()
-        except h11.RemoteProtocolError:
-            self._fail(FailureKind.INVALID)
+        self.silent_since = None
+        if self._exchange is None:
+            # Bytes without a request cannot be matched to an attempt.
+            self.fail(FailureKind.INVALID)
+            return
+        self._parse(data)
+
+    def eof_received(self) -> None:
+        """Complete a response that ends with the connection."""
+        if self._exchange is not None:
+            self._parse(b'')
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the loss to the request in flight and to the pool."""
-        self._fail(FailureKind.RESET)
+        self.fail(FailureKind.RESET)
         self._on_closed(self)
 
-    def _read_events(self) -> None:
-        while True:
-            event = self._http.next_event()
-            if isinstance(event, (type, h11.ConnectionClosed)):
-                return
-            self._take(event)
+    def _was_handed_over(self, exchange: _Exchange) -> bool:
+        # A buffer that still holds the whole request proves that the kernel
+        # took nothing. A lost connection has dropped its buffer; the request
+        # then counts as handed over.
+        if not exchange.handed_over or self._transport is None:
+            return False
+        buffered = self._transport.get_write_buffer_size()
+        return buffered < exchange.request_bytes
 
-    def _take(self, event: h11.Event) -> None:
+    def _parse(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError:
+            self.fail(FailureKind.INVALID)
+            return
         exchange = self._exchange
-        if exchange is None:
-            self.abort()
-        elif isinstance(event, h11.Response):
-            exchange.status = event.status_code
-            exchange.headers = dict(event.headers)
+        more = exchange is not None
+        while more and exchange is not None:
+            more = self._take_next(exchange)
+
+    def _take_next(self, exchange: _Exchange) -> bool:
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError:
+            self.fail(FailureKind.INVALID)
+            return False
+        if isinstance(event, (type, h11.ConnectionClosed)):
+            return False
+        self._take(exchange, event)
+        return self._exchange is exchange
+
+    def _take(self, exchange: _Exchange, event: h11.Event) -> None:
+        response = exchange.response
+        if isinstance(event, h11.Response):
+            response.status = event.status_code
+            response.headers = dict(event.headers)
         elif isinstance(event, h11.Data):
-            exchange.chunks.append(bytes(event.data))
+            response.chunks.append(bytes(event.data))
+            response.size += len(event.data)
+            if response.size > _ANSWER_BYTES:
+                self.fail(FailureKind.INVALID)
         elif isinstance(event, h11.EndOfMessage):
             self._complete(exchange)
 
     def _complete(self, exchange: _Exchange) -> None:
+        outcome = read_outcome(exchange.attempt_id, exchange.response)
         self._exchange = None
-        outcome = _read_outcome(exchange)
-        reusable = self._http.our_state is h11.DONE
-        reusable = reusable and self._http.their_state is h11.DONE
-        if reusable and not _is_invalid(outcome):
+        self.answers += 1
+        if self._is_reusable() and not _is_invalid(outcome):
             self._http.start_next_cycle()
             self._on_idle(self)
-        else:
-            self.abort()
+        elif self._transport is not None:
+            self._transport.abort()
         exchange.on_outcome(outcome)
 
-    def _fail(self, kind: FailureKind) -> None:
-        exchange = self._exchange
-        self.abort()
-        if exchange is not None:
-            exchange.on_outcome(
-                TargetFailed(exchange.effect.attempt_id, kind, True),
-            )
+    def _is_reusable(self) -> bool:
+        if self._http.trailing_data[0]:
+            return False
+        states = {self._http.our_state, self._http.their_state}
+        return states == {h11.DONE}
 
 
-def _is_invalid(outcome: TargetAnswered | TargetFailed) -> bool:
+def _is_invalid(outcome: Outcome) -> bool:
     return (
         isinstance(outcome, TargetFailed)
         and outcome.kind is FailureKind.INVALID
     )
-
-
-def _read_outcome(exchange: _Exchange) -> TargetAnswered | TargetFailed:
-    attempt_id = exchange.effect.attempt_id
-    headers = exchange.headers
-    boot_id = headers.get(b'x-boot-id', b'').decode('latin-1')
-    if headers.get(b'x-request-id') != str(attempt_id).encode():
-        return TargetFailed(attempt_id, FailureKind.INVALID, True)
-    if exchange.status == _STATUS_OK:
-        return TargetAnswered(
-            attempt_id,
-            int(headers.get(b'index-version', b'0')),
-            boot_id,
-            b''.join(exchange.chunks),
-        )
-    return TargetFailed(
-        attempt_id,
-        _failure_kind(exchange),
-        headers.get(b'x-executed') != b'no',
-        _held_versions(headers.get(b'index-versions', b'')),
-        boot_id,
-    )
-
-
-def _failure_kind(exchange: _Exchange) -> FailureKind:
-    if exchange.status == _STATUS_CONFLICT:
-        return FailureKind.VERSION_GONE
-    if exchange.status != _STATUS_UNAVAILABLE:
-        return FailureKind.ERROR
-    if exchange.headers.get(b'x-draining') == b'yes':
-        return FailureKind.DRAINING
-    return FailureKind.SHED
-
-
-def _held_versions(header: bytes) -> tuple[int, ...]:
-    parts = (part.strip() for part in header.split(b','))
-    return tuple(int(part) for part in parts if part.isdigit())
--- a/nutmegstep/targets/core.py
+++ b/nutmegstep/targets/core.py
@@ -1,33 +1,31 @@
 """Pool of connections with a bound for each target."""
 
 import asyncio
-from collections import deque
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from typing import Final
 
 from nutmegstep.clock import Clock
 from nutmegstep.engine.effects import SendToTarget
 from nutmegstep.engine.events import FailureKind, TargetFailed
 from nutmegstep.model import Target
 from nutmegstep.targets.connection import OutcomeCallback, TargetConnection
+from nutmegstep.targets.group import (
+    TargetGroup,
+    WaitingRequest,
+    same_address,
+)
+from nutmegstep.targets.wire import Outcome
 
-__all__ = ['TargetPool']
+__all__ = ['SendCheck', 'SilenceLimit', 'TargetPool']
 
+SendCheck = Callable[[SendToTarget, float], FailureKind | None]
+"""Returns why a request must not be sent at an instant, or None."""
 
-@dataclass(frozen=True, slots=True)
-class _Waiting:
-    effect: SendToTarget
-    on_outcome: OutcomeCallback
+SilenceLimit = Callable[[str], float]
+"""Returns after how many seconds without a byte a target counts as silent."""
 
-
-@dataclass(slots=True)
-class _TargetConnections:
-    """Connections to one target."""
-
-    target: Target
-    limit: int
-    idle: list[TargetConnection] = field(default_factory=list)
-    open_count: int = 0
-    waiting: deque[_Waiting] = field(default_factory=deque)
+_SILENCE_MIN: Final = 0.05  # seconds
+_WAITING_MAX: Final = 64  # requests per target
 
 
 class TargetPool:
@@ -36,12 +34,29 @@
     Parameters
     ----------
     clock : Clock
-        Gives the time left until a deadline.
+        Gives the instant that is compared with the deadline.
+    check : SendCheck, optional
+        Called in the same step as the write; refuses withdrawn, draining
+        and cold targets.
+    silence_limit : SilenceLimit, optional
+        Shortest silence after which a connection may be declared silent.
+    waiting_max : int, optional
+        Most requests that wait for a connection to one target.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        check: SendCheck | None = None,
+        silence_limit: SilenceLimit | None = None,
+        waiting_max: int = _WAITING_MAX,
+    ) -> None:
         self._clock = clock
-        self._by_target: dict[str, _TargetConnections] = {}
+        self._check = check or _allow_all
+        self._silence_limit = silence_limit or _shortest_silence
+        self._waiting_max = waiting_max
+        self._group_by_target: dict[str, TargetGroup] = {}
+        self._group_by_waiting: dict[int, TargetGroup] = {}
         self._connection_by_attempt: dict[int, TargetConnection] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -63,108 +78,163 @@
         limit : int
             Most open connections of this VM to the target.
         on_outcome : Callable
-            Takes the outcome exactly once, unless the attempt is cancelled.
+            Takes the outcome exactly once; possibly before `send` returns.
         """
-        connections = self._by_target.setdefault(
-            target.name,
-            _TargetConnections(target, limit),
-        )
-        connections.waiting.append(_Waiting(effect, on_outcome))
-        self._advance(connections)
+        group = self._find_group(target, limit)
+        waiting = WaitingRequest(effect, on_outcome)
+        if effect.fresh_connection:
+            self._send_fresh(group, waiting)
+            return
+        idle = None if group.waiting else group.idle.pop()
+        if idle:
+            self._hand_over(group, idle, waiting)
+        elif len(group.waiting) < self._waiting_max:
+            self._enqueue(group, waiting)
+            self._advance(group)
+        else:
+            _fail_unsent(waiting, FailureKind.NO_CONNECTION)
 
     def cancel(self, attempt_id: int) -> None:
-        """Close the connection of an attempt; its outcome is not reported."""
-        connection = self._connection_by_attempt.pop(attempt_id, None)
+        """Report an attempt as cancelled and close its connection.
+
+        The outcome is `FailureKind.CANCELLED`; an attempt that was still in
+        the queue did not run. An attempt that is unknown is ignored.
+        """
+        connection = self._connection_by_attempt.get(attempt_id)
         if connection is not None:
-            connection.abort()
+            connection.fail(FailureKind.CANCELLED)
             return
-        for connections in self._by_target.values():
-            connections.waiting = deque(
-                waiting
-                for waiting in connections.waiting
-                if waiting.effect.attempt_id != attempt_id
-            )
-
-    async def close(self) -> None:
-        """Close all idle connections and wait for pending connects."""
-        for connections in self._by_target.values():
-            for connection in tuple(connections.idle):
-                connection.abort()
+        group = self._group_by_waiting.pop(attempt_id, None)
+        if group is not None:
+            waiting = group.waiting.pop(attempt_id)
+            _fail_unsent(waiting, FailureKind.CANCELLED)
+
+    def close(self) -> None:
+        """Close all connections; requests in flight fail as cancelled."""
         for task in tuple(self._tasks):
             task.cancel()
+        for group in tuple(self._group_by_target.values()):
+            for attempt_id in tuple(group.waiting):
+                self.cancel(attempt_id)
+            group.close()
+
+    def _find_group(self, target: Target, limit: int) -> TargetGroup:
+        group = self._group_by_target.get(target.name)
+        if group is not None and not same_address(group.target, target):
+            group.retire()
+            group = None
+        if group is None:
+            group = TargetGroup(target, self._clock, self._advance)
+            self._group_by_target[target.name] = group
+        group.limit = limit
+        return group
+
+    def _send_fresh(self, group: TargetGroup, waiting: WaitingRequest) -> None:
+        if group.open_count >= group.limit and group.idle:
+            group.members.discard(group.idle.close_oldest())
+        if group.open_count >= group.limit:
+            _fail_unsent(waiting, FailureKind.NO_CONNECTION)
+            return
+        self._enqueue(group, waiting)
+        self._open(group, waiting.effect.attempt_id)
 
-    def _advance(self, connections: _TargetConnections) -> None:
-        while connections.waiting and connections.idle:
-            self._hand_over(connections, connections.idle.pop())
-        missing = len(connections.waiting)
-        if missing and connections.open_count < connections.limit:
-            connections.open_count += 1
-            task = asyncio.get_running_loop().create_task(
-                self._connect(connections),
-            )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+    def _enqueue(self, group: TargetGroup, waiting: WaitingRequest) -> None:
+        attempt_id = waiting.effect.attempt_id
+        group.waiting[attempt_id] = waiting
+        self._group_by_waiting[attempt_id] = group
+
+    def _advance(self, group: TargetGroup) -> None:
+        while group.idle:
+            waiting = group.first_waiting()
+            connection = group.idle.pop() if waiting else None
+            if waiting is None or connection is None:
+                break
+            self._hand_over(group, connection, waiting)
+        if group.needs_connection():
+            self._open(group, None)
 
     def _hand_over(
         self,
-        connections: _TargetConnections,
+        group: TargetGroup,
         connection: TargetConnection,
+        waiting: WaitingRequest,
     ) -> None:
-        waiting = connections.waiting.popleft()
-        attempt_id = waiting.effect.attempt_id
+        effect = waiting.effect
+        attempt_id = effect.attempt_id
+        if group.waiting.pop(attempt_id, None) is not None:
+            self._group_by_waiting.pop(attempt_id)
+        now = self._clock.monotonic()
+        denial = self._denial(effect, now)
+        if denial is not None:
+            group.put_idle(connection)
+            _fail_unsent(waiting, denial)
+            return
         self._connection_by_attempt[attempt_id] = connection
+        group.busy.add(connection)
 
-        def report(outcome) -> None:  # type: ignore[no-untyped-def]
-            self._connection_by_attempt.pop(attempt_id, None)
+        def report(outcome: Outcome) -> None:
+            del self._connection_by_attempt[attempt_id]
+            if connection.answers == 1:
+                limit = self._silence_limit(group.target.name)
+                group.close_silent(connection, limit)
             waiting.on_outcome(outcome)
 
-        timeout = waiting.effect.deadline - self._clock.monotonic()
-        connection.send(waiting.effect, timeout, report)
+        connection.send(effect, now, report)
+
+    def _denial(self, effect: SendToTarget, now: float) -> FailureKind | None:
+        if now >= effect.deadline:
+            return FailureKind.TIMEOUT
+        return self._check(effect, now)
 
-    async def _connect(self, connections: _TargetConnections) -> None:
-        target = connections.target
+    def _open(self, group: TargetGroup, attempt_id: int | None) -> None:
+        group.start_opening(attempt_id)
+        task = asyncio.get_running_loop().create_task(
+            self._connect(group, attempt_id),
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _connect(
+        self,
+        group: TargetGroup,
+        attempt_id: int | None,
+    ) -> None:
         try:
-            _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: TargetConnection(
-                    f'{target.host}:{target.port}',
-                    lambda idle: self._on_idle(connections, idle),
-                    lambda closed: self._on_closed(connections, closed),
-                ),
-                target.host,
-                target.port,
-            )
+            connection = await group.connect()
         except OSError:
-            connections.open_count -= 1
-            self._fail_first(connections)
+            group.end_opening(attempt_id)
+            self._on_connect_failed(group, attempt_id)
             return
-        self._on_idle(connections, connection)
-
-    def _on_idle(
+        group.end_opening(attempt_id)
+        own = None if attempt_id is None else group.waiting.get(attempt_id)
+        if own is None:
+            group.put_idle(connection)
+        else:
+            self._hand_over(group, connection, own)
+        self._advance(group)
+
+    def _on_connect_failed(
         self,
-        connections: _TargetConnections,
-        connection: TargetConnection,
+        group: TargetGroup,
+        attempt_id: int | None,
     ) -> None:
-        connections.idle.append(connection)
-        self._advance(connections)
+        for waiting in group.without_connection(attempt_id):
+            # The report of an earlier one may have cancelled this one.
+            if group.waiting.pop(waiting.effect.attempt_id, None):
+                del self._group_by_waiting[waiting.effect.attempt_id]
+                _fail_unsent(waiting, FailureKind.CONNECT)
+        self._advance(group)
 
-    def _on_closed(
-        self,
-        connections: _TargetConnections,
-        connection: TargetConnection,
-    ) -> None:
-        connections.open_count -= 1
-        if connection in connections.idle:
-            connections.idle.remove(connection)
-        self._advance(connections)
-
-    def _fail_first(self, connections: _TargetConnections) -> None:
-        if connections.waiting:
-            waiting = connections.waiting.popleft()
-            waiting.on_outcome(
-                TargetFailed(
-                    waiting.effect.attempt_id,
-                    FailureKind.CONNECT,
-                    may_have_run=False,
-                ),
-            )
-        self._advance(connections)
+
+def _allow_all(effect: SendToTarget, now: float) -> None:
+    """Permit every send."""
+
+
+def _shortest_silence(target: str) -> float:
+    return _SILENCE_MIN
+
+
+def _fail_unsent(waiting: WaitingRequest, kind: FailureKind) -> None:
+    waiting.on_outcome(
+        TargetFailed(waiting.effect.attempt_id, kind, may_have_run=False),
+    )
--- /dev/null
+++ b/tests/targets/test_idle.py
@@ -0,0 +1,24 @@
+"""Tests of idle connections."""
+
+from unittest.mock import Mock
+
+from nutmegstep.clock import ManualClock
+from nutmegstep.engine.events import FailureKind
+from nutmegstep.targets.idle import IdleConnections
+
+
+async def test_newest_first_and_old_ones_close() -> None:
+    """Guards against idle connections that stay open for ever."""
+    clock = ManualClock()
+    idle = IdleConnections(clock)
+    older, newer = Mock(is_open=True), Mock(is_open=True)
+    idle.put(older)
+    clock.advance(1)
+    idle.put(newer)
+    assert idle.pop() is newer
+    idle.put(newer)
+    clock.advance(14)
+    idle.close_expired()
+    older.fail.assert_called_once_with(FailureKind.RESET)
+    newer.fail.assert_not_called()
+    idle.close_all()
