Bound the HTTP server and let it drain

The thin server had no time limits and no bound on connections, cancelled half-closed peers, closed with unread bytes (which resets the connection and can destroy the response) and could not drain.

--- a/nutmegstep/web/core.py
+++ b/nutmegstep/web/core.py
@@ -1,75 +1,156 @@
-"""Server side of HTTP/1.1 with bounds on sizes."""
+"""Server side of HTTP/1.1 with bounds on sizes, times and connections."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass, field
+import socket
+from collections.abc import Mapping
 from typing import Final
-from urllib.parse import parse_qs, urlsplit
 
-import h11
+from nutmegstep.web.connection import ServerConnection
+from nutmegstep.web.cycle import Phase
+from nutmegstep.web.messages import (
+    EarlyCheck,
+    ErrorResponse,
+    Handler,
+    HttpLimits,
+    HttpResponse,
+    RequestHead,
+)
 
-__all__ = ['HttpLimits', 'HttpRequest', 'HttpResponse', 'serve_http']
+__all__ = ['HttpServer', 'serve_http']
 
-_JSON: Final = ('Content-Type', 'application/json')
-_STATUS_TOO_LARGE: Final = 413
+_SWEEP_SECONDS: Final = 0.25
+_HARD_FACTOR: Final = 2
+_BACKLOG: Final = 1024
 
 
-@dataclass(frozen=True, slots=True)
-class HttpLimits:
-    """Bounds of a server.
+def _pass_all(head: RequestHead) -> None:
+    """Let every request pass."""
 
-    Parameters
-    ----------
-    head_bytes : int
-        Largest request line and header block.
-    body_bytes : int
-        Largest body.
-    """
-
-    head_bytes: int = 16384
-    body_bytes: int = 262144
-
-
-@dataclass(frozen=True, slots=True)
-class HttpRequest:
-    """A request that was read completely."""
 
-    method: str
-    path: str
-    query: Mapping[str, str]
-    headers: Mapping[str, str]
-    body: bytes
+def _empty_error(
+    status: int,
+    headers: Mapping[bytes, bytes],
+) -> HttpResponse:
+    return HttpResponse(status, b'{}')
 
 
-@dataclass(frozen=True, slots=True)
-class HttpResponse:
-    """A response to send.
+class HttpServer:
+    """A listening server and its connections.
 
     Parameters
     ----------
-    status : int
-        Status code.
-    body : bytes
-        JSON document unless `headers` name another type.
-    headers : tuple of pairs
-        Additional headers.
-    """
-
-    status: int
-    body: bytes = b''
-    headers: tuple[tuple[str, str], ...] = ()
-
-
-Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+    handler : Handler
+        Answers requests.
+    limits : HttpLimits
+        Bounds.
+    early_check : EarlyCheck, optional
+        Refuses requests by their head.
+    error_response : ErrorResponse, optional
+        Builds responses to requests that cannot be read.
 
+    Attributes
+    ----------
+    draining : bool
+        Whether each answer closes its connection.
+    last_connection : float
+        Instant of the event loop's clock of the latest new connection.
+
+    Notes
+    -----
+    One sweep over all connections checks the time limits. A timer per
+    request would cost more than the limits need in precision.
+    """
 
-@dataclass(slots=True)
-class _Reading:
-    """The request being received."""
+    def __init__(
+        self,
+        handler: Handler,
+        limits: HttpLimits,
+        early_check: EarlyCheck | None = None,
+        error_response: ErrorResponse | None = None,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.early_check = early_check or _pass_all
+        self.error_response = error_response or _empty_error
+        self.draining = False
+        self.last_connection = float(0)
+        self._connections: set[ServerConnection] = set()
+        self._listener: asyncio.Server | None = None
+        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._none_open = asyncio.Event()
+        self._none_open.set()
+
+    @property
+    def sockets(self) -> tuple[socket.socket, ...]:
+        """Listening sockets."""
+        return self._listener.sockets if self._listener else ()
+
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    async def listen(self, host: str, port: int) -> None:
+        """Start to accept connections."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: ServerConnection(self),
+            host,
+            port,
+            backlog=_BACKLOG,
+        )
+        self._schedule_sweep()
+
+    def add(self, connection: ServerConnection) -> bool:
+        """Register a connection; return whether the limit is exceeded."""
+        self.last_connection = asyncio.get_running_loop().time()
+        self._connections.add(connection)
+        self._none_open.clear()
+        count = len(self._connections)
+        if count > self.limits.connections * _HARD_FACTOR:
+            connection.abort()
+        return count > self.limits.connections
+
+    def discard(self, connection: ServerConnection) -> None:
+        """Forget a connection that is gone."""
+        self._connections.discard(connection)
+        if not self._connections:
+            self._none_open.set()
+
+    def start_draining(self) -> None:
+        """Close each connection after its next answer."""
+        self.draining = True
+
+    def close(self) -> None:
+        """Stop to accept; requests that have begun are still answered.
+
+        Connections without a request are closed.
+        """
+        self.draining = True
+        if self._listener is not None:
+            self._listener.close()
+        for connection in tuple(self._connections):
+            if connection.cycle.phase is Phase.IDLE:
+                connection.abort()
+
+    async def wait_closed(self) -> None:
+        """Wait until no connection is open."""
+        await self._none_open.wait()
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+
+    def _schedule_sweep(self) -> None:
+        self._sweep_timer = asyncio.get_running_loop().call_later(
+            _SWEEP_SECONDS,
+            self._sweep,
+        )
 
-    head: h11.Request
-    chunks: list[bytes] = field(default_factory=list)
-    size: int = 0
+    def _sweep(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for connection in tuple(self._connections):
+            if connection.cycle.deadline <= now:
+                connection.cycle.time_out()
+        self._schedule_sweep()
 
 
 async def serve_http(
@@ -77,140 +158,38 @@
     host: str,
     port: int,
     limits: HttpLimits | None = None,
-) -> asyncio.Server:
+    *,
+    early_check: EarlyCheck | None = None,
+    error_response: ErrorResponse | None = None,
+) -> HttpServer:
     """Listen and answer each request with `handler`.
 
     Parameters
     ----------
-    handler : Callable
+    handler : Handler
         Coroutine function from `HttpRequest` to `HttpResponse`. It is
-        cancelled when the peer closes its connection.
+        cancelled when the connection is lost.
     host : str
         IP number.
     port : int
         TCP port; 0 lets the kernel choose.
     limits : HttpLimits, optional
         Bounds.
+    early_check : EarlyCheck, optional
+        Refuses requests by their head, before the body is read.
+    error_response : ErrorResponse, optional
+        Builds responses to requests that cannot be read.
 
     Returns
     -------
-    asyncio.Server
+    HttpServer
         The listening server.
     """
-    return await asyncio.get_running_loop().create_server(
-        lambda: _ServerConnection(handler, limits or HttpLimits()),
-        host,
-        port,
-    )
-
-
-class _ServerConnection(asyncio.Protocol):
-    """One connection; requests are answered in order."""
-
-    def __init__(self, handler: Handler, limits: HttpLimits) -> None:
-        self._handler = handler
-        self._limits = limits
-        self._http = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=limits.head_bytes,
-        )
-        self._transport: asyncio.Transport | None = None
-        self._reading: _Reading | None = None
-        self._task: asyncio.Task[None] | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        self._http.receive_data(data)
-        self._resume()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        if self._task is not None:
-            self._task.cancel()
-
-    def _read_events(self) -> None:
-        while self._task is None:
-            event = self._http.next_event()
-            if isinstance(event, type):
-                return
-            if isinstance(event, h11.ConnectionClosed):
-                self._close()
-                return
-            self._take(event)
-
-    def _take(self, event: h11.Event) -> None:
-        reading = self._reading
-        if isinstance(event, h11.Request):
-            self._reading = _Reading(event)
-        elif isinstance(event, h11.Data) and reading is not None:
-            self._take_body(reading, bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage) and reading is not None:
-            self._reading = None
-            self._task = asyncio.get_running_loop().create_task(
-                self._answer(_to_request(reading)),
-            )
-
-    def _take_body(self, reading: _Reading, chunk: bytes) -> None:
-        reading.chunks.append(chunk)
-        reading.size += len(chunk)
-        if reading.size > self._limits.body_bytes:
-            self._refuse(_STATUS_TOO_LARGE)
-
-    async def _answer(self, request: HttpRequest) -> None:
-        response = await self._handler(request)
-        self._task = None
-        self._write(response)
-        if self._http.our_state is h11.MUST_CLOSE:
-            self._close()
-            return
-        self._http.start_next_cycle()
-        self._resume()
-
-    def _resume(self) -> None:
-        try:
-            self._read_events()
-        except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint)
-
-    def _refuse(self, status: int) -> None:
-        if self._http.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            self._write(HttpResponse(status, b'{}', (('Connection', 'close'),)))
-        self._close()
-
-    def _write(self, response: HttpResponse) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        head = h11.Response(
-            status_code=response.status,
-            headers=[
-                _JSON,
-                ('Content-Length', str(len(response.body))),
-                *response.headers,
-            ],
-        )
-        parts = (
-            self._http.send(head),
-            self._http.send(h11.Data(data=response.body)),
-            self._http.send(h11.EndOfMessage()),
-        )
-        self._transport.write(b''.join(part or b'' for part in parts))
-
-    def _close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
-
-
-def _to_request(reading: _Reading) -> HttpRequest:
-    parts = urlsplit(reading.head.target.decode('ascii'))
-    return HttpRequest(
-        reading.head.method.decode('ascii'),
-        parts.path,
-        {name: found[-1] for name, found in parse_qs(parts.query).items()},
-        {
-            name.decode('latin-1'): text.decode('latin-1')
-            for name, text in reading.head.headers
-        },
-        b''.join(reading.chunks),
+    server = HttpServer(
+        handler,
+        limits or HttpLimits(),
+        early_check,
+        error_response,
     )
+    await server.listen(host, port)
+    return server
--- /dev/null
+++ b/nutmegstep/web/cycle.py
@@ -0,0 +1,227 @@
+"""Request cycle of one connection: read, answer, start again."""
+
+import asyncio
+import enum
+import logging
+import math
+from typing import Final, Protocol
+
+import h11
+
+from nutmegstep.web.messages import (
+    EarlyCheck,
+    ErrorResponse,
+    Handler,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+)
+from nutmegstep.web.reader import (
+    Progress,
+    RequestReader,
+    UnreadableRequestError,
+)
+
+__all__ = ['CycleOwner', 'Phase', 'RequestCycle']
+
+_LOG: Final = logging.getLogger(__name__)
+_STATUS_FAILED: Final = 500
+_STATUS_TIMEOUT: Final = 408
+_STATUS_UNAVAILABLE: Final = 503
+_LINGER_SECONDS: Final = 2
+
+
+class CycleOwner(Protocol):
+    """What a connection reads from its server."""
+
+    handler: Handler
+    limits: HttpLimits
+    early_check: EarlyCheck
+    error_response: ErrorResponse
+    draining: bool
+
+
+@enum.unique
+class Phase(enum.Enum):
+    """What a connection waits for."""
+
+    IDLE = 'idle'
+    HEAD = 'head'
+    BODY = 'body'
+    SKIPPING = 'skipping'
+    BUSY = 'busy'
+    LINGERING = 'lingering'
+
+
+_UNREAD: Final = frozenset((Phase.HEAD, Phase.BODY))
+_READING: Final = _UNREAD | {Phase.IDLE, Phase.SKIPPING}
+
+
+class RequestCycle:
+    """Answers the requests of one connection in order.
+
+    Parameters
+    ----------
+    owner : CycleOwner
+        The server.
+    transport : asyncio.Transport
+        The connection.
+    over_limit : bool
+        Whether the server has more open connections than its limit.
+
+    Attributes
+    ----------
+    phase : Phase
+        What the connection waits for.
+    deadline : float
+        Instant of the event loop's clock at which the phase times out.
+    paused : bool
+        Whether the peer leaves a response unread; no further request is
+        taken meanwhile.
+    """
+
+    def __init__(
+        self,
+        owner: CycleOwner,
+        transport: asyncio.Transport,
+        over_limit: bool,
+    ) -> None:
+        self.paused = False
+        self._owner = owner
+        self._transport = transport
+        self._over_limit = over_limit
+        self._reader = RequestReader(owner.limits)
+        self._close_after_skip = False
+        self._task: asyncio.Task[None] | None = None
+        self._loop = asyncio.get_running_loop()
+        self._enter(Phase.IDLE, owner.limits.head_seconds)
+
+    def feed(self, data: bytes | None) -> None:
+        """Take received bytes and read as far as they allow.
+
+        Parameters
+        ----------
+        data : bytes or None
+            Empty at the end of the stream; None when nothing new arrived.
+        """
+        try:
+            self._read(data)
+        except UnreadableRequestError as error:
+            self._refuse(error.status)
+        if self.phase is Phase.BUSY and self._reader.has_data:
+            # A pipelined request stays in the kernel until its turn, so that
+            # one connection cannot fill the memory.
+            self._transport.pause_reading()
+
+    def time_out(self) -> None:
+        """End a phase that takes too long."""
+        if self.phase in _UNREAD and not self.paused:
+            self._refuse(_STATUS_TIMEOUT)
+        else:
+            self._transport.abort()
+
+    def cancel(self) -> None:
+        """Cancel the handler; nobody can take its answer."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _enter(self, phase: Phase, seconds: float) -> None:
+        self.phase = phase
+        self.deadline = self._loop.time() + seconds
+
+    def _read(self, data: bytes | None) -> None:
+        if data is not None:
+            self._reader.feed(data)
+        if data and self.phase is Phase.IDLE:
+            self._enter(Phase.HEAD, self._owner.limits.head_seconds)
+        while self.phase in _READING and not self.paused:
+            progress = self._reader.step()
+            if progress is Progress.NEED_DATA:
+                return
+            self._take(progress)
+
+    def _take(self, progress: Progress) -> None:
+        if progress is Progress.HEAD:
+            self._take_head()
+        elif progress is Progress.COMPLETE:
+            self._take_end()
+        elif progress is Progress.PEER_CLOSED:
+            self._linger()
+
+    def _take_head(self) -> None:
+        head = self._reader.head(self._over_limit)
+        prepared = self._owner.early_check(head)
+        seconds = self._owner.limits.body_seconds
+        if prepared:
+            self._transport.write(prepared.content)
+            self._close_after_skip = prepared.close
+            self._enter(Phase.SKIPPING, seconds)
+        elif self._over_limit:
+            self._refuse(_STATUS_UNAVAILABLE)
+        else:
+            self._transport.write(self._reader.encode_continue())
+            self._enter(Phase.BODY, seconds)
+
+    def _take_end(self) -> None:
+        if self.phase is Phase.SKIPPING:
+            self._end_cycle(self._reader.restart(), self._close_after_skip)
+            return
+        request = self._reader.request()
+        self._enter(Phase.BUSY, math.inf)
+        self._task = self._loop.create_task(self._answer(request))
+
+    async def _answer(self, request: HttpRequest) -> None:
+        try:
+            response = await self._owner.handler(request)
+        except Exception:
+            _LOG.exception('a request handler failed')
+            response = self._owner.error_response(
+                _STATUS_FAILED,
+                self._reader.headers,
+            )
+        self._task = None
+        close = self._owner.draining or self._over_limit
+        self._write(response, close)
+        self._end_cycle(self._reader.start_next(), close)
+        self.feed(None)
+
+    def _end_cycle(self, reusable: bool, close: bool) -> None:
+        limits = self._owner.limits
+        if close or not reusable:
+            self._linger()
+        elif self.paused:
+            self._enter(Phase.IDLE, limits.write_seconds)
+        elif self._reader.has_data:
+            self._enter(Phase.HEAD, limits.head_seconds)
+        else:
+            self._enter(Phase.IDLE, limits.keep_alive_seconds)
+        if not self.paused:
+            self._transport.resume_reading()
+
+    def _refuse(self, status: int) -> None:
+        if self.phase is not Phase.SKIPPING:
+            response = self._owner.error_response(status, self._reader.headers)
+            self._write(response, close=True)
+        self._linger()
+
+    def _write(self, response: HttpResponse, close: bool) -> None:
+        try:
+            encoded = self._reader.encode(response, close)
+        except h11.LocalProtocolError:
+            _LOG.exception('a response cannot be encoded')
+            return
+        if encoded:
+            self._transport.write(encoded)
+
+    def _linger(self) -> None:
+        # A close with unread bytes makes the kernel send a reset, which can
+        # destroy the response before the peer has read it.
+        unsent = self._transport.get_write_buffer_size() > 0
+        limits = self._owner.limits
+        self._enter(
+            Phase.LINGERING,
+            limits.write_seconds if unsent else _LINGER_SECONDS,
+        )
+        if not self._transport.is_closing():
+            self._transport.write_eof()
+            self._transport.resume_reading()
--- /dev/null
+++ b/nutmegstep/web/reader.py
@@ -0,0 +1,230 @@
+"""Reads the requests of one connection and encodes the responses."""
+
+import enum
+from typing import Final
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+
+from nutmegstep.web.messages import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    RequestHead,
+)
+
+__all__ = ['Progress', 'RequestReader', 'UnreadableRequestError']
+
+_STATUS_BAD: Final = 400
+_STATUS_TOO_LARGE: Final = 413
+_CONTINUE: Final = 100
+_CONTENT_LENGTH: Final = b'content-length'
+
+
+class UnreadableRequestError(Exception):
+    """A request that breaks the protocol or a bound.
+
+    Parameters
+    ----------
+    status : int
+        Status code of the response.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f'unreadable request, status {status}')
+        self.status = status
+
+
+@enum.unique
+class Progress(enum.Enum):
+    """What a step of reading has found."""
+
+    NEED_DATA = 'need_data'
+    HEAD = 'head'
+    BODY = 'body'
+    COMPLETE = 'complete'
+    PEER_CLOSED = 'peer_closed'
+
+
+class RequestReader:
+    """Parser of one connection, with the bounds on sizes.
+
+    Parameters
+    ----------
+    limits : HttpLimits
+        Bounds.
+    """
+
+    def __init__(self, limits: HttpLimits) -> None:
+        self.headers: dict[bytes, bytes] = {}
+        self._limits = limits
+        self._http = self._new_connection()
+        self._head: h11.Request | None = None
+        self._chunks: list[bytes] = []
+        self._size = 0
+
+    @property
+    def has_data(self) -> bool:
+        """Whether bytes of the next request have arrived."""
+        return bool(self._http.trailing_data[0])
+
+    def feed(self, data: bytes) -> None:
+        """Take received bytes; empty bytes mean the end of the stream."""
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise UnreadableRequestError(error.error_status_hint) from error
+
+    def step(self) -> Progress:
+        """Read the next part of a request.
+
+        Raises
+        ------
+        UnreadableRequestError
+            The request breaks the protocol or a bound.
+        """
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise UnreadableRequestError(error.error_status_hint) from error
+        if isinstance(event, h11.Request):
+            self._take_head(event)
+            return Progress.HEAD
+        if isinstance(event, h11.Data):
+            self._take_body(bytes(event.data))
+            return Progress.BODY
+        if isinstance(event, h11.EndOfMessage):
+            return Progress.COMPLETE
+        if isinstance(event, h11.ConnectionClosed):
+            return Progress.PEER_CLOSED
+        return Progress.NEED_DATA
+
+    def head(self, over_limit: bool) -> RequestHead:
+        """Return the head that `step` found."""
+        assert self._head is not None
+        return RequestHead(
+            self._head.method,
+            self._head.target,
+            self.headers,
+            over_limit,
+        )
+
+    def request(self) -> HttpRequest:
+        """Return the request that `step` completed.
+
+        Raises
+        ------
+        UnreadableRequestError
+            The target of the request is not a valid URL.
+        """
+        assert self._head is not None
+        try:
+            parts = urlsplit(self._head.target.decode('ascii'))
+        except ValueError as error:
+            raise UnreadableRequestError(_STATUS_BAD) from error
+        return HttpRequest(
+            self._head.method.decode('ascii'),
+            parts.path,
+            {name: found[-1] for name, found in parse_qs(parts.query).items()},
+            {
+                name.decode('latin-1'): text.decode('latin-1')
+                for name, text in self.headers.items()
+            },
+            b''.join(self._chunks),
+        )
+
+    def encode_continue(self) -> bytes:
+        """Return the interim response that the peer waits for, if any."""
+        if not self._http.they_are_waiting_for_100_continue:
+            return b''
+        interim = h11.InformationalResponse(status_code=_CONTINUE, headers=[])
+        return self._http.send(interim) or b''
+
+    def encode(self, response: HttpResponse, close: bool) -> bytes:
+        """Return a whole response; empty when none can be sent any more.
+
+        Raises
+        ------
+        h11.LocalProtocolError
+            A header of the response is not allowed in HTTP.
+        """
+        if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return b''
+        length = str(len(response.body))
+        headers = [
+            ('Content-Type', response.content_type),
+            ('Content-Length', length),
+            *response.headers,
+        ]
+        if close:
+            headers.append(('Connection', 'close'))
+        head = h11.Response(status_code=response.status, headers=headers)
+        is_head = self._head is not None and self._head.method == b'HEAD'
+        parts = (
+            self._http.send(head),
+            self._http.send(h11.Data(data=b'' if is_head else response.body)),
+            self._http.send(h11.EndOfMessage()),
+        )
+        return b''.join(part or b'' for part in parts)
+
+    def start_next(self) -> bool:
+        """Prepare for the next request after a response.
+
+        Returns
+        -------
+        bool
+            False when the connection has to be closed.
+        """
+        states = {self._http.our_state, self._http.their_state}
+        if states != {h11.DONE}:
+            return False
+        self._http.start_next_cycle()
+        self._forget_request()
+        return True
+
+    def restart(self) -> bool:
+        """Prepare for the next request after a prepared response.
+
+        Returns
+        -------
+        bool
+            False when the connection has to be closed.
+
+        Notes
+        -----
+        The parser does not know of prepared bytes, so a new one goes on
+        with the bytes that the old one has not used.
+        """
+        unused, ended = self._http.trailing_data
+        if ended or self._http.their_state is not h11.DONE:
+            return False
+        self._http = self._new_connection()
+        if unused:
+            self._http.receive_data(unused)
+        self._forget_request()
+        return True
+
+    def _new_connection(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._limits.head_bytes,
+        )
+
+    def _forget_request(self) -> None:
+        self.headers = {}
+        self._head = None
+        self._chunks = []
+        self._size = 0
+
+    def _take_head(self, head: h11.Request) -> None:
+        self._head = head
+        self.headers = dict(head.headers)
+        announced = int(self.headers.get(_CONTENT_LENGTH, b'0'))
+        if announced > self._limits.body_bytes:
+            raise UnreadableRequestError(_STATUS_TOO_LARGE)
+
+    def _take_body(self, chunk: bytes) -> None:
+        self._chunks.append(chunk)
+        self._size += len(chunk)
+        if self._size > self._limits.body_bytes:
+            raise UnreadableRequestError(_STATUS_TOO_LARGE)
--- /dev/null
+++ b/tests/web/test_core.py
@@ -0,0 +1,167 @@
+"""Tests of the HTTP server over real sockets."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from nutmegstep.web import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    PreparedReply,
+    RequestHead,
+    serve_http,
+)
+
+_GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+_POST = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n'
+_SHED = b'HTTP/1.1 429 Shed\r\nContent-Length: 0\r\n\r\n'
+_LIMITS = HttpLimits(
+    body_bytes=64,
+    head_seconds=0.1,
+    body_seconds=0.1,
+    connections=3,
+)
+
+
+class _Fixture:
+    """Server whose handler waits for `released` on the path ``/slow``."""
+
+    def __init__(self) -> None:
+        self.released = asyncio.Event()
+        self.started = asyncio.Event()
+        self.cancelled = asyncio.Event()
+        self.server: HttpServer
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        if request.path == '/fault':
+            raise ValueError(request.path)
+        self.started.set()
+        if request.path == '/slow':
+            await self._wait()
+        return HttpResponse(200, b'"%b"' % request.body)
+
+    async def connect(self):
+        host, port = self.server.sockets[0].getsockname()
+        return await asyncio.open_connection(host, port)
+
+    async def exchange(self, sent: bytes) -> bytes:
+        """Send, half-close and read until the server closes."""
+        reader, writer = await self.connect()
+        writer.write(sent)
+        writer.write_eof()
+        received = await reader.read()
+        writer.close()
+        return received
+
+    async def _wait(self) -> None:
+        try:
+            await self.released.wait()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+
+
+def _check(head: RequestHead) -> PreparedReply | None:
+    return PreparedReply(_SHED, False) if b'x-shed' in head.headers else None
+
+
+@pytest.fixture
+async def fixture() -> AsyncIterator[_Fixture]:
+    made = _Fixture()
+    made.server = await serve_http(
+        made.handle,
+        '127.0.0.1',
+        0,
+        _LIMITS,
+        early_check=_check,
+    )
+    yield made
+    made.released.set()
+    made.server.close()
+    await made.server.wait_closed()
+
+
+def _statuses(received: bytes) -> list[int]:
+    return [int(part[:3]) for part in received.split(b'HTTP/1.1 ')[1:]]
+
+
+@pytest.mark.parametrize(
+    ('sent', 'statuses'),
+    [
+        ((_GET, _POST, b'body'), [200, 200]),
+        ((b'nonsense\r\n\r\n',), [400]),
+        ((_GET, b'nonsense\r\n\r\n'), [200, 400]),
+        ((_POST.replace(b': 4', b': 65'),), [413]),
+        ((_GET[:-2], b'X: ', b'x' * 16384), [431]),
+        ((_GET.replace(b'/a', b'/fault'), _GET), [500, 200]),
+        ((_POST[:-2], b'X-Shed: 1\r\n\r\nbody', _GET), [429, 200]),
+        ((_POST, b'bo'), [400]),
+    ],
+)
+async def test_statuses(fixture: _Fixture, sent, statuses) -> None:
+    """Guards against a bad request that harms its neighbours."""
+    assert _statuses(await fixture.exchange(b''.join(sent))) == statuses
+
+
+@pytest.mark.parametrize(
+    ('sent', 'statuses'),
+    [(b'', []), (b'GET /a', [408]), (_POST, [408])],
+)
+async def test_slow_request_times_out(
+    fixture: _Fixture,
+    sent,
+    statuses,
+) -> None:
+    """Guards against peers that hold a connection without a request."""
+    reader, writer = await fixture.connect()
+    writer.write(sent)
+    assert _statuses(await reader.read()) == statuses
+    writer.close()
+
+
+async def test_half_closed_caller_has_its_answer(fixture: _Fixture) -> None:
+    """Guards against dropping the answer of a peer that sent its end."""
+    asking = asyncio.create_task(
+        fixture.exchange(_GET.replace(b'/a', b'/slow')),
+    )
+    await fixture.started.wait()
+    await asyncio.sleep(0)
+    fixture.released.set()
+    assert _statuses(await asking) == [200]
+
+
+async def test_reset_cancels_the_handler(fixture: _Fixture) -> None:
+    """Guards against work for a caller that has gone."""
+    _, writer = await fixture.connect()
+    writer.write(_GET.replace(b'/a', b'/slow'))
+    await fixture.started.wait()
+    writer.get_extra_info('socket').setsockopt(1, 13, b'\1\0\0\0\0\0\0\0')
+    writer.transport.abort()
+    await fixture.cancelled.wait()
+
+
+async def test_stop_cuts_no_request(fixture: _Fixture) -> None:
+    """Guards against a stop that cuts a request in flight (G9)."""
+    _, idle = await fixture.connect()
+    reader, writer = await fixture.connect()
+    writer.write(_GET.replace(b'/a', b'/slow'))
+    await fixture.started.wait()
+    fixture.server.close()
+    fixture.released.set()
+    received = await reader.read()
+    assert _statuses(received) == [200]
+    assert b'connection: close' in received.lower()
+    writer.close()
+    idle.close()
+    await fixture.server.wait_closed()
+
+
+async def test_connections_are_bounded(fixture: _Fixture) -> None:
+    """Guards against more connections than the process can serve."""
+    writers = [(await fixture.connect())[1] for _ in range(3)]
+    assert _statuses(await fixture.exchange(_GET)) == [503]
+    for writer in writers:
+        writer.close()
