Drain on SIGTERM and connect the claim service

The thin runtime could not stop and knew no one-shot requests. The drain tells the reducer last, so that requests that have arrived are served.

--- a/nutmegstep/runtime/core.py
+++ b/nutmegstep/runtime/core.py
@@ -17,19 +17,24 @@
     FinishDrain,
     ReplyAnswer,
     ReplyRefusal,
+    ReportWarm,
+    RequestClaim,
     SendToTarget,
     SetTimer,
+    SettleClaim,
 )
 from nutmegstep.engine.events import (
     CallerGone,
+    ClaimRefused,
     Event,
+    OneShotArrived,
     QueryArrived,
-    TimerFired,
-    TimerKey,
 )
-from nutmegstep.model import Answer, IdempotentQuery
+from nutmegstep.model import Answer, IdempotentQuery, OneShotRequest
+from nutmegstep.runtime.ports import ClaimService, WarmReporter
+from nutmegstep.runtime.timers import EngineTimers
 from nutmegstep.targets import TargetPool
-from nutmegstep.verdict import Refusal
+from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
 __all__ = ['Runtime']
 
@@ -47,6 +52,15 @@
         Clock of the VM.
     pool : TargetPool
         Connections to targets.
+
+    Attributes
+    ----------
+    drained : asyncio.Event
+        Set when the reducer has finished a drain.
+    claims : ClaimService or None
+        Without one, one-shot requests are refused.
+    warm_reporter : WarmReporter or None
+        Without one, other VMs do not learn that a target is warm.
     """
 
     def __init__(
@@ -57,13 +71,16 @@
     ) -> None:
         self.state = state
         self.drained = asyncio.Event()
+        self.claims: ClaimService | None = None
+        self.warm_reporter: WarmReporter | None = None
         self._clock = clock
         self._pool = pool
         self._last_query_id = 0
         self._pending: deque[Event] = deque()
         self._dispatching = False
         self._reply_by_query: dict[int, asyncio.Future[Reply]] = {}
-        self._timer_by_key: dict[TimerKey, asyncio.TimerHandle] = {}
+        self._one_shot_by_query: dict[int, OneShotRequest] = {}
+        self._timers = EngineTimers(clock, self.dispatch)
 
     def dispatch(self, event: Event) -> None:
         """Apply an event and perform its effects.
@@ -83,18 +100,22 @@
         finally:
             self._dispatching = False
 
-    async def ask(self, query: IdempotentQuery) -> Reply:
-        """Return the answer or the refusal of a query.
+    async def ask(self, request: IdempotentQuery | OneShotRequest) -> Reply:
+        """Return the answer or the refusal of a request.
 
         Parameters
         ----------
-        query : IdempotentQuery
-            The query.
+        request : IdempotentQuery or OneShotRequest
+            The request.
 
         Returns
         -------
         returns.result.Result
             `Answer` on success, `Refusal` on failure.
+
+        Notes
+        -----
+        A cancelled call tells the reducer that the caller has gone.
         """
         self._last_query_id += 1
         query_id = self._last_query_id
@@ -102,13 +123,25 @@
             asyncio.get_running_loop().create_future()
         )
         self._reply_by_query[query_id] = reply
-        self.dispatch(QueryArrived(query_id, query))
         try:
+            self._start(query_id, request)
             return await reply
         finally:
+            self._one_shot_by_query.pop(query_id, None)
             if self._reply_by_query.pop(query_id, None) is not None:
                 self.dispatch(CallerGone(query_id))
 
+    def _start(
+        self,
+        query_id: int,
+        request: IdempotentQuery | OneShotRequest,
+    ) -> None:
+        if isinstance(request, IdempotentQuery):
+            self.dispatch(QueryArrived(query_id, request))
+            return
+        self._one_shot_by_query[query_id] = request
+        self.dispatch(OneShotArrived(query_id, request))
+
     def _drain_pending(self) -> None:
         while self._pending:
             now = self._clock.monotonic()
@@ -121,28 +154,6 @@
         limit = max(1, target.connections // (2 * fleet.entry_vms_max))
         self._pool.send(effect, target, limit, self.dispatch)
 
-    def _perform_cancel_attempt(self, effect: CancelAttempt) -> None:
-        self._pool.cancel(effect.attempt_id)
-
-    def _perform_set_timer(self, effect: SetTimer) -> None:
-        delay = effect.at - self._clock.monotonic()
-        self._timer_by_key[effect.timer] = (
-            asyncio.get_running_loop().call_later(
-                max(0, delay),
-                self._fire,
-                effect.timer,
-            )
-        )
-
-    def _fire(self, timer: TimerKey) -> None:
-        self._timer_by_key.pop(timer, None)
-        self.dispatch(TimerFired(timer))
-
-    def _perform_cancel_timer(self, effect: CancelTimer) -> None:
-        handle = self._timer_by_key.pop(effect.timer, None)
-        if handle is not None:
-            handle.cancel()
-
     def _perform_answer(self, effect: ReplyAnswer) -> None:
         self._resolve(effect.query_id, Success(effect.answer))
 
@@ -154,20 +165,49 @@
         if waiting is not None and not waiting.done():
             waiting.set_result(reply)
 
+    def _perform_request_claim(self, effect: RequestClaim) -> None:
+        request = self._one_shot_by_query.get(effect.query_id)
+        if self.claims is None or request is None:
+            self.dispatch(ClaimRefused(effect.query_id, _no_claim()))
+            return
+        self.claims.claim(request, effect.query_id)
+
+    def _perform_settle_claim(self, effect: SettleClaim) -> None:
+        if self.claims is not None:
+            self.claims.settle(effect)
+
+    def _perform_report_warm(self, effect: ReportWarm) -> None:
+        if self.warm_reporter is not None:
+            self.warm_reporter.report_warm(effect)
+
     def _perform_finish_drain(self, effect: FinishDrain) -> None:
         self.drained.set()
 
 
+def _no_claim() -> Refusal:
+    return refuse(
+        Verdict.MAY_HAVE_RUN,
+        Reason.CLAIM_UNAVAILABLE,
+        'no claim service is connected',
+        attempt_verdict=Verdict.NOT_RUN,
+    )
+
+
 _PERFORM_BY_EFFECT: Final[
     MappingProxyType[type[Effect], Callable[[Runtime, Any], None]]
 ] = MappingProxyType(
     {
         SendToTarget: Runtime._perform_send,
-        CancelAttempt: Runtime._perform_cancel_attempt,
-        SetTimer: Runtime._perform_set_timer,
-        CancelTimer: Runtime._perform_cancel_timer,
+        CancelAttempt: lambda runtime, effect: runtime._pool.cancel(
+            effect.attempt_id,
+        ),
+        SetTimer: lambda runtime, effect: runtime._timers.set(effect),
+        CancelTimer: lambda runtime, effect: runtime._timers.cancel(effect),
         ReplyAnswer: Runtime._perform_answer,
         ReplyRefusal: Runtime._perform_refusal,
+        RequestClaim: Runtime._perform_request_claim,
+        SettleClaim: Runtime._perform_settle_claim,
+        ReportWarm: Runtime._perform_report_warm,
         FinishDrain: Runtime._perform_finish_drain,
     }
 )
--- /dev/null
+++ b/nutmegstep/runtime/ports.py
@@ -0,0 +1,76 @@
+"""Protocols through which the runtime reaches other parts."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from nutmegstep.engine.effects import ReportWarm, SettleClaim
+from nutmegstep.model import OneShotRequest
+
+__all__ = ['ClaimService', 'RequestObserver', 'RequestTrace', 'WarmReporter']
+
+
+class ClaimService(Protocol):
+    """Claims the keys of one-shot requests at the platform.
+
+    Notes
+    -----
+    Neither method waits. The outcome of a claim comes back through
+    `Runtime.dispatch` as exactly one `ClaimWon`, `ClaimReplayed` or
+    `ClaimRefused` with the same `query_id`.
+    """
+
+    def claim(self, request: OneShotRequest, query_id: int) -> None:
+        """Start to claim the key of a request; checks the key's date too."""
+
+    def settle(self, effect: SettleClaim) -> None:
+        """Take note of how a won claim ended."""
+
+
+class WarmReporter(Protocol):
+    """Tells other VMs that a target is warm."""
+
+    def report_warm(self, effect: ReportWarm) -> None:
+        """Send the report; does not wait."""
+
+
+class RequestTrace(Protocol):
+    """One observed request of a caller."""
+
+    @property
+    def traceparent(self) -> str:
+        """Trace context that target requests pass on."""
+
+    @property
+    def end(self) -> Callable[[int, str], None]:
+        """Record the end of the request.
+
+        Notes
+        -----
+        Takes the status code of the reply and the outcome: ``answer``,
+        ``partial``, the reason of the refusal, or ``caller_gone``.
+        """
+
+
+class RequestObserver(Protocol):
+    """Records spans, metrics and log lines of callers' requests."""
+
+    def begin(
+        self,
+        service: str,
+        request_id: str,
+        traceparent: str,
+    ) -> RequestTrace:
+        """Start to observe a request.
+
+        Parameters
+        ----------
+        service : str
+            Name from the request; may be unknown.
+        request_id : str
+            The caller's request identifier.
+        traceparent : str
+            Trace context that the caller sent, or an empty string.
+        """
+
+    def count_early_refusal(self, reason: str) -> None:
+        """Count a request that was refused by its head."""
--- /dev/null
+++ b/tests/runtime/test_lifecycle.py
@@ -0,0 +1,48 @@
+"""Tests of the drain over real sockets."""
+
+import asyncio
+import os
+import signal
+from random import Random
+from unittest.mock import Mock
+
+from nutmegstep.clock import ManualClock
+from nutmegstep.engine import EngineState
+from nutmegstep.runtime import DrainTimes, Runtime, run
+from nutmegstep.web import HttpRequest, HttpResponse, serve_http
+
+_TIMES = DrainTimes(0.01, 0.01, 0.1, 5)
+
+
+async def test_signal_drains_without_cutting() -> None:
+    """Guards against a stop that cuts a request in flight (G9)."""
+    started = asyncio.Event()
+    released = asyncio.Event()
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        started.set()
+        await released.wait()
+        return HttpResponse(200, b'{}')
+
+    server = await serve_http(handle, '127.0.0.1', 0)
+    runtime = Runtime(EngineState('d', Random(1)), ManualClock(), Mock())
+    gate = Mock(draining=False, refusing=False)
+    running = asyncio.create_task(
+        run(runtime, server, gate, asyncio.Event(), _TIMES),
+    )
+    reader, writer = await asyncio.open_connection(
+        *server.sockets[0].getsockname(),
+    )
+    writer.write(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    await started.wait()
+    os.kill(os.getpid(), signal.SIGTERM)
+    while not gate.refusing:
+        await asyncio.sleep(0)
+    assert not running.done()
+    released.set()
+    answer = await reader.read()
+    writer.close()
+    assert b'200' in answer
+    assert b'connection: close' in answer.lower()
+    assert await running
+    assert runtime.state.draining
