--- /dev/null
+++ b/nutmegstep/telemetry/metrics.py
@@ -0,0 +1,61 @@
+"""Prometheus metrics with bounded label values."""
+
+from collections.abc import Callable, Container
+from functools import lru_cache
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+__all__ = ['Metrics']
+
+_OTHER = 'other'
+_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10)  # seconds
+
+
+class Metrics:
+    """Counters and histograms of one process.
+
+    Parameters
+    ----------
+    known_services : Callable
+        Returns the declared services. Other names come from callers and are
+        counted as ``other``, so that they cannot create label values.
+    """
+
+    def __init__(self, known_services: Callable[[], Container[str]]) -> None:
+        self.registry = CollectorRegistry()
+        self._known_services = known_services
+        self._requests = Counter(
+            'nutmegstep_requests',
+            'Requests of callers by service and outcome',
+            ('service', 'outcome'),
+            registry=self.registry,
+        )
+        self._seconds = Histogram(
+            'nutmegstep_request_seconds',
+            'Time from the whole request to the reply',
+            ('service',),
+            buckets=_BUCKETS,
+            registry=self.registry,
+        )
+        self._early = Counter(
+            'nutmegstep_early_refusals',
+            'Requests refused before they reached the reducer',
+            ('reason',),
+            registry=self.registry,
+        )
+        self._early_by_reason = lru_cache(maxsize=None)(self._early.labels)
+
+    def count_request(
+        self,
+        service: str,
+        outcome: str,
+        seconds: float,
+    ) -> None:
+        """Count a request and its time."""
+        label = service if service in self._known_services() else _OTHER
+        self._requests.labels(label, outcome).inc()
+        self._seconds.labels(label).observe(seconds)
+
+    def count_early_refusal(self, reason: str) -> None:
+        """Count a request that was refused early; `reason` is a wire name."""
+        self._early_by_reason(reason).inc()
--- /dev/null
+++ b/nutmegstep/telemetry/operators.py
@@ -0,0 +1,36 @@
+"""HTTP port for operators: metrics and liveness."""
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from nutmegstep.telemetry.metrics import Metrics
+from nutmegstep.web import HttpRequest, HttpResponse, HttpServer, serve_http
+
+__all__ = ['serve_operators']
+
+
+async def serve_operators(
+    metrics: Metrics,
+    host: str,
+    port: int,
+) -> HttpServer:
+    """Serve ``/metrics`` and ``/live``.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        What ``/metrics`` shows.
+    host : str
+        IP number.
+    port : int
+        TCP port; 0 lets the kernel choose.
+    """
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        if request.path == '/live':
+            return HttpResponse(200, b'{"live":true}')
+        if request.path != '/metrics':
+            return HttpResponse(404, b'{}')
+        text = generate_latest(metrics.registry)
+        return HttpResponse(200, text, content_type=CONTENT_TYPE_LATEST)
+
+    return await serve_http(handle, host, port)
