Make the callers' interface whole

The thin interface accepted any header and body and knew no one-shot requests. Refusals by the head are prepared bytes. A repeated key that is refused before its claim was decided has the verdict may_have_run, because an earlier attempt may have run. Reason.INTERNAL is new: a fault inside the process had no reason of its own.

--- a/nutmegstep/callers/core.py
+++ b/nutmegstep/callers/core.py
@@ -1,23 +1,24 @@
-"""Translates callers' HTTP requests into queries and replies into HTTP."""
+"""Answers callers' HTTP requests with the runtime's replies."""
 
-import uuid
-from typing import Final
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
-import orjson
-from returns.result import Success
+from returns.result import Result, Success
 
-from nutmegstep.clock import Clock
-from nutmegstep.model import Answer, IdempotentQuery
-from nutmegstep.runtime import Runtime
-from nutmegstep.verdict import Reason, Refusal, Verdict, http_status, refuse
+from nutmegstep.callers.headers import read_headers, read_request_id
+from nutmegstep.callers.replies import answer_response, refusal_response
+from nutmegstep.callers.requests import CallerRequest, RequestParser
+from nutmegstep.model import Answer
+from nutmegstep.runtime.ports import RequestObserver, RequestTrace
+from nutmegstep.verdict import Refusal
 from nutmegstep.web import HttpRequest, HttpResponse
 
-__all__ = ['CallerInterface']
+__all__ = ['Ask', 'CallerInterface']
 
-_SERVICES: Final = 'services'
-_STATUS_OK: Final = 200
-_MILLISECONDS: Final = 1000
-_DEFAULT_TIMEOUT_MS: Final = '1000'
+Reply = Result[Answer, Refusal]
+
+Ask = Callable[[CallerRequest], Awaitable[Reply]]
+"""Runs a request; `Runtime.ask` does it."""
 
 
 class CallerInterface:
@@ -25,88 +26,74 @@
 
     Parameters
     ----------
-    runtime : Runtime
-        Runs the queries.
-    clock : Clock
-        Gives the deadline of each request.
+    ask : Ask
+        Runs the requests.
+    parser : RequestParser
+        Reads the requests.
+    observer : RequestObserver
+        Records spans and metrics.
     """
 
-    def __init__(self, runtime: Runtime, clock: Clock) -> None:
-        self._runtime = runtime
-        self._clock = clock
+    def __init__(
+        self,
+        ask: Ask,
+        parser: RequestParser,
+        observer: RequestObserver,
+    ) -> None:
+        self._ask = ask
+        self._parser = parser
+        self._observer = observer
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
-        request_id = request.headers.get('x-request-id') or uuid.uuid4().hex
-        query = self._parse(request, request_id)
-        if isinstance(query, Refusal):
-            return _refusal_response(request_id, query)
-        reply = await self._runtime.ask(query)
-        if isinstance(reply, Success):
-            return _answer_response(request_id, reply.unwrap())
-        return _refusal_response(request_id, reply.failure())
-
-    def _parse(
+        sent_id = request.headers.get('x-request-id', '')
+        request_id = read_request_id(sent_id.encode()).decode()
+        asked = self._read(request, request_id)
+        if isinstance(asked, Refusal):
+            self._observer.count_early_refusal(asked.reason.value)
+            return refusal_response(request_id, asked)
+        trace = self._observer.begin(
+            asked.service,
+            request_id,
+            asked.traceparent,
+        )
+        return await self._answer(asked, trace)
+
+    def _read(
         self,
         request: HttpRequest,
         request_id: str,
-    ) -> IdempotentQuery | Refusal:
-        match request.path.strip('/').split('/'):
-            case ['v1', 'services', service, 'query']:
-                record_key = None
-            case ['v1', 'services', service, 'records', record_key]:
-                pass
-            case _:
-                return refuse(
-                    Verdict.NOT_RUN,
-                    Reason.BAD_REQUEST,
-                    f'no resource at {request.path}',
-                )
-        timeout = request.headers.get('x-timeout-ms', _DEFAULT_TIMEOUT_MS)
-        return IdempotentQuery(
-            request_id,
-            service,
-            request.body or b'{}',
-            self._clock.monotonic() + int(timeout) / _MILLISECONDS,
-            record_key,
-            request.headers.get('traceparent', ''),
-        )
+    ) -> CallerRequest | Refusal:
+        headers = read_headers(request.headers)
+        if isinstance(headers, Refusal):
+            return headers
+        known = headers.model_copy(update={'request_id': request_id})
+        return self._parser.parse(request, known)
+
+    async def _answer(
+        self,
+        asked: CallerRequest,
+        trace: RequestTrace,
+    ) -> HttpResponse:
+        status = 0
+        outcome = 'caller_gone'
+        try:
+            reply = await self._ask(_with_trace(asked, trace.traceparent))
+            response, outcome = _respond(asked.request_id, reply)
+            status = response.status
+        finally:
+            trace.end(status, outcome)
+        return response
+
+
+def _with_trace(asked: CallerRequest, traceparent: str) -> CallerRequest:
+    return replace(asked, traceparent=traceparent)
 
 
-def _answer_response(request_id: str, answer: Answer) -> HttpResponse:
-    document = {
-        'request_id': request_id,
-        'service': answer.service,
-        'index_version': answer.index_version,
-        'complete': answer.complete,
-        'covered': answer.covered,
-        'lacking': [
-            {'shard': lack.name, 'reason': lack.reason}
-            for lack in answer.lacking
-        ],
-        'results': {
-            shard: orjson.Fragment(found)
-            for shard, found in answer.results_by_shard.items()
-        },
-    }
-    return HttpResponse(_STATUS_OK, orjson.dumps(document))
-
-
-def _refusal_response(request_id: str, refusal: Refusal) -> HttpResponse:
-    retry_after = refusal.retry_after.total_seconds()
-    document = {
-        'request_id': request_id,
-        'verdict': refusal.verdict.value,
-        'attempt_verdict': refusal.attempt_verdict.value,
-        'reason': refusal.reason.value,
-        'retry_after_ms': int(retry_after * _MILLISECONDS),
-        'detail': refusal.detail,
-    }
-    return HttpResponse(
-        http_status(refusal.reason),
-        orjson.dumps(document),
-        (
-            ('Retry-After', str(max(1, round(retry_after)))),
-            ('X-Verdict', refusal.verdict.value),
-        ),
-    )
+def _respond(request_id: str, reply: Reply) -> tuple[HttpResponse, str]:
+    if isinstance(reply, Success):
+        answer = reply.unwrap()
+        outcome = 'answer' if answer.complete else 'partial'
+        return answer_response(request_id, answer), outcome
+    refusal = reply.failure()
+    return refusal_response(request_id, refusal), refusal.reason.value
--- /dev/null
+++ b/nutmegstep/callers/gate.py
@@ -0,0 +1,107 @@
+"""Refuses requests by their head, before the body is read."""
+
+from collections.abc import Callable
+from functools import lru_cache
+from types import MappingProxyType
+from typing import Final
+
+from nutmegstep.callers.headers import read_request_id
+from nutmegstep.callers.replies import prepare_refusal
+from nutmegstep.verdict import Reason
+from nutmegstep.web import PreparedReply, RequestHead
+
+__all__ = ['CallerGate', 'HeadCheck']
+
+HeadCheck = Callable[[str], Reason | None]
+"""Returns why requests of a service are refused now, or None."""
+
+_GET: Final = b'GET'
+_CLOSE: Final = b'Connection: close\r\n'
+_SERVICE_POSITION: Final = 3
+_DETAIL_BY_REASON: Final = MappingProxyType(
+    {
+        Reason.OVERLOADED: 'too many requests or connections are open',
+        Reason.DRAINING: 'the process is stopping',
+        Reason.DOMAIN_WITHDRAWN: 'the failure domain is withdrawn',
+        Reason.NO_CONFIGURATION: 'no configuration is in force yet',
+    }
+)
+
+_prepared = lru_cache(maxsize=64)(prepare_refusal)
+
+
+class CallerGate:
+    """Early check of the callers' port.
+
+    Parameters
+    ----------
+    is_ready : Callable
+        Whether the load balancer may send requests.
+    check : HeadCheck
+        Looks at the queue of the service's class.
+    on_refusal : Callable
+        Counts refusals; takes the wire name of the reason.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether ``/ready`` fails and replies close their connection.
+    refusing : bool
+        Whether all requests are refused because the listener has closed.
+    """
+
+    def __init__(
+        self,
+        is_ready: Callable[[], bool],
+        check: HeadCheck,
+        on_refusal: Callable[[str], None],
+    ) -> None:
+        self.draining = False
+        self.refusing = False
+        self._is_ready = is_ready
+        self._check = check
+        self._on_refusal = on_refusal
+
+    def check(self, head: RequestHead) -> PreparedReply | None:
+        """Return a prepared reply, or None to let the request pass."""
+        if head.method == _GET and head.target == b'/live':
+            return self._probe(head, alive=True)
+        if head.method == _GET and head.target == b'/ready':
+            ready = self._is_ready() and not self.draining
+            return self._probe(head, alive=ready)
+        reason = self._reason(head)
+        if reason is None:
+            return None
+        self._on_refusal(reason.value)
+        template = _prepared(
+            reason,
+            _DETAIL_BY_REASON.get(reason, 'refused before the body was read'),
+            one_shot=b'idempotency-key' in head.headers,
+            close=self.draining or head.over_limit,
+        )
+        return template.fill(_request_id(head))
+
+    def _reason(self, head: RequestHead) -> Reason | None:
+        if self.refusing:
+            return Reason.DRAINING
+        if head.over_limit:
+            return Reason.OVERLOADED
+        parts = head.target.split(b'/', _SERVICE_POSITION + 1)
+        if len(parts) <= _SERVICE_POSITION:
+            return None
+        return self._check(parts[_SERVICE_POSITION].decode('latin-1'))
+
+    def _probe(self, head: RequestHead, *, alive: bool) -> PreparedReply:
+        close = self.draining or head.over_limit
+        status = b'200 OK' if alive else b'503 Service Unavailable'
+        content = b'HTTP/1.1 %b\r\nX-Request-Id: %b\r\n%b%b' % (
+            status,
+            _request_id(head),
+            _CLOSE * close,
+            b'Content-Length: 0\r\n\r\n',
+        )
+        return PreparedReply(content, close)
+
+
+def _request_id(head: RequestHead) -> bytes:
+    return read_request_id(head.headers.get(b'x-request-id', b''))
--- /dev/null
+++ b/nutmegstep/callers/requests.py
@@ -0,0 +1,168 @@
+"""Builds queries and one-shot requests from callers' HTTP requests."""
+
+import uuid
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Final
+from urllib.parse import unquote
+
+import orjson
+
+from nutmegstep.callers.headers import CallerHeaders
+from nutmegstep.model import IdempotentQuery, OneShotRequest
+from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
+from nutmegstep.web import HttpRequest
+
+__all__ = ['CallerRequest', 'RequestParser']
+
+CallerRequest = IdempotentQuery | OneShotRequest
+
+_KEY_VERSION: Final = 7
+_RECORD_KEY_MAX: Final = 512  # characters
+_MILLISECONDS: Final = 1000
+_NO_BODY: Final = b'{}'
+
+
+class RequestParser:
+    """Parses requests with the limits of the declarations.
+
+    Parameters
+    ----------
+    monotonic : Callable
+        Returns the current instant in seconds.
+    declared_timeout : Callable
+        Returns the longest time for a request of a service.
+    """
+
+    def __init__(
+        self,
+        monotonic: Callable[[], float],
+        declared_timeout: Callable[[str], timedelta],
+    ) -> None:
+        self._monotonic = monotonic
+        self._declared_timeout = declared_timeout
+
+    def parse(
+        self,
+        request: HttpRequest,
+        headers: CallerHeaders,
+    ) -> CallerRequest | Refusal:
+        """Return what the caller asks for, or why it cannot be understood.
+
+        Parameters
+        ----------
+        request : HttpRequest
+            The whole request.
+        headers : CallerHeaders
+            Its validated headers.
+        """
+        parts = request.path.strip('/').split('/')
+        match (request.method, *map(unquote, parts)):
+            case ('POST', 'v1', 'services', service, 'query'):
+                return self._query(service, request, headers)
+            case ('GET', 'v1', 'services', service, 'records', record_key):
+                return self._look_up(service, record_key, headers)
+            case ('POST', 'v1', 'services', service, 'records', record_key):
+                return self._one_shot(service, record_key, request, headers)
+        return _refuse(f'no resource for {request.method} at this path')
+
+    def _query(
+        self,
+        service: str,
+        request: HttpRequest,
+        headers: CallerHeaders,
+    ) -> CallerRequest | Refusal:
+        if not _is_json(request.body):
+            return _refuse('the body is not a JSON document')
+        return IdempotentQuery(
+            headers.request_id or '',
+            service,
+            request.body,
+            self._deadline(service, headers),
+            traceparent=headers.traceparent,
+        )
+
+    def _look_up(
+        self,
+        service: str,
+        record_key: str,
+        headers: CallerHeaders,
+    ) -> CallerRequest | Refusal:
+        if not _is_record_key(record_key):
+            return _refuse_record_key()
+        return IdempotentQuery(
+            headers.request_id or '',
+            service,
+            _NO_BODY,
+            self._deadline(service, headers),
+            record_key,
+            headers.traceparent,
+        )
+
+    def _one_shot(
+        self,
+        service: str,
+        record_key: str,
+        request: HttpRequest,
+        headers: CallerHeaders,
+    ) -> CallerRequest | Refusal:
+        key = _read_key(request.headers.get('idempotency-key', ''))
+        if isinstance(key, Refusal):
+            return key
+        if not _is_record_key(record_key):
+            return _refuse_record_key()
+        if not _is_json(request.body):
+            return _refuse('the body is not a JSON document')
+        return OneShotRequest(
+            headers.request_id or '',
+            service,
+            record_key,
+            key,
+            request.body,
+            self._deadline(service, headers),
+            headers.traceparent,
+        )
+
+    def _deadline(self, service: str, headers: CallerHeaders) -> float:
+        seconds = self._declared_timeout(service).total_seconds()
+        if headers.timeout_ms is not None:
+            seconds = min(seconds, headers.timeout_ms / _MILLISECONDS)
+        return self._monotonic() + seconds
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return False
+    return True
+
+
+def _is_record_key(record_key: str) -> bool:
+    return 0 < len(record_key) <= _RECORD_KEY_MAX
+
+
+def _read_key(text: str) -> uuid.UUID | Refusal:
+    try:
+        key = uuid.UUID(text)
+    except ValueError:
+        return _refuse_key()
+    # uuid.UUID also takes braces and URNs; one spelling keeps keys equal.
+    canonical = str(key) == text.lower()
+    return key if canonical and key.version == _KEY_VERSION else _refuse_key()
+
+
+def _refuse_key() -> Refusal:
+    return refuse(
+        Verdict.NOT_RUN,
+        Reason.KEY_INVALID,
+        'header idempotency-key is not a UUID of version 7',
+    )
+
+
+def _refuse_record_key() -> Refusal:
+    return _refuse(f'the record key has not 1 to {_RECORD_KEY_MAX} characters')
+
+
+def _refuse(detail: str) -> Refusal:
+    return refuse(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail)
--- a/nutmegstep/cli/serve.py
+++ b/nutmegstep/cli/serve.py
@@ -2,43 +2,72 @@
 
 import argparse
 import asyncio
-from pathlib import Path
+import os
+import sys
+from datetime import timedelta
 from random import Random
+from typing import Final
 
-from nutmegstep.callers import CallerInterface
-from nutmegstep.clock import SystemClock
+from nutmegstep.callers import (
+    CallerGate,
+    CallerInterface,
+    RequestParser,
+    unreadable_response,
+)
+from nutmegstep.clock import Clock, SystemClock
 from nutmegstep.declarations import decode_catalogue, decode_fleet
 from nutmegstep.engine import EngineState
 from nutmegstep.engine.events import CatalogueChanged, FleetChanged
 from nutmegstep.platform_api import PlatformClient
 from nutmegstep.runtime import Runtime
+from nutmegstep.runtime import run as run_until_stopped
+from nutmegstep.settings import (
+    Settings,
+    SettingsError,
+    add_arguments,
+    load_settings,
+)
 from nutmegstep.targets import TargetPool
-from nutmegstep.web import serve_http
+from nutmegstep.telemetry import (
+    LogSpanExporter,
+    Metrics,
+    Telemetry,
+    build_tracer,
+    configure_logs,
+    serve_operators,
+)
+from nutmegstep.web import HttpLimits, HttpServer, serve_http
 
 __all__ = ['add_parser']
 
+_EXIT_CUT: Final = 1
+_EXIT_USAGE: Final = 2
+_UNDECLARED_TIMEOUT: Final = timedelta(seconds=1)
+
 
 def add_parser(
     commands: 'argparse._SubParsersAction[argparse.ArgumentParser]',
 ) -> None:
     """Add the command to the parser."""
     serve = commands.add_parser('serve', help='run an entry process')
-    serve.add_argument('--host', default='127.0.0.1')
-    serve.add_argument('--platform', required=True)
-    serve.add_argument('--failure-domain', required=True)
-    serve.add_argument('--port-file', type=Path, required=True)
+    add_arguments(serve)
     serve.set_defaults(run=run)
 
 
 def run(arguments: argparse.Namespace) -> int:
     """Run until the process is stopped; return the exit code."""
-    asyncio.run(_serve(arguments))
-    return 0
+    try:
+        settings = load_settings(arguments, os.environ)
+    except SettingsError as error:
+        print(f'nutmegstep serve: {error}', file=sys.stderr)
+        return _EXIT_USAGE
+    configure_logs(settings.log_level)
+    answered_all = asyncio.run(_serve(settings))
+    return 0 if answered_all else _EXIT_CUT
 
 
-async def _load(runtime: Runtime, address: str) -> None:
-    host, port = address.rsplit(':', 1)
-    platform = PlatformClient(host, int(port))
+async def _load(runtime: Runtime, settings: Settings) -> None:
+    platform = PlatformClient(*settings.platform)
     fleet = decode_fleet((await platform.get('config/fleet')).document)
     runtime.dispatch(FleetChanged(fleet))
     indexes = {service.index for service in fleet.services_by_name.values()}
@@ -48,13 +77,62 @@
         runtime.dispatch(CatalogueChanged(index, versions))
 
 
-async def _serve(arguments: argparse.Namespace) -> None:
+async def _serve(settings: Settings) -> bool:
     clock = SystemClock()
-    state = EngineState(arguments.failure_domain, Random())
-    runtime = Runtime(state, clock, TargetPool(clock))
-    await _load(runtime, arguments.platform)
-    interface = CallerInterface(runtime, clock)
-    server = await serve_http(interface.handle, arguments.host, 0)
-    chosen = server.sockets[0].getsockname()[1]
-    arguments.port_file.write_text(f'{arguments.host}:{chosen}')
-    await asyncio.Event().wait()
+    state = EngineState(settings.failure_domain, Random())
+    pool = TargetPool(clock)
+    runtime = Runtime(state, clock, pool)
+    await _load(runtime, settings)
+    telemetry = _build_telemetry(settings, runtime, clock)
+    gate = CallerGate(
+        lambda: state.fleet.generation > 0,
+        lambda service: None,
+        telemetry.count_early_refusal,
+    )
+    operators = await serve_operators(
+        telemetry.metrics,
+        settings.operator_host,
+        settings.operator_port,
+    )
+    server = await serve_http(
+        _build_interface(runtime, telemetry, clock).handle,
+        settings.host,
+        settings.port,
+        HttpLimits(connections=settings.caller_connections),
+        early_check=gate.check,
+        error_response=unreadable_response,
+    )
+    _write_port(settings, server)
+    answered = await run_until_stopped(runtime, server, gate, asyncio.Event())
+    operators.close()
+    pool.close()
+    return answered
+
+
+def _build_telemetry(
+    settings: Settings,
+    runtime: Runtime,
+    clock: Clock,
+) -> Telemetry:
+    metrics = Metrics(lambda: runtime.state.fleet.services_by_name)
+    tracer = build_tracer(LogSpanExporter(), settings.sampling_ratio)
+    return Telemetry(tracer, metrics, clock)
+
+
+def _build_interface(
+    runtime: Runtime,
+    telemetry: Telemetry,
+    clock: Clock,
+) -> CallerInterface:
+    def declared_timeout(service: str) -> timedelta:
+        declared = runtime.state.fleet.services_by_name.get(service)
+        return declared.timeout if declared else _UNDECLARED_TIMEOUT
+
+    parser = RequestParser(clock.monotonic, declared_timeout)
+    return CallerInterface(runtime.ask, parser, telemetry)
+
+
+def _write_port(settings: Settings, server: HttpServer) -> None:
+    if settings.port_file is not None:
+        chosen = server.sockets[0].getsockname()[1]
+        settings.port_file.write_text(f'{settings.host}:{chosen}')
--- a/nutmegstep/verdict/core.py
+++ b/nutmegstep/verdict/core.py
@@ -39,6 +39,7 @@
     KEY_INVALID = 'key_invalid'
     KEY_REUSED = 'key_reused'
     CALLER_GONE = 'caller_gone'
+    INTERNAL = 'internal'
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/callers/test_core.py
@@ -0,0 +1,213 @@
+"""Tests of the callers' interface without sockets."""
+
+from datetime import timedelta
+from unittest.mock import AsyncMock, Mock
+
+import orjson
+import pytest
+from returns.result import Failure, Success
+
+from nutmegstep.callers import (
+    CallerGate,
+    CallerInterface,
+    RequestParser,
+    unreadable_response,
+)
+from nutmegstep.model import Answer, IdempotentQuery, OneShotRequest
+from nutmegstep.verdict import Reason, Verdict, refuse
+from nutmegstep.web import HttpRequest, RequestHead
+
+_KEY = '01890a5d-ac96-774b-bcce-b302099a8057'
+_TRACE = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
+_QUERY = '/v1/services/stock/query'
+_RECORD = '/v1/services/stock/records/a%2Fb'
+_ANSWER = Answer('stock', 41, ('s',), (), {'s': b'{"n":1}'})
+
+
+class _Fixture:
+    def __init__(self) -> None:
+        self.ask = AsyncMock(return_value=Success(_ANSWER))
+        self.observer = Mock()
+        self.observer.begin.return_value.traceparent = 'passed-on'
+        parser = RequestParser(lambda: 100, lambda name: timedelta(seconds=2))
+        self.interface = CallerInterface(self.ask, parser, self.observer)
+
+    async def send(self, method, path, body=b'{}', **headers):
+        named = {name.replace('_', '-'): text for name, text in headers.items()}
+        request = HttpRequest(method, path, {}, named, body)
+        response = await self.interface.handle(request)
+        return response, orjson.loads(response.body)
+
+
+@pytest.mark.parametrize(
+    ('timeout', 'deadline'),
+    [
+        ({}, 102),
+        ({'x_timeout_ms': '500'}, 100.5),
+        ({'x_timeout_ms': '9000'}, 102),
+    ],
+)
+async def test_deadline_is_capped(timeout, deadline) -> None:
+    """Guards against a caller that asks for more than is declared."""
+    fixture = _Fixture()
+    await fixture.send('POST', _QUERY, x_request_id='r-1', **timeout)
+    fixture.ask.assert_awaited_once_with(
+        IdempotentQuery('r-1', 'stock', b'{}', deadline, None, 'passed-on'),
+    )
+
+
+async def test_look_up_and_one_shot_request() -> None:
+    """Guards against a one-shot request that is taken for a query."""
+    fixture = _Fixture()
+    await fixture.send('GET', _RECORD)
+    await fixture.send('POST', _RECORD, idempotency_key=_KEY)
+    look_up, one_shot = (call.args[0] for call in fixture.ask.await_args_list)
+    assert isinstance(look_up, IdempotentQuery)
+    assert look_up.record_key == 'a/b'
+    assert isinstance(one_shot, OneShotRequest)
+    assert (one_shot.record_key, str(one_shot.idempotency_key)) == ('a/b', _KEY)
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body', 'headers', 'reason'),
+    [
+        ('POST', '/v1/other', b'{}', {}, 'bad_request'),
+        ('PUT', _QUERY, b'{}', {}, 'bad_request'),
+        ('POST', _QUERY, b'{', {}, 'bad_request'),
+        ('POST', _QUERY, b'', {}, 'bad_request'),
+        ('POST', _QUERY, b'{}', {'x_timeout_ms': '0'}, 'bad_request'),
+        ('POST', _QUERY, b'{}', {'x_request_id': 'a b'}, 'bad_request'),
+        ('POST', _RECORD, b'{}', {}, 'key_invalid'),
+        (
+            'POST',
+            _RECORD,
+            b'{}',
+            {'idempotency_key': f'{{{_KEY}}}'},
+            'key_invalid',
+        ),
+        (
+            'POST',
+            _RECORD,
+            b'{}',
+            {'idempotency_key': _KEY.replace('-7', '-4')},
+            'key_invalid',
+        ),
+        ('GET', '/v1/services/stock/records/', b'', {}, 'bad_request'),
+    ],
+)
+async def test_malformed_request_did_not_run(
+    method,
+    path,
+    body,
+    headers,
+    reason,
+) -> None:
+    """Guards against work for requests that are not understood."""
+    fixture = _Fixture()
+    response, document = await fixture.send(method, path, body, **headers)
+    assert response.status == 400
+    assert document['reason'] == reason
+    assert document['verdict'] == document['attempt_verdict'] == 'not_run'
+    assert ('Retry-After', '1') in response.headers
+    assert ('X-Verdict', 'not_run') in response.headers
+    assert ('X-Request-Id', document['request_id']) in response.headers
+    fixture.ask.assert_not_awaited()
+
+
+async def test_replies_carry_the_callers_identifier() -> None:
+    """Guards against replies that callers cannot match (G5)."""
+    fixture = _Fixture()
+    response, document = await fixture.send('POST', _QUERY, x_request_id='r-1')
+    assert document['request_id'] == 'r-1'
+    assert document['results'] == {'s': {'n': 1}}
+    fixture.ask.return_value = Failure(
+        refuse(Verdict.RAN, Reason.ALREADY_CLAIMED, 'ran before'),
+    )
+    response, document = await fixture.send('POST', _QUERY, x_request_id='r-2')
+    assert (response.status, document['request_id']) == (409, 'r-2')
+    assert document['verdict'] == 'ran'
+    ended = fixture.observer.begin.return_value.end
+    assert ended.call_args.args == (409, 'already_claimed')
+
+
+@pytest.mark.parametrize('sent', [_TRACE, _TRACE.replace('00-', 'zz-')])
+async def test_malformed_trace_context_is_dropped(sent) -> None:
+    """Guards against a header of a caller that breaks target requests."""
+    fixture = _Fixture()
+    await fixture.send('GET', _RECORD, x_request_id='r', traceparent=sent)
+    expected = sent if sent == _TRACE else ''
+    fixture.observer.begin.assert_called_once_with('stock', 'r', expected)
+
+
+def _head(target: bytes, over_limit=False, **headers) -> RequestHead:
+    named = {
+        name.replace('_', '-').encode(): text for name, text in headers.items()
+    }
+    return RequestHead(b'GET', target, named, over_limit)
+
+
+def test_gate_refuses_by_the_head() -> None:
+    """Guards against an untrue `not run` for a repeated key (G6)."""
+    counted = Mock()
+    gate = CallerGate(
+        lambda: True,
+        lambda name: Reason.OVERLOADED if name == 'stock' else None,
+        counted,
+    )
+    assert gate.check(_head(b'/v1/services/desk/query')) is None
+    refused = gate.check(_head(_RECORD.encode(), x_request_id=b'r-1'))
+    assert refused is not None
+    head, _, body = refused.content.partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 429 Too Many Requests\r\n')
+    assert b'Content-Length: %d' % len(body) in head
+    assert orjson.loads(body)['request_id'] == 'r-1'
+    assert orjson.loads(body)['verdict'] == 'not_run'
+    counted.assert_called_once_with('overloaded')
+    repeat = _head(_RECORD.encode(), idempotency_key=_KEY.encode())
+    refused = gate.check(repeat)
+    assert refused is not None
+    assert b'"verdict":"may_have_run"' in refused.content
+    assert b'"attempt_verdict":"not_run"' in refused.content
+
+
+def test_draining_gate() -> None:
+    """Guards against a balancer that sends requests to a stopping VM."""
+    gate = CallerGate(lambda: True, lambda name: None, Mock())
+    ready = gate.check(_head(b'/ready'))
+    assert ready is not None
+    assert ready.content.startswith(b'HTTP/1.1 200')
+    gate.draining = True
+    ready = gate.check(_head(b'/ready'))
+    assert ready is not None
+    assert ready.content.startswith(b'HTTP/1.1 503')
+    assert ready.close
+    assert gate.check(_head(b'/v1/services/stock/query')) is None
+    gate.refusing = True
+    refused = gate.check(_head(b'/v1/services/stock/query'))
+    assert refused is not None
+    assert b'"reason":"draining"' in refused.content
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'expected'),
+    [
+        (400, {}, (400, 'not_run')),
+        (413, {b'x-request-id': b'r'}, (413, 'not_run')),
+        (408, {b'x-request-id': b'r'}, (400, 'not_run')),
+        (408, {b'idempotency-key': b'k'}, (400, 'may_have_run')),
+        (408, {}, (400, 'may_have_run')),
+        (500, {b'x-request-id': b'r'}, (503, 'may_have_run')),
+    ],
+)
+def test_unreadable_request(status, headers, expected) -> None:
+    """Guards against replies without a verdict."""
+    response = unreadable_response(status, headers)
+    document = orjson.loads(response.body)
+    assert (response.status, document['verdict']) == expected
+    assert (
+        document['request_id']
+        == headers.get(
+            b'x-request-id',
+            document['request_id'].encode(),
+        ).decode()
+    )
