--- a/nutmegstep/runtime/__init__.py
+++ b/nutmegstep/runtime/__init__.py
@@ -1,5 +1,28 @@
 """The asyncio shell around the reducer."""
 
 from nutmegstep.runtime.core import Runtime
+from nutmegstep.runtime.lifecycle import DrainTimes, Gate, drain, run
+from nutmegstep.runtime.ports import (
+    ClaimService,
+    ObservedSend,
+    RequestEnd,
+    RequestObserver,
+    RequestTrace,
+    SendObserver,
+    WarmReporter,
+)
 
-__all__ = ['Runtime']
+__all__ = [
+    'ClaimService',
+    'DrainTimes',
+    'Gate',
+    'ObservedSend',
+    'RequestEnd',
+    'RequestObserver',
+    'RequestTrace',
+    'Runtime',
+    'SendObserver',
+    'WarmReporter',
+    'drain',
+    'run',
+]
