--- /dev/null
+++ b/tests/control/test_core.py
@@ -0,0 +1,70 @@
+"""Tests of the merge: guard against states that revert or diverge."""
+
+from hypothesis import given, seed, strategies
+
+from nutmegstep.control import (
+    Catalogue,
+    Configuration,
+    ControlState,
+    Register,
+    changed_events,
+    merge,
+    set_register,
+)
+from nutmegstep.declarations import encode_fleet
+from nutmegstep.engine.events import ControlChanged, FleetChanged
+from nutmegstep.model import Fleet
+
+_small = strategies.integers(0, 3)
+_names = strategies.sampled_from('abc')
+_registers = strategies.dictionaries(
+    _names, strategies.builds(Register, _small, strategies.booleans())
+)
+_states = strategies.builds(
+    ControlState,
+    _small.map(lambda number: Configuration(number, str(number), b'')),
+    _registers,
+    _registers,
+    strategies.dictionaries(
+        _names, _small.map(lambda number: Catalogue(number, b''))
+    ),
+)
+
+
+@seed(1)
+@given(_states, _states, _states)
+def test_merge_is_a_join(
+    first: ControlState, second: ControlState, third: ControlState
+) -> None:
+    """Guards against processes that end in different states."""
+    assert merge(first, second) == merge(second, first)
+    assert merge(first, first) == first
+    left = merge(merge(first, second), third)
+    assert left == merge(first, merge(second, third))
+    assert merge(left, second) == left
+
+
+def test_equal_generation_keeps_own_configuration() -> None:
+    """Guards against a configuration replaced within one generation."""
+    ours = ControlState(Configuration(2, 'x', b'x'))
+    theirs = ControlState(Configuration(2, 'y', b'y'))
+    assert merge(ours, theirs).configuration.digest == 'x'
+
+
+def test_repeated_command_keeps_counter() -> None:
+    """Guards against a repeated withdrawal that beats a later restore."""
+    once = set_register({}, 'd1', active=True)
+    assert set_register(once, 'd1', active=True) == once
+    assert set_register(once, 'd1', active=False)['d1'] == Register(2, False)
+
+
+def test_withdrawal_precedes_configuration() -> None:
+    """Guards against new work in a domain that the same change withdraws."""
+    fleet = Fleet(1, {}, {}, 1, {})
+    after = ControlState(
+        Configuration(1, 'x', encode_fleet(fleet)), {'d1': Register(1, True)}
+    )
+    assert changed_events(ControlState(), after) == (
+        ControlChanged(frozenset(('d1',)), frozenset()),
+        FleetChanged(fleet),
+    )
