Add membership: view, roster, incarnations and pauses

Promises need the set of VMs that may still act, and routing needs the set heard lately. Two platform lists 10 s apart must lack a VM before it leaves the roster, so an outage of the platform keeps the roster. A paused process counts the silence of others from its return.

--- /dev/null
+++ b/nutmegstep/membership/views.py
@@ -0,0 +1,120 @@
+"""Views that are computed from the membership state."""
+
+import enum
+from collections.abc import Iterator
+from typing import Final
+
+from nutmegstep.membership.core import Member, MembershipState
+
+__all__ = [
+    'Health',
+    'member_health',
+    'prune',
+    'roster',
+    'suspected_names',
+    'view',
+]
+
+_SUSPECT_SECONDS: Final = 1
+_DOWN_SECONDS: Final = 3
+_GONE_SECONDS: Final = 10
+
+
+@enum.unique
+class Health(enum.Enum):
+    """State of a VM by the own heartbeats."""
+
+    ALIVE = 'alive'
+    SUSPECT = 'suspect'
+    DOWN = 'down'
+
+
+def member_health(member: Member, now: float) -> Health:
+    """Return the state of another VM.
+
+    Examples
+    --------
+    >>> from nutmegstep.membership.core import ListedVm
+    >>> vm = ListedVm('vm-2', 'domain-1', '127.0.0.2:7000')
+    >>> member_health(Member(vm, incarnation=7, heard=4), now=5.5)
+    <Health.SUSPECT: 'suspect'>
+    """
+    silence = now - member.heard
+    if silence >= _DOWN_SECONDS:
+        return Health.DOWN
+    if silence >= _SUSPECT_SECONDS:
+        return Health.SUSPECT
+    return Health.ALIVE
+
+
+def view(state: MembershipState, now: float) -> frozenset[str]:
+    """Return the names of the VMs heard within 3 s, the own one included."""
+    return frozenset(
+        (
+            state.identity.name,
+            *(
+                name
+                for name, member in state.members_by_name.items()
+                if member_health(member, now) is not Health.DOWN
+            ),
+        ),
+    )
+
+
+def suspected_names(state: MembershipState, now: float) -> frozenset[str]:
+    """Return the names of the VMs silent for 1 s that are not yet down."""
+    return frozenset(
+        name
+        for name, member in state.members_by_name.items()
+        if member_health(member, now) is Health.SUSPECT
+    )
+
+
+def roster(
+    state: MembershipState,
+    failure_domain: str,
+    now: float,
+) -> frozenset[str]:
+    """Return the names of the VMs of a failure domain that may still act.
+
+    Notes
+    -----
+    A VM leaves the roster only when platform lists that are 10 s apart both
+    lack it and nothing was heard from it for 10 s. Without new lists, as in
+    an outage of the platform, the roster stays as it is. A paused process
+    counts the silence of others from its return.
+    """
+    return frozenset(_roster_names(state, failure_domain, now))
+
+
+def prune(state: MembershipState, now: float) -> None:
+    """Remove VMs that are gone, so that the state stays bounded."""
+    gone_names = [
+        name
+        for name, member in state.members_by_name.items()
+        if _is_gone(state, member, now)
+    ]
+    for name in gone_names:
+        del state.members_by_name[name]
+
+
+def _roster_names(
+    state: MembershipState,
+    failure_domain: str,
+    now: float,
+) -> Iterator[str]:
+    if failure_domain == state.failure_domain:
+        yield state.identity.name
+    for name, member in state.members_by_name.items():
+        if member.vm.failure_domain != failure_domain:
+            continue
+        if not (member.forgotten or _is_gone(state, member, now)):
+            yield name
+
+
+def _is_gone(state: MembershipState, member: Member, now: float) -> bool:
+    if member.absent_since is None:
+        return False
+    absence = member.absent_until - member.absent_since
+    silence = now - max(member.heard, state.resumed)
+    return absence >= _GONE_SECONDS and silence >= _GONE_SECONDS
