Add gRPC messages, server and client between entry processes

Entry processes exchange heartbeats, promises and control state, and operators reach them on the same port. Messages are checked at the border. TLS is mutual, and both sides read replaced certificate files without a restart; plaintext is refused beyond loopback addresses.

Tests over loopback sockets cover all calls, a stranger's certificate, a plaintext client and replaced certificate files.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,7 @@
 
 measure: $(STAMP)
 	$(BIN)/python -m nutmegstep.measure --seed $(SEED)
+
+# The mapped path gives the generated modules their import path.
+proto: $(STAMP)
+	$(BIN)/python -m grpc_tools.protoc --proto_path=nutmegstep/peers/generated=nutmegstep/peers --python_out=. --pyi_out=. --grpc_python_out=. nutmegstep/peers/peers.proto
--- /dev/null
+++ b/nutmegstep/peers/__init__.py
@@ -0,0 +1,43 @@
+"""gRPC messages, server and client between entry processes."""
+
+from nutmegstep.peers.client import PeerClient
+from nutmegstep.peers.core import (
+    ClaimReport,
+    ClaimState,
+    ControlCommand,
+    ControlDocument,
+    ControlKind,
+    ControlVersions,
+    Heartbeat,
+    HeartbeatReply,
+    KnownVersions,
+    MessageError,
+    PeerError,
+    PeerHandlers,
+    Process,
+    WarmReport,
+)
+from nutmegstep.peers.server import PeerServer
+from nutmegstep.peers.tls import TlsFiles
+from nutmegstep.peers.traffic import Traffic
+
+__all__ = [
+    'ClaimReport',
+    'ClaimState',
+    'ControlCommand',
+    'ControlDocument',
+    'ControlKind',
+    'ControlVersions',
+    'Heartbeat',
+    'HeartbeatReply',
+    'KnownVersions',
+    'MessageError',
+    'PeerClient',
+    'PeerError',
+    'PeerHandlers',
+    'PeerServer',
+    'Process',
+    'TlsFiles',
+    'Traffic',
+    'WarmReport',
+]
--- /dev/null
+++ b/nutmegstep/peers/client.py
@@ -0,0 +1,182 @@
+"""gRPC client for calls to other entry processes."""
+
+from typing import Any, Final
+
+import grpc
+from google.protobuf.message import Message
+
+from nutmegstep.control import Register
+from nutmegstep.peers import convert, convert_control
+from nutmegstep.peers.bounds import MESSAGE_BYTES
+from nutmegstep.peers.core import (
+    ClaimReport,
+    ControlCommand,
+    ControlDocument,
+    Heartbeat,
+    HeartbeatReply,
+    KnownVersions,
+    PeerError,
+)
+from nutmegstep.peers.generated import peers_pb2 as wire
+from nutmegstep.peers.generated import peers_pb2_grpc
+from nutmegstep.peers.tls import (
+    TLS_NAME,
+    TlsFiles,
+    channel_credentials,
+    require_loopback,
+    stamp,
+)
+from nutmegstep.peers.traffic import Traffic
+
+__all__ = ['PeerClient']
+
+_OPTIONS: Final = (
+    ('grpc.max_receive_message_length', MESSAGE_BYTES),
+    ('grpc.ssl_target_name_override', TLS_NAME),
+    # A replaced VM is tried again at the pace of heartbeats, not after the
+    # default of up to two minutes.
+    ('grpc.max_reconnect_backoff_ms', 500),
+    ('grpc.initial_reconnect_backoff_ms', 100),
+)
+_PEERS: Final = 'Peers'
+_OPERATORS: Final = 'Operators'
+
+
+class PeerClient:
+    """Calls other entry processes; one channel per address.
+
+    Parameters
+    ----------
+    traffic : Traffic
+        Counts requests and replies.
+    files : TlsFiles or None
+        Certificates; None means plaintext to loopback addresses.
+    timeout : float
+        Seconds for a call.
+    """
+
+    def __init__(
+        self,
+        traffic: Traffic,
+        files: TlsFiles | None = None,
+        timeout: float = 1,
+    ) -> None:
+        self._traffic = traffic
+        self._files = files
+        self._timeout = timeout
+        self._stamp: tuple[int, ...] = ()
+        self._channels_by_address: dict[str, Any] = {}
+
+    async def exchange(
+        self,
+        address: str,
+        heartbeat: Heartbeat,
+    ) -> HeartbeatReply:
+        """Send a heartbeat; raise `PeerError` without a valid reply."""
+        request = convert.encode_heartbeat(heartbeat)
+        reply = await self._call(address, _PEERS, 'Exchange', request)
+        return convert.decode_reply(reply)
+
+    async def fetch_control(
+        self,
+        address: str,
+        known: KnownVersions,
+    ) -> ControlDocument:
+        """Fetch what is newer than the known versions."""
+        request = wire.FetchControlRequest(
+            generation=known.generation,
+            versions_by_index=known.versions_by_index,
+        )
+        reply = await self._call(address, _PEERS, 'FetchControl', request)
+        return convert_control.decode_document(reply)
+
+    async def claim_status(self, address: str, key: bytes) -> ClaimReport:
+        """Ask the claimer for the state of a claim."""
+        request = wire.ClaimStatusRequest(key=key)
+        reply = await self._call(address, _PEERS, 'ClaimStatus', request)
+        return convert_control.decode_claim(reply)
+
+    async def status(self, address: str) -> bytes:
+        """Return the JSON document of a process's status."""
+        request = wire.StatusRequest()
+        reply = await self._call(address, _OPERATORS, 'Status', request)
+        return bytes(reply.document)
+
+    async def explain(self, address: str, request_id: str) -> bytes:
+        """Return the JSON document that explains a request."""
+        request = wire.ExplainRequest(request_id=request_id)
+        reply = await self._call(address, _OPERATORS, 'Explain', request)
+        return bytes(reply.document)
+
+    async def apply_control(
+        self,
+        address: str,
+        command: ControlCommand,
+    ) -> Register:
+        """Apply an operator's command and return the register."""
+        request = wire.ApplyControlRequest(
+            kind=wire.ApplyControlRequest.Kind.Name(command.kind.value),
+            name=command.name,
+            active=command.active,
+        )
+        reply = await self._call(address, _OPERATORS, 'ApplyControl', request)
+        return Register(reply.register.counter, reply.register.active)
+
+    async def forget(self, address: str, name: str, *, spread: bool) -> bool:
+        """Drop a dead VM from rosters; return whether it was known."""
+        request = wire.ForgetRequest(name=name, spread=spread)
+        reply = await self._call(address, _OPERATORS, 'Forget', request)
+        return bool(reply.known)
+
+    async def close(self) -> None:
+        """Close all channels once their calls in flight have ended."""
+        channels = tuple(self._channels_by_address.values())
+        self._channels_by_address.clear()
+        for channel in channels:
+            await channel.close(self._timeout)
+
+    async def _call(
+        self,
+        address: str,
+        service: str,
+        call: str,
+        request: Message,
+    ) -> Any:
+        await self._reload()
+        channel = self._channel(address)
+        stub = getattr(peers_pb2_grpc, f'{service}Stub')(channel)
+        self._traffic.count(call, request)
+        try:
+            reply = await getattr(stub, call)(request, timeout=self._timeout)
+        except grpc.aio.AioRpcError as error:
+            raise PeerError(
+                f'{call} at {address}: {error.code().name}: {error.details()}',
+            ) from error
+        self._traffic.count(call, reply)
+        return reply
+
+    async def _reload(self) -> None:
+        if self._files is None:
+            return
+        try:
+            current = stamp(self._files)
+        except OSError:
+            # A file is being replaced; the former channels stay in use.
+            return
+        if current != self._stamp:
+            self._stamp = current
+            await self.close()
+
+    def _channel(self, address: str) -> Any:
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = self._open(address)
+            self._channels_by_address[address] = channel
+        return channel
+
+    def _open(self, address: str) -> Any:
+        if self._files is None:
+            require_loopback(address)
+            return grpc.aio.insecure_channel(address, options=_OPTIONS)
+        credentials = channel_credentials(self._files)
+        return grpc.aio.secure_channel(address, credentials, options=_OPTIONS)
--- /dev/null
+++ b/tests/peers/test_server.py
@@ -0,0 +1,123 @@
+"""Tests over loopback sockets: guard the border between processes."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from nutmegstep.control import Configuration, ControlState, Register
+from nutmegstep.membership import ListedVm
+from nutmegstep.peers import (
+    ClaimReport,
+    ClaimState,
+    ControlCommand,
+    ControlDocument,
+    ControlKind,
+    ControlVersions,
+    Heartbeat,
+    HeartbeatReply,
+    KnownVersions,
+    PeerClient,
+    PeerError,
+    PeerHandlers,
+    PeerServer,
+    Process,
+    TlsFiles,
+    Traffic,
+    WarmReport,
+)
+
+_VM = ListedVm('vm-1', 'd1', '127.0.0.1:1', leaving=True)
+_VERSIONS = ControlVersions(3, 'x', 1, 2, 3, None)
+_HEARTBEAT = Heartbeat(
+    Process(_VM, 7), 1, _VERSIONS, ('t',), ('u',), (WarmReport('w', 'b'),)
+)
+_DOCUMENT = ControlDocument(
+    ControlState(Configuration(3, 'x', b'{}'), {'d1': Register(2, True)}),
+    (_VM,),
+    40,
+)
+
+
+def _exchange(heartbeat: Heartbeat) -> HeartbeatReply:
+    return HeartbeatReply(
+        heartbeat.sender,
+        heartbeat.versions,
+        heartbeat.asked_targets,
+        heartbeat.warm_reports,
+    )
+
+
+async def _claim_status(key: bytes) -> ClaimReport:
+    return ClaimReport(
+        ClaimState.ABANDONED, abandoned_age=timedelta(milliseconds=key[0])
+    )
+
+
+_HANDLERS = PeerHandlers(
+    _exchange,
+    lambda known: _DOCUMENT,
+    _claim_status,
+    lambda: b'{}',
+    lambda request_id: request_id.encode(),
+    lambda command: Register(4, command.active),
+    lambda name, spread: spread,
+)
+
+
+async def test_calls_keep_their_fields() -> None:
+    """Guards against fields that are lost on the wire."""
+    traffic = Traffic()
+    server = PeerServer(_HANDLERS, traffic)
+    address = f'127.0.0.1:{await server.start("127.0.0.1:0")}'
+    client = PeerClient(Traffic(), timeout=10)
+    assert await client.exchange(address, _HEARTBEAT) == _exchange(_HEARTBEAT)
+    document = await client.fetch_control(address, KnownVersions(1, {'i': 2}))
+    assert document == _DOCUMENT
+    report = await client.claim_status(address, b'\x05' * 16)
+    assert report == ClaimReport(
+        ClaimState.ABANDONED, None, timedelta(milliseconds=5)
+    )
+    command = ControlCommand(ControlKind.DRAIN, 't', active=True)
+    assert await client.apply_control(address, command) == Register(4, True)
+    assert await client.forget(address, 'vm-9', spread=True)
+    assert await client.explain(address, 'r') == b'r'
+    assert await client.status(address) == b'{}'
+    assert traffic.messages_by_call['Exchange'] == 2
+    with pytest.raises(PeerError, match='key has 15 bytes, not 16'):
+        await client.claim_status(address, bytes(15))
+    with pytest.raises(PeerError, match='request_id has 257 characters'):
+        await client.explain(address, 'r' * 257)
+    await client.close()
+    await server.stop(0)
+
+
+async def test_plaintext_stays_on_loopback() -> None:
+    """Guards against plaintext that leaves the machine."""
+    with pytest.raises(ValueError, match='plaintext is only for loopback'):
+        await PeerServer(_HANDLERS, Traffic()).start('0.0.0.0:0')
+    with pytest.raises(ValueError, match='plaintext is only for loopback'):
+        await PeerClient(Traffic()).status('10.0.0.1:1')
+
+
+async def test_stranger_is_refused_and_files_are_reloaded(
+    tmp_path: Path, write_files: Callable[[Path], TlsFiles]
+) -> None:
+    """Guards against peers without a certificate of the deployment."""
+    files = write_files(tmp_path / 'own')
+    stranger = PeerClient(Traffic(), write_files(tmp_path / 'stranger'), 10)
+    server = PeerServer(_HANDLERS, Traffic(), files)
+    address = f'127.0.0.1:{await server.start("127.0.0.1:0")}'
+    client = PeerClient(Traffic(), files, 10)
+    assert await client.status(address) == b'{}'
+    with pytest.raises(PeerError, match='Status at 127.0.0.1:.*UNAVAILABLE'):
+        await stranger.status(address)
+    with pytest.raises(PeerError, match='UNAVAILABLE'):
+        await PeerClient(Traffic(), timeout=10).status(address)
+    write_files(tmp_path / 'own')
+    assert await client.status(address) == b'{}'
+    assert await PeerClient(Traffic(), files, 10).status(address) == b'{}'
+    await client.close()
+    await stranger.close()
+    await server.stop(0)
