Extend the target stand-in with faults and limits

It now has a bounded queue, cold starts, connection limits, delays between failure domains, silent connections, wrong answers and resets, with a control endpoint for other processes.

--- a/nutmegstep/standins/__init__.py
+++ b/nutmegstep/standins/__init__.py
@@ -1,6 +1,22 @@
 """Small stand-ins for the platform and for targets."""
 
+from nutmegstep.standins.control import ServedTarget, control_handler
+from nutmegstep.standins.faults import TargetFaults
 from nutmegstep.standins.platform import PlatformStandIn
-from nutmegstep.standins.target import TargetStandIn
+from nutmegstep.standins.target import (
+    TargetRequest,
+    TargetSettings,
+    TargetStandIn,
+)
+from nutmegstep.standins.target_server import serve_target
 
-__all__ = ['PlatformStandIn', 'TargetStandIn']
+__all__ = [
+    'PlatformStandIn',
+    'ServedTarget',
+    'TargetFaults',
+    'TargetRequest',
+    'TargetSettings',
+    'TargetStandIn',
+    'control_handler',
+    'serve_target',
+]
--- a/nutmegstep/standins/__main__.py
+++ b/nutmegstep/standins/__main__.py
@@ -5,64 +5,114 @@
 from pathlib import Path
 from random import Random
 
+import orjson
+
 from nutmegstep.declarations import encode_catalogue, encode_fleet
 from nutmegstep.platform_api import PlatformClient
-from nutmegstep.standins import PlatformStandIn, TargetStandIn
+from nutmegstep.standins.control import ServedTarget, control_handler
 from nutmegstep.standins.deployments import (
+    DOMAIN_COUNT,
     SHAPES_BY_DEPLOYMENT,
     build_fleet,
     build_version,
+    target_settings,
 )
+from nutmegstep.standins.platform import PlatformStandIn
+from nutmegstep.standins.target import TargetStandIn
+from nutmegstep.standins.target_server import serve_target
 from nutmegstep.web import serve_http
 
 __all__ = ['main']
 
 _LOOPBACK = '127.0.0.1'
 _INDEX_VERSION = 41
+_POLL_SECONDS = 0.05
 
 
-async def _run(deployment: str, directory: Path, seed: int) -> None:
-    random = Random(seed)
-    version = build_version(deployment, _INDEX_VERSION)
+async def _serve_domain(arguments: argparse.Namespace, domain: int) -> None:
+    version = build_version(arguments.deployment, _INDEX_VERSION)
+    random = Random(arguments.seed * DOMAIN_COUNT + domain)
+    served: dict[str, ServedTarget] = {}
     port_by_target: dict[str, int] = {}
-    servers = []
-    for shape in SHAPES_BY_DEPLOYMENT[deployment]:
-        for shard in version.shards_by_name.values():
-            if shard.group != shape.name:
-                continue
-            for name in shard.replicas:
-                target = TargetStandIn(
-                    name,
-                    shape.slots,
-                    shape.mean_ms,
-                    random,
-                    (_INDEX_VERSION,),
-                )
-                server = await serve_http(target.handle, _LOOPBACK, 0)
-                servers.append(server)
-                port_by_target[name] = server.sockets[0].getsockname()[1]
-    platform = await serve_http(PlatformStandIn().handle, _LOOPBACK, 0)
-    platform_port = platform.sockets[0].getsockname()[1]
-    client = PlatformClient(_LOOPBACK, platform_port)
-    await client.put(
-        'config/fleet',
-        encode_fleet(build_fleet(deployment, port_by_target)),
+    for shard, settings in target_settings(
+        arguments.deployment,
+        arguments.service_scale,
+    ):
+        if settings.domain != domain:
+            continue
+        held = {version.number: frozenset((shard.name,))}
+        target = TargetStandIn(settings, random, held)
+        server, connections = await serve_target(target, _LOOPBACK)
+        served[settings.name] = ServedTarget(target, connections)
+        port_by_target[settings.name] = server.sockets[0].getsockname()[1]
+    control = await serve_http(control_handler(served), _LOOPBACK, 0)
+    port = control.sockets[0].getsockname()[1]
+    _write(
+        arguments.directory / f'control-{domain}.port',
+        f'{_LOOPBACK}:{port}'.encode(),
     )
+    _write(
+        arguments.directory / f'targets-{domain}.json',
+        orjson.dumps(port_by_target),
+    )
+
+
+async def _serve_platform(deployment: str, directory: Path) -> None:
+    server = await serve_http(PlatformStandIn().handle, _LOOPBACK, 0)
+    port = server.sockets[0].getsockname()[1]
+    port_by_target: dict[str, int] = {}
+    for domain in range(1, DOMAIN_COUNT + 1):
+        path = directory / f'targets-{domain}.json'
+        while not path.exists():
+            await asyncio.sleep(_POLL_SECONDS)
+        port_by_target.update(orjson.loads(path.read_bytes()))
+    client = PlatformClient(_LOOPBACK, port)
+    fleet = build_fleet(deployment, port_by_target)
+    version = build_version(deployment, _INDEX_VERSION)
+    await client.put('config/fleet', encode_fleet(fleet))
     await client.put('indexes/records', encode_catalogue((version,)))
-    (directory / 'platform.port').write_text(str(platform_port))
+    _write(directory / 'platform.port', str(port).encode())
+
+
+def _write(path: Path, document: bytes) -> None:
+    # Readers wait for the file to exist, so it appears with its content.
+    partial = path.with_suffix('.partial')
+    partial.write_bytes(document)
+    partial.rename(path)
+
+
+async def _run(arguments: argparse.Namespace) -> None:
+    domains = range(1, DOMAIN_COUNT + 1)
+    for domain in (arguments.domain,) if arguments.domain else domains:
+        await _serve_domain(arguments, domain)
+    if arguments.domain in {None, 1}:
+        await _serve_platform(arguments.deployment, arguments.directory)
     await asyncio.Event().wait()
 
 
 def main() -> None:
     """Parse the arguments and run."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--deployment', choices=SHAPES_BY_DEPLOYMENT)
+    parser.add_argument(
+        '--deployment',
+        choices=SHAPES_BY_DEPLOYMENT,
+        required=True,
+    )
     parser.add_argument('--directory', type=Path, required=True)
     parser.add_argument('--seed', type=int, default=1)
-    arguments = parser.parse_args()
-    asyncio.run(
-        _run(arguments.deployment, arguments.directory, arguments.seed),
+    parser.add_argument(
+        '--domain',
+        type=int,
+        choices=range(1, DOMAIN_COUNT + 1),
+        help='serve the targets of one failure domain; 1 has the platform',
+    )
+    parser.add_argument(
+        '--service-scale',
+        type=float,
+        default=1,
+        help='factor on the mean service times',
     )
+    asyncio.run(_run(parser.parse_args()))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/nutmegstep/standins/control.py
@@ -0,0 +1,102 @@
+"""Control endpoint that switches faults of target stand-ins."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import asdict, dataclass
+from types import MappingProxyType
+from typing import Any, Final
+
+import orjson
+
+from nutmegstep.standins.faults import apply_faults
+from nutmegstep.standins.target import TargetStandIn
+from nutmegstep.standins.target_server import OpenConnections
+from nutmegstep.web import HttpRequest, HttpResponse
+
+__all__ = ['ServedTarget', 'control_handler']
+
+
+@dataclass(frozen=True, slots=True)
+class ServedTarget:
+    """A target stand-in with its open connections."""
+
+    target: TargetStandIn
+    connections: OpenConnections
+
+
+def control_handler(
+    served_by_name: Mapping[str, ServedTarget],
+) -> Callable[[HttpRequest], Awaitable[HttpResponse]]:
+    """Return the handler of the control endpoint.
+
+    ``GET /targets`` returns the counts of each target. ``POST /<action>``
+    takes ``{"targets": [names], ...}`` with the actions ``faults`` (switches
+    of `TargetFaults`), ``cold`` (``restarted``), ``silence`` (``count``) and
+    ``versions`` (``shards_by_version``).
+
+    Parameters
+    ----------
+    served_by_name : Mapping
+        The targets of this process.
+
+    Returns
+    -------
+    Callable
+        Coroutine function from `HttpRequest` to `HttpResponse`.
+    """
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        if request.method == 'GET':
+            return HttpResponse(200, orjson.dumps(_report(served_by_name)))
+        action = _ACTIONS_BY_PATH.get(request.path)
+        if action is None:
+            return HttpResponse(404, b'{}')
+        document = orjson.loads(request.body)
+        named = set(document.pop('targets'))
+        for name in named.intersection(served_by_name):
+            action(served_by_name[name], document)
+        return HttpResponse(200, b'{}')
+
+    return handle
+
+
+def _report(served_by_name: Mapping[str, ServedTarget]) -> dict[str, Any]:
+    return {
+        name: {
+            **asdict(served.target.counts),
+            'cold': served.target.cold,
+            'cold_slots': served.target.settings.cold_slots,
+            'connections': len(served.connections.present),
+        }
+        for name, served in served_by_name.items()
+    }
+
+
+def _set_faults(served: ServedTarget, document: dict[str, Any]) -> None:
+    apply_faults(served.target.faults, document)
+
+
+def _turn_cold(served: ServedTarget, document: dict[str, Any]) -> None:
+    served.target.turn_cold(restarted=document.get('restarted', False))
+
+
+def _silence(served: ServedTarget, document: dict[str, Any]) -> None:
+    served.connections.silence(document.get('count'))
+
+
+def _set_versions(served: ServedTarget, document: dict[str, Any]) -> None:
+    served.target.shards_by_version = {
+        int(version): frozenset(shards)
+        for version, shards in document['shards_by_version'].items()
+    }
+
+
+_Action = Callable[[ServedTarget, dict[str, Any]], None]
+
+_ACTIONS_BY_PATH: Final[Mapping[str, _Action]] = MappingProxyType(
+    {
+        '/faults': _set_faults,
+        '/cold': _turn_cold,
+        '/silence': _silence,
+        '/versions': _set_versions,
+    },
+)
--- a/nutmegstep/standins/deployments.py
+++ b/nutmegstep/standins/deployments.py
@@ -15,11 +15,24 @@
     Target,
     WorkClass,
 )
+from nutmegstep.standins.target import TargetSettings
 
-__all__ = ['SHAPES_BY_DEPLOYMENT', 'GroupShape', 'build_fleet', 'build_version']
+__all__ = [
+    'DOMAIN_COUNT',
+    'SHAPES_BY_DEPLOYMENT',
+    'GroupShape',
+    'build_fleet',
+    'build_version',
+    'target_settings',
+]
 
 _DOMAINS: Final = ('domain-1', 'domain-2', 'domain-3')
+DOMAIN_COUNT: Final = len(_DOMAINS)
 _ENTRY_VMS_MAX: Final = 7
+_MILLISECONDS: Final = 1000
+_ONE_WAY_MS_BY_DEPLOYMENT: Final[Mapping[str, float]] = MappingProxyType(
+    {'vidzeme': 1.5, 'lothian': 0.5},
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +45,7 @@
     slots: int
     connections: int
     mean_ms: float
+    connect_ms: float = 6
 
 
 SHAPES_BY_DEPLOYMENT: Final[Mapping[str, tuple[GroupShape, ...]]] = (
@@ -97,6 +111,37 @@
     )
 
 
+def target_settings(
+    deployment: str,
+    service_scale: float = 1,
+) -> list[tuple[Shard, TargetSettings]]:
+    """Return each shard's targets with their limits and times.
+
+    Examples
+    --------
+    >>> len(target_settings('vidzeme'))
+    75
+    """
+    one_way = _ONE_WAY_MS_BY_DEPLOYMENT[deployment] / _MILLISECONDS
+    return [
+        (
+            shard,
+            TargetSettings(
+                name,
+                position % DOMAIN_COUNT + 1,
+                shape.slots,
+                connections=shape.connections,
+                connect_seconds=shape.connect_ms / _MILLISECONDS,
+                mean_seconds=shape.mean_ms * service_scale / _MILLISECONDS,
+                one_way_seconds=one_way,
+            ),
+        )
+        for shape in SHAPES_BY_DEPLOYMENT[deployment]
+        for shard in _shards(shape)
+        for position, name in enumerate(shard.replicas)
+    ]
+
+
 def _shards(shape: GroupShape) -> list[Shard]:
     return [
         Shard(
