Add the load and experiment tool

The tool starts stand-ins, six entry processes and six processes of a plain baseline from a shell script, loads them with open-loop arrivals or closed-loop callers, checks each answer against the shard map and its own request, and reports latency, coverage, extra target requests and processor time.

--- a/Makefile
+++ b/Makefile
@@ -33,4 +33,4 @@
 	$(BIN)/python -m pytest -q --cov --cov-report=term
 
 measure: $(STAMP)
-	$(BIN)/python -m nutmegstep.measure --seed $(SEED)
+	bash scripts/measure.sh $(BIN)/python --seed $(SEED)
--- a/nutmegstep/demo/client.py
+++ b/nutmegstep/demo/client.py
@@ -4,7 +4,7 @@
 
 import h11
 
-__all__ = ['post']
+__all__ = ['post', 'request']
 
 _READ_BYTES = 65536
 
@@ -21,6 +21,33 @@
     body : bytes
         JSON document.
 
+    Returns
+    -------
+    tuple of int and bytes
+        Status and body.
+    """
+    return await request('POST', address, path, body)
+
+
+async def request(
+    method: str,
+    address: str,
+    path: str,
+    body: bytes = b'',
+) -> tuple[int, bytes]:
+    """Send one request of any method on a new connection.
+
+    Parameters
+    ----------
+    method : str
+        HTTP method.
+    address : str
+        ``host:port``.
+    path : str
+        Path of the resource.
+    body : bytes
+        JSON document.
+
     Returns
     -------
     tuple of int and bytes
@@ -30,7 +57,7 @@
     reader, writer = await asyncio.open_connection(host, int(port))
     http = h11.Connection(h11.CLIENT)
     head = h11.Request(
-        method='POST',
+        method=method,
         target=path,
         headers=[('Host', address), ('Content-Length', str(len(body)))],
     )
--- /dev/null
+++ b/nutmegstep/measure/bench.py
@@ -0,0 +1,212 @@
+"""The processes under measurement and one measured phase of load."""
+
+import asyncio
+from collections.abc import Awaitable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Final
+
+import orjson
+
+from nutmegstep.measure.connection import CallerPool, EntryAddress
+from nutmegstep.measure.load import Generator, LoadResult
+from nutmegstep.measure.processes import processor_seconds
+from nutmegstep.measure.targets import TargetControl
+from nutmegstep.standins.deployments import (
+    DOMAIN_COUNT,
+    INDEX_VERSION,
+    build_version,
+)
+
+__all__ = ['SIDES', 'Bench', 'Phase', 'load_bench', 'measure_phase']
+
+#: Sides of each comparison: the product and the plain baseline.
+SIDES: Final = ('product', 'baseline')
+_MICROSECONDS: Final = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Bench:
+    """Everything that scenarios use.
+
+    Parameters
+    ----------
+    deployment : str
+        Name of the deployment.
+    control : TargetControl
+        Control endpoints of the target stand-ins.
+    entries_by_side : dict
+        Entry processes of each side.
+    port_by_target : dict
+        Port of each target stand-in.
+    seed : int
+        Seed of the arrival times.
+    seconds : float
+        Length of a phase.
+    rate_per_entry : float
+        Queries a second that each entry process receives when quiet.
+    overload_factor : float
+        Factor on service times where slots must be the bottleneck.
+    """
+
+    deployment: str
+    control: TargetControl
+    entries_by_side: dict[str, tuple[EntryAddress, ...]]
+    port_by_target: dict[str, int]
+    seed: int
+    seconds: float
+    rate_per_entry: float
+    overload_factor: float
+
+    @property
+    def targets(self) -> tuple[str, ...]:
+        """Names of all targets."""
+        return tuple(sorted(self.port_by_target))
+
+    def generator(
+        self,
+        side: str,
+        *,
+        without_domain: int = 0,
+        trace_flags: int = 0,
+    ) -> Generator:
+        """Return callers of a side's entry processes."""
+        version = build_version(self.deployment, INDEX_VERSION)
+        return Generator(
+            tuple(
+                CallerPool(entry, trace_flags=trace_flags)
+                for entry in self.entries_by_side[side]
+                if entry.domain != without_domain
+            ),
+            {version.number: frozenset(version.shards_by_name)},
+            Random(self.seed),
+        )
+
+    def quiet_rate(self, side: str) -> float:
+        """Return the quiet arrivals a second over all entry processes."""
+        return self.rate_per_entry * len(self.entries_by_side[side])
+
+
+@dataclass(frozen=True, slots=True)
+class Phase:
+    """One phase: what callers saw and what it cost.
+
+    Parameters
+    ----------
+    side : str
+        Product or baseline.
+    name : str
+        Scenario and phase.
+    load : LoadResult
+        What callers saw.
+    target_requests : int
+        Requests that targets received.
+    sheds : int
+        Requests that targets shed.
+    entry_seconds : float
+        Processor time of all entry processes.
+    generator_seconds : float
+        Processor time of the load generator.
+    shards : int
+        Shards of a query.
+    """
+
+    side: str
+    name: str
+    load: LoadResult
+    target_requests: int
+    sheds: int
+    entry_seconds: float
+    generator_seconds: float
+    shards: int
+
+    @property
+    def extra_requests(self) -> float:
+        """Target requests beyond one per shard, as a share."""
+        needed = self.load.attempts * self.shards
+        return self.target_requests / needed - 1 if needed else 0
+
+    @property
+    def microseconds(self) -> float:
+        """Entry processor time per target request."""
+        spent = self.entry_seconds * _MICROSECONDS
+        return spent / max(1, self.target_requests)
+
+    @property
+    def queries_per_core(self) -> float:
+        """Whole answers for each second of entry processor time."""
+        return self.load.whole / max(self.entry_seconds, 1 / _MICROSECONDS)
+
+
+async def measure_phase(
+    bench: Bench,
+    side: str,
+    name: str,
+    load: Awaitable[LoadResult],
+) -> Phase:
+    """Run a load and return it with its cost."""
+    pids = [entry.pid for entry in bench.entries_by_side[side]]
+    own = asyncio.get_running_loop().time
+    before = await bench.control.totals()
+    spent = processor_seconds(pids)
+    generator_spent = processor_seconds(('self',))
+    started = own()
+    result = await load
+    result.seconds = result.seconds or own() - started
+    entry_seconds = processor_seconds(pids) - spent
+    generator_seconds = processor_seconds(('self',)) - generator_spent
+    after = await bench.control.totals()
+    return Phase(
+        side,
+        name,
+        result,
+        after.requests - before.requests,
+        after.shed - before.shed,
+        entry_seconds,
+        generator_seconds,
+        len(build_version(bench.deployment, INDEX_VERSION).shards_by_name),
+    )
+
+
+def read_entries(directory: Path, side: str) -> tuple[EntryAddress, ...]:
+    """Return the entry processes that the start script listed."""
+    found = []
+    for path in sorted(directory.glob(f'{side}-*.port')):
+        host, port = path.read_text().rsplit(':', 1)
+        pid = int(path.with_suffix('.pid').read_text())
+        domain = int(path.with_suffix('.domain').read_text())
+        found.append(EntryAddress(host, int(port), domain, pid))
+    return tuple(found)
+
+
+def load_bench(
+    directory: Path,
+    deployment: str,
+    seed: int,
+    seconds: float,
+    rate_per_entry: float,
+    overload_factor: float,
+) -> Bench:
+    """Return the bench of the processes that the start script started."""
+    domains: Sequence[int] = range(1, DOMAIN_COUNT + 1)
+    port_by_target: dict[str, int] = {}
+    for domain in domains:
+        listed = (directory / f'targets-{domain}.json').read_bytes()
+        port_by_target.update(orjson.loads(listed))
+    control = TargetControl(
+        [
+            (directory / f'control-{number}.port').read_text()
+            for number in domains
+        ],
+    )
+    return Bench(
+        deployment,
+        control,
+        {side: read_entries(directory, side) for side in SIDES},
+        port_by_target,
+        seed,
+        seconds,
+        rate_per_entry,
+        overload_factor,
+    )
--- /dev/null
+++ b/nutmegstep/measure/scenarios.py
@@ -0,0 +1,127 @@
+"""Scenarios: each yields the phases that it measured."""
+
+from collections.abc import AsyncIterator, Callable, Mapping
+from random import Random
+from types import MappingProxyType
+from typing import Final
+
+from nutmegstep.measure.bench import SIDES, Bench, Phase, measure_phase
+from nutmegstep.measure.load import run_closed_loop, run_open_loop
+from nutmegstep.standins.deployments import INDEX_VERSION, build_version
+
+__all__ = ['SCENARIOS_BY_NAME', 'Scenario']
+
+Scenario = Callable[[Bench], AsyncIterator[Phase]]
+
+#: Factor on the service time of a straggler.
+STRAGGLE_FACTOR: Final = 10
+#: Offered load of the overload scenario, in capacities.
+OVERLOAD: Final = 1.2
+#: How long a caller of the overload scenario retries.
+PATIENCE_SECONDS: Final = 5
+#: The search for the capacity stops when goodput grows by less than this.
+_CAPACITY_GROWTH: Final = 1.05
+_CAPACITY_FIRST_CALLERS: Final = 8
+_CAPACITY_MOST_CALLERS: Final = 256
+_CAPACITY_SECONDS: Final = 3
+_WARM_UP_SECONDS: Final = 1
+
+
+async def _steady(
+    bench: Bench,
+    side: str,
+    name: str,
+    trace_flags: int = 0,
+) -> Phase:
+    generator = bench.generator(side, trace_flags=trace_flags)
+    rate = bench.quiet_rate(side)
+    await run_open_loop(generator, rate, _WARM_UP_SECONDS)
+    load = run_open_loop(generator, rate, bench.seconds)
+    return await measure_phase(bench, side, name, load)
+
+
+async def quiet(bench: Bench) -> AsyncIterator[Phase]:
+    """Measure a steady load without faults."""
+    for side in SIDES:
+        yield await _steady(bench, side, 'quiet')
+
+
+async def spans(bench: Bench) -> AsyncIterator[Phase]:
+    """Measure a steady load whose callers ask for spans."""
+    yield await _steady(bench, 'product', 'spans', trace_flags=1)
+
+
+async def stragglers(bench: Bench) -> AsyncIterator[Phase]:
+    """Measure a steady load with one slow replica of each shard."""
+    slow = _one_replica_per_shard(bench)
+    await bench.control.switch('faults', slow, straggle_factor=STRAGGLE_FACTOR)
+    for side in SIDES:
+        yield await _steady(bench, side, 'stragglers')
+    await bench.control.switch('faults', slow, straggle_factor=1)
+
+
+async def overload(bench: Bench) -> AsyncIterator[Phase]:
+    """Find the capacity, then offer 1.2 times as much with instant retries.
+
+    Service times are longer here, so that the slots of the targets are the
+    bottleneck and not the processors of the machine.
+    """
+    factor = bench.overload_factor
+    await bench.control.switch('faults', bench.targets, straggle_factor=factor)
+    for side in SIDES:
+        capacity = await _find_capacity(bench, side)
+        yield capacity
+        load = run_open_loop(
+            bench.generator(side),
+            OVERLOAD * capacity.load.goodput,
+            bench.seconds,
+            PATIENCE_SECONDS,
+        )
+        yield await measure_phase(bench, side, 'overload', load)
+    await bench.control.switch('faults', bench.targets, straggle_factor=1)
+
+
+async def cold(bench: Bench) -> AsyncIterator[Phase]:
+    """Measure a steady load while one replica of each shard starts cold."""
+    for side in SIDES:
+        replicas = _one_replica_per_shard(bench)
+        await bench.control.switch('cold', replicas, restarted=True)
+        yield await _steady(bench, side, 'cold')
+
+
+async def _find_capacity(bench: Bench, side: str) -> Phase:
+    callers = _CAPACITY_FIRST_CALLERS
+    best: Phase | None = None
+    while callers <= _CAPACITY_MOST_CALLERS:
+        generator = bench.generator(side)
+        load = run_closed_loop(generator, callers, _CAPACITY_SECONDS)
+        phase = await measure_phase(bench, side, f'capacity:{callers}', load)
+        grown = best is None or (
+            phase.load.goodput > best.load.goodput * _CAPACITY_GROWTH
+        )
+        if not grown and best is not None:
+            return best
+        best = phase
+        callers *= 2
+    assert best is not None
+    return best
+
+
+def _one_replica_per_shard(bench: Bench) -> list[str]:
+    random = Random(bench.seed)
+    version = build_version(bench.deployment, INDEX_VERSION)
+    return [
+        random.choice(shard.replicas)
+        for shard in version.shards_by_name.values()
+    ]
+
+
+SCENARIOS_BY_NAME: Final[Mapping[str, Scenario]] = MappingProxyType(
+    {
+        'quiet': quiet,
+        'spans': spans,
+        'stragglers': stragglers,
+        'overload': overload,
+        'cold': cold,
+    },
+)
--- a/nutmegstep/standins/__main__.py
+++ b/nutmegstep/standins/__main__.py
@@ -12,6 +12,7 @@
 from nutmegstep.standins.control import ServedTarget, control_handler
 from nutmegstep.standins.deployments import (
     DOMAIN_COUNT,
+    INDEX_VERSION,
     SHAPES_BY_DEPLOYMENT,
     build_fleet,
     build_version,
@@ -25,12 +26,11 @@
 __all__ = ['main']
 
 _LOOPBACK = '127.0.0.1'
-_INDEX_VERSION = 41
 _POLL_SECONDS = 0.05
 
 
 async def _serve_domain(arguments: argparse.Namespace, domain: int) -> None:
-    version = build_version(arguments.deployment, _INDEX_VERSION)
+    version = build_version(arguments.deployment, INDEX_VERSION)
     random = Random(arguments.seed * DOMAIN_COUNT + domain)
     served: dict[str, ServedTarget] = {}
     port_by_target: dict[str, int] = {}
@@ -68,7 +68,7 @@
         port_by_target.update(orjson.loads(path.read_bytes()))
     client = PlatformClient(_LOOPBACK, port)
     fleet = build_fleet(deployment, port_by_target)
-    version = build_version(deployment, _INDEX_VERSION)
+    version = build_version(deployment, INDEX_VERSION)
     await client.put('config/fleet', encode_fleet(fleet))
     await client.put('indexes/records', encode_catalogue((version,)))
     _write(directory / 'platform.port', str(port).encode())
--- a/nutmegstep/standins/deployments.py
+++ b/nutmegstep/standins/deployments.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     'DOMAIN_COUNT',
+    'INDEX_VERSION',
     'SHAPES_BY_DEPLOYMENT',
     'GroupShape',
     'build_fleet',
@@ -28,6 +29,8 @@
 
 _DOMAINS: Final = ('domain-1', 'domain-2', 'domain-3')
 DOMAIN_COUNT: Final = len(_DOMAINS)
+#: Index version that the stand-ins start with.
+INDEX_VERSION: Final = 41
 _ENTRY_VMS_MAX: Final = 7
 _MILLISECONDS: Final = 1000
 _ONE_WAY_MS_BY_DEPLOYMENT: Final[Mapping[str, float]] = MappingProxyType(
--- /dev/null
+++ b/tests/measure/test_load.py
@@ -0,0 +1,70 @@
+"""Tests of the load generator against a small server."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+import orjson
+
+from nutmegstep.measure import Generator, run_closed_loop, run_open_loop
+from nutmegstep.measure.connection import CallerPool, EntryAddress
+from nutmegstep.web import HttpRequest, HttpResponse, serve_http
+
+
+def _answer(request: HttpRequest) -> HttpResponse:
+    document = {
+        'request_id': request.headers['x-request-id'],
+        'index_version': 4,
+        'complete': True,
+        'covered': [],
+        'lacking': [],
+        'results': {},
+    }
+    return HttpResponse(200, orjson.dumps(document))
+
+
+def _refuse(request: HttpRequest) -> HttpResponse:
+    return HttpResponse(503, b'{"reason": "overloaded"}')
+
+
+async def _generator(
+    answers: Iterable[Callable[[HttpRequest], HttpResponse]],
+) -> tuple[Generator, list[str]]:
+    traces: list[str] = []
+    following = iter(answers)
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        traces.append(request.headers['traceparent'])
+        return next(following, _answer)(request)
+
+    server = await serve_http(handle, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = CallerPool(EntryAddress('127.0.0.1', port, 2, 0))
+    return Generator((pool,), {4: frozenset()}, Random(1)), traces
+
+
+async def test_open_loop_counts_each_arrival_once() -> None:
+    """Guards against arrivals that are lost or counted twice."""
+    generator, traces = await _generator((_answer,))
+    result = await run_open_loop(generator, 200, 0.1)
+    assert result.whole > 0
+    assert result.whole == len(traces)
+    assert result.latency.get_total_count() == result.whole
+    assert not result.untrue_by_fault
+    assert {trace[33:35] for trace in traces} == {'02'}
+
+
+async def test_refused_caller_retries_at_once_until_whole() -> None:
+    """Guards against an overload without the callers' retries."""
+    generator, traces = await _generator((_refuse, _refuse))
+    result = await run_open_loop(generator, 200, 0.1, patience_seconds=5)
+    assert result.refused_by_reason == {'overloaded': 2}
+    assert result.whole == len(traces) - 2
+    assert result.given_up == 0
+
+
+async def test_closed_loop_keeps_connections() -> None:
+    """Guards against a connection for each query, which hides their cost."""
+    generator, _ = await _generator((_answer,))
+    result = await run_closed_loop(generator, 2, 0.05)
+    assert result.whole > 2
+    assert len(generator.pools[0].idle) <= 2
