--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,6 @@
 
 measure: $(STAMP)
 	bash scripts/measure.sh $(BIN)/python --seed $(SEED)
+
+binary: $(STAMP)
+	bash packaging/build.sh $(BIN)/python
--- a/nutmegstep/measure/connection.py
+++ b/nutmegstep/measure/connection.py
@@ -54,7 +54,11 @@
             connection = await self._take()
         except OSError:
             return CallerReply(0)
-        reply = await connection.exchange(self._serialise(request_id, body))
+        try:
+            reply = await connection.exchange(self._serialise(request_id, body))
+        except asyncio.CancelledError:
+            connection.close()
+            raise
         if connection.reusable:
             self.idle.append(connection)
         return reply
--- a/nutmegstep/measure/load.py
+++ b/nutmegstep/measure/load.py
@@ -44,6 +44,7 @@
     refused_by_reason: Counter[str] = field(default_factory=Counter)
     untrue_by_fault: Counter[str] = field(default_factory=Counter)
     given_up: int = 0
+    cut_off: int = 0
     latency: HdrHistogram = field(default_factory=_histogram)
 
     @property
@@ -139,6 +140,9 @@
 ) -> LoadResult:
     """Send queries at random instants that do not depend on the replies.
 
+    Callers with patience that still wait at the end are cut off: answers
+    after the last arrival would count as goodput of a load that is over.
+
     Parameters
     ----------
     generator : Generator
@@ -153,7 +157,7 @@
     Returns
     -------
     LoadResult
-        Replies of all queries that arrived.
+        Replies of the queries that arrived.
     """
     result = LoadResult(seconds=seconds)
     started = time.perf_counter()
@@ -169,7 +173,10 @@
                 _call_until_whole(generator, result, due, patience_seconds),
             ),
         )
-    await asyncio.gather(*tasks)
+    if patience_seconds:
+        await asyncio.sleep(max(0, started + seconds - time.perf_counter()))
+        result.cut_off = sum(task.cancel() for task in tasks)
+    await asyncio.gather(*tasks, return_exceptions=bool(patience_seconds))
     return result
 
 
--- a/nutmegstep/measure/report.py
+++ b/nutmegstep/measure/report.py
@@ -41,6 +41,7 @@
         'refused': dict(load.refused_by_reason),
         'untrue': dict(load.untrue_by_fault),
         'given_up': load.given_up,
+        'cut_off': load.cut_off,
         'extra_requests': phase.extra_requests,
         'target_requests': phase.target_requests,
         'sheds': phase.sheds,
--- a/nutmegstep/measure/scenarios.py
+++ b/nutmegstep/measure/scenarios.py
@@ -20,7 +20,7 @@
 #: How long a caller of the overload scenario retries.
 PATIENCE_SECONDS: Final = 5
 #: The search for the capacity stops when goodput grows by less than this.
-_CAPACITY_GROWTH: Final = 1.05
+_CAPACITY_GROWTH: Final = 1.03
 _CAPACITY_FIRST_CALLERS: Final = 8
 _CAPACITY_MOST_CALLERS: Final = 256
 _CAPACITY_SECONDS: Final = 3
