Measure a failure domain that leaves, and cut off the overload

Goodput of the overload scenario counted answers that came after the last arrival, so that the product appeared to answer more than its capacity. Callers that still wait at the end are now cut off.

--- a/nutmegstep/measure/__main__.py
+++ b/nutmegstep/measure/__main__.py
@@ -34,6 +34,8 @@
                 document = phase_record(bench.deployment, phase)
                 lines.write(orjson.dumps(document, option=_JSON_LINE))
                 untrue += phase.load.untrue_by_fault.total()
+    for note in bench.notes:
+        print(f'{bench.deployment}: {note}')
     totals = await bench.control.totals()
     print(
         f'{bench.deployment}: most load of a cold target {totals.cold_peak}, '
--- a/nutmegstep/measure/bench.py
+++ b/nutmegstep/measure/bench.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 from typing import Final
@@ -34,6 +34,8 @@
     ----------
     deployment : str
         Name of the deployment.
+    directory : pathlib.Path
+        Files shared with the start script.
     control : TargetControl
         Control endpoints of the target stand-ins.
     entries_by_side : dict
@@ -48,9 +50,12 @@
         Queries a second that each entry process receives when quiet.
     overload_factor : float
         Factor on service times where slots must be the bottleneck.
+    notes : list of str
+        Lines for the report that are not figures of a phase.
     """
 
     deployment: str
+    directory: Path
     control: TargetControl
     entries_by_side: dict[str, tuple[EntryAddress, ...]]
     port_by_target: dict[str, int]
@@ -58,6 +63,7 @@
     seconds: float
     rate_per_entry: float
     overload_factor: float
+    notes: list[str] = field(default_factory=list)
 
     @property
     def targets(self) -> tuple[str, ...]:
@@ -202,6 +208,7 @@
     )
     return Bench(
         deployment,
+        directory,
         control,
         {side: read_entries(directory, side) for side in SIDES},
         port_by_target,
--- a/nutmegstep/measure/load.py
+++ b/nutmegstep/measure/load.py
@@ -176,7 +176,11 @@
     if patience_seconds:
         await asyncio.sleep(max(0, started + seconds - time.perf_counter()))
         result.cut_off = sum(task.cancel() for task in tasks)
-    await asyncio.gather(*tasks, return_exceptions=bool(patience_seconds))
+    outcomes = await asyncio.gather(*tasks, return_exceptions=True)
+    for failure in outcomes:
+        # Cancellation is no Exception: callers that were cut off pass.
+        if isinstance(failure, Exception):
+            raise failure
     return result
 
 
--- a/nutmegstep/measure/scenarios.py
+++ b/nutmegstep/measure/scenarios.py
@@ -7,6 +7,7 @@
 
 from nutmegstep.measure.bench import SIDES, Bench, Phase, measure_phase
 from nutmegstep.measure.load import run_closed_loop, run_open_loop
+from nutmegstep.measure.withdrawal import withdrawal
 from nutmegstep.standins.deployments import INDEX_VERSION, build_version
 
 __all__ = ['SCENARIOS_BY_NAME', 'Scenario']
@@ -123,5 +124,6 @@
         'stragglers': stragglers,
         'overload': overload,
         'cold': cold,
+        'withdrawal': withdrawal,
     },
 )
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -45,6 +45,21 @@
     echo "$domain" > "$name.domain"
 }
 
+# Runs operators' commands that the load generator asks for.
+serve_operator() {
+    local action domain outcome
+    while sleep 0.05; do
+        [ -s "$directory/operator.request" ] || continue
+        read -r action domain < "$directory/operator.request"
+        rm "$directory/operator.request"
+        outcome=failed
+        "$python" -m nutmegstep "$action" "$domain" --platform "$platform" \
+            > "$directory/operator.log" 2>&1 && outcome=done
+        echo "$outcome" > "$directory/operator.partial"
+        mv "$directory/operator.partial" "$directory/operator.reply"
+    done
+}
+
 status=0
 for deployment in "${deployments[@]}"; do
     directory=build/measure/$deployment
@@ -65,6 +80,8 @@
         wait_for "$directory/product-$number.port"
         wait_for "$directory/baseline-$number.port"
     done
+    serve_operator &
+    started+=($!)
     "$python" -m nutmegstep.measure --deployment "$deployment" \
         --directory "$directory" --output "$output" "${options[@]}" || status=$?
     stop_all
