--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,11 @@
 	$(BIN)/python -m pytest -q --cov --cov-report=term
 
 measure: $(STAMP)
-	$(BIN)/python -m nutmegstep.measure --seed $(SEED)
+	bash scripts/measure.sh $(BIN)/python --seed $(SEED)
 
 # The mapped path gives the generated modules their import path.
 proto: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc --proto_path=nutmegstep/peers/generated=nutmegstep/peers --python_out=. --pyi_out=. --grpc_python_out=. nutmegstep/peers/peers.proto
+
+binary: $(STAMP)
+	bash packaging/build.sh $(BIN)/python
