--- /dev/null
+++ b/nutmegstep/claims/store.py
@@ -0,0 +1,95 @@
+"""Journals as objects of the platform."""
+
+from typing import Protocol
+
+from returns.result import Result, Success
+
+from nutmegstep.claims.messages import (
+    JournalConflict,
+    JournalRead,
+    JournalReadFailed,
+    JournalWriteUnknown,
+    JournalWritten,
+)
+from nutmegstep.platform_api import (
+    PlatformFailure,
+    PlatformFailureKind,
+    StoredObject,
+)
+
+__all__ = ['ObjectStore', 'PlatformJournals']
+
+
+class ObjectStore(Protocol):
+    """The calls of the object API that journals need."""
+
+    async def get(self, name: str) -> Result[StoredObject, PlatformFailure]:
+        """Read an object."""
+
+    async def put(
+        self,
+        name: str,
+        document: bytes,
+        expected_version: str | None = None,
+    ) -> Result[str, PlatformFailure]:
+        """Write an object if it has the expected version; None creates it."""
+
+    async def delete(
+        self,
+        name: str,
+        expected_version: str | None = None,
+    ) -> Result[None, PlatformFailure]:
+        """Delete an object."""
+
+
+class PlatformJournals:
+    """Reads and writes claim journals.
+
+    Parameters
+    ----------
+    client : ObjectStore
+        Client of the object API.
+
+    Notes
+    -----
+    Only an answer that states the conflict counts as "not written". Every
+    other failure counts as unknown and leads to a read-back.
+    """
+
+    def __init__(self, client: ObjectStore) -> None:
+        self._client = client
+
+    async def read(self, name: str) -> JournalRead | JournalReadFailed:
+        """Read a journal; an absent one has an empty version."""
+        called = await self._client.get(name)
+        if isinstance(called, Success):
+            stored = called.unwrap()
+            return JournalRead(name, stored.version, stored.document)
+        if called.failure().kind is PlatformFailureKind.NOT_FOUND:
+            return JournalRead(name, '', b'')
+        return JournalReadFailed(name)
+
+    async def write(
+        self,
+        name: str,
+        expected_version: str,
+        document: bytes,
+    ) -> JournalWritten | JournalConflict | JournalWriteUnknown:
+        """Write a journal if it has the expected version."""
+        called = await self._client.put(
+            name,
+            document,
+            expected_version or None,
+        )
+        if isinstance(called, Success):
+            return JournalWritten(name, called.unwrap())
+        if called.failure().kind is PlatformFailureKind.CONFLICT:
+            return JournalConflict(name)
+        return JournalWriteUnknown(name)
+
+    async def delete(self, name: str) -> bool:
+        """Delete a journal; False when the platform did not answer."""
+        called = await self._client.delete(name)
+        if isinstance(called, Success):
+            return True
+        return called.failure().kind is PlatformFailureKind.NOT_FOUND
