--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	$(BIN)/python -m pytest -q --cov --cov-report=term
 
 measure: $(STAMP)
-	$(BIN)/python -m nutmegstep.measure --seed $(SEED)
+	bash scripts/measure.sh $(BIN)/python --seed $(SEED)
 
 # Longer random histories: make fuzz FUZZ_EXAMPLES=2000 FUZZ_SEED=7
 fuzz: $(STAMP)
@@ -44,3 +44,10 @@
 # Rewrites the golden files of whole sessions; read the diff before committing.
 golden: $(STAMP)
 	$(BIN)/python -m pytest -q tests/golden --snapshot-update
+
+# The mapped path gives the generated modules their import path.
+proto: $(STAMP)
+	$(BIN)/python -m grpc_tools.protoc --proto_path=nutmegstep/peers/generated=nutmegstep/peers --python_out=. --pyi_out=. --grpc_python_out=. nutmegstep/peers/peers.proto
+
+binary: $(STAMP)
+	bash packaging/build.sh $(BIN)/python
