Add cold detection, ramp and promises in the send step

All targets counted as warm. Unknown targets are now cold and receive a request only while a promise is in force, up to the ramp, with at most 2 s per request. A changed boot identifier, or sheds or latency jumps in 5 of the last 8 outcomes, make a target cold. Target gets the field ramp_step with a default of 1 s. The runtime must feed AllowanceChanged or TargetWarm before it serves anything.

--- a/nutmegstep/engine/control.py
+++ b/nutmegstep/engine/control.py
@@ -54,6 +54,7 @@
     if event.fleet.generation > state.fleet.generation:
         state.fleet = event.fleet
         state.targets.adopt(event.fleet)
+        state.warmup.keep_only(event.fleet.targets_by_name)
         _reconsider(state)
 
 
--- a/nutmegstep/engine/core.py
+++ b/nutmegstep/engine/core.py
@@ -4,10 +4,11 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from nutmegstep.engine import control, one_shot, scatter
+from nutmegstep.engine import control, one_shot, scatter, warming
 from nutmegstep.engine.admitting import admit_queued, on_query
 from nutmegstep.engine.effects import Effect
 from nutmegstep.engine.events import (
+    AllowanceChanged,
     CallerGone,
     CatalogueChanged,
     ClaimRefused,
@@ -21,6 +22,7 @@
     QueryArrived,
     TargetAnswered,
     TargetFailed,
+    TargetWarm,
     TimerFired,
 )
 from nutmegstep.engine.state import EngineState
@@ -72,6 +74,8 @@
             ClaimWon: one_shot.on_claim_won,
             ClaimReplayed: one_shot.on_claim_replayed,
             ClaimRefused: one_shot.on_claim_refused,
+            AllowanceChanged: warming.on_allowance,
+            TargetWarm: warming.on_target_warm,
             FleetChanged: control.on_fleet,
             CatalogueChanged: control.on_catalogue,
             ControlChanged: control.on_control,
--- a/nutmegstep/engine/hedges.py
+++ b/nutmegstep/engine/hedges.py
@@ -6,14 +6,15 @@
 from nutmegstep.engine.events import TimerKey, TimerKind
 from nutmegstep.engine.sending import (
     candidates_of,
+    choose_free,
     give_up_attempt,
     send_attempt,
     untried_holders,
 )
 from nutmegstep.engine.state import EngineState, QueryState
 from nutmegstep.hedging import silence_bound
-from nutmegstep.model import Shard, Target
-from nutmegstep.routing import PROBE_SHARE, choose_replica, is_slow
+from nutmegstep.model import Shard
+from nutmegstep.routing import PROBE_SHARE, is_slow
 
 __all__ = [
     'arm_hedges',
@@ -78,7 +79,8 @@
     )
     for target in others:
         stats = stats_by_name[target.name]
-        if is_slow(stats, fastest) and stats.free and state.hedges.spend():
+        slow = is_slow(stats, fastest) and state.warmup.is_warm(target.name)
+        if slow and stats.free and state.hedges.spend():
             query.hedged.add(shard.name)
             send_attempt(state, query, shard, target.name, now, effects)
             return
@@ -121,15 +123,13 @@
     *,
     silent: bool,
 ) -> None:
-    target = _free_replica(state, untried_holders(state, query, shard, now))
+    target = choose_free(state, untried_holders(state, query, shard, now), now)
     fresh = target is None and silent
     if fresh:
         # No other replica is left: a new connection to the same one works
         # when only the old connection went silent.
-        target = _free_replica(
-            state,
-            candidates_of(state, shard, _NONE_TRIED, now),
-        )
+        candidates = candidates_of(state, shard, _NONE_TRIED, now)
+        target = choose_free(state, candidates, now)
     if target is None or not state.hedges.spend():
         return
     query.hedged.add(shard.name)
@@ -142,15 +142,3 @@
         effects,
         fresh_connection=fresh,
     )
-
-
-def _free_replica(
-    state: EngineState,
-    candidates: list[Target],
-) -> Target | None:
-    return choose_replica(
-        candidates,
-        state.targets,
-        state.failure_domain,
-        state.random,
-    )
--- a/nutmegstep/engine/one_shot.py
+++ b/nutmegstep/engine/one_shot.py
@@ -29,8 +29,10 @@
 from nutmegstep.engine.finishing import drain_if_idle
 from nutmegstep.engine.sending import (
     candidates_of,
+    choose_free,
     close_attempt,
     open_attempt,
+    request_deadline,
     requested_shard,
 )
 from nutmegstep.engine.state import (
@@ -40,7 +42,6 @@
     OneShotSent,
 )
 from nutmegstep.model import Answer, IndexVersion, Shard, Target
-from nutmegstep.routing import choose_replica
 from nutmegstep.snapshot import choose_version, service_shards
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
@@ -196,7 +197,7 @@
         shard.name,
         version.number,
         request.body,
-        request.deadline,
+        request_deadline(state, target.name, request.deadline, now),
         request.traceparent,
         permit=ready.permit,
     )
@@ -376,12 +377,8 @@
     if not shards:
         return None
     shard = requested_shard(ready.request.record_key, shards)
-    target = choose_replica(
-        candidates_of(state, shard, ready.tried, now),
-        state.targets,
-        state.failure_domain,
-        state.random,
-    )
+    candidates = candidates_of(state, shard, ready.tried, now)
+    target = choose_free(state, candidates, now)
     return None if target is None else (version, shard, target)
 
 
--- a/nutmegstep/engine/scatter.py
+++ b/nutmegstep/engine/scatter.py
@@ -1,7 +1,5 @@
 """Sends target requests and gathers their outcomes."""
 
-from typing import Final
-
 from nutmegstep.engine import one_shot
 from nutmegstep.engine.effects import Effect, ReplyAnswer, ReplyRefusal
 from nutmegstep.engine.events import (
@@ -28,6 +26,7 @@
     OneShotSent,
     QueryState,
 )
+from nutmegstep.engine.warming import measure_answer, note_failure
 from nutmegstep.model import Answer
 from nutmegstep.verdict import Refusal
 
@@ -38,12 +37,6 @@
     'on_timer',
 ]
 
-# A target that said that it is leaving gets no new work for this long; one
-# that comes back under the same name has restarted by then.
-_LEAVING_SECONDS: Final = 10
-
-_UNANSWERED: Final = frozenset((FailureKind.TIMEOUT, FailureKind.SILENT))
-
 
 def on_target_answered(
     state: EngineState,
@@ -55,27 +48,15 @@
     attempt = state.attempts_by_id.get(event.attempt_id)
     if attempt is None:
         return
+    measure_answer(state, attempt, event, now, effects)
     waiting = state.one_shots_by_id.get(attempt.query_id)
     if isinstance(waiting, OneShotSent):
         one_shot.on_one_shot_answered(state, waiting, event, effects)
         return
     close_attempt(state, event.attempt_id)
     query = state.queries_by_id.get(attempt.query_id)
-    if query is None:
-        return
-    query.attempt_ids.discard(event.attempt_id)
-    query.may_have_run = True
-    _measure(state, query, attempt, now)
-    if event.index_version != query.version:
-        _retry_shard(state, query, attempt, 'other_version', now, effects)
-        return
-    state.held.note_held(query.service.index, query.version, attempt.target)
-    if attempt.shard not in query.pending:
-        return
-    del query.pending[attempt.shard]
-    query.results_by_shard[attempt.shard] = event.body
-    cancel_twins(state, query, attempt.shard, now, effects)
-    finish_when_gathered(state, query, now, effects)
+    if query is not None:
+        _store_answer(state, query, attempt, event, now, effects)
 
 
 def on_target_failed(
@@ -88,7 +69,7 @@
     attempt = state.attempts_by_id.get(event.attempt_id)
     if attempt is None:
         return
-    _note_failure(state, attempt, event.kind, now)
+    note_failure(state, attempt, event, now)
     waiting = state.one_shots_by_id.get(attempt.query_id)
     if isinstance(waiting, OneShotSent):
         one_shot.on_one_shot_failed(state, waiting, event, now, effects)
@@ -174,35 +155,27 @@
     return ReplyAnswer(caller, outcome)
 
 
-def _measure(
+def _store_answer(  # noqa: WPS211
     state: EngineState,
     query: QueryState,
     attempt: AttemptState,
+    event: TargetAnswered,
     now: float,
+    effects: list[Effect],
 ) -> None:
-    seconds = now - attempt.started
-    query.window.add(seconds)
-    stats = state.targets.stats_by_name.get(attempt.target)
-    if stats is not None:
-        stats.answered(seconds)
-
-
-def _note_failure(
-    state: EngineState,
-    attempt: AttemptState,
-    kind: FailureKind,
-    now: float,
-) -> None:
-    if kind is FailureKind.DRAINING:
-        until = now + _LEAVING_SECONDS
-        state.leaving_until_by_target[attempt.target] = until
-    stats = state.targets.stats_by_name.get(attempt.target)
-    if stats is None:
+    query.attempt_ids.discard(event.attempt_id)
+    query.may_have_run = True
+    query.window.add(now - attempt.started)
+    if event.index_version != query.version:
+        _retry_shard(state, query, attempt, 'other_version', now, effects)
+        return
+    state.held.note_held(query.service.index, query.version, attempt.target)
+    if attempt.shard not in query.pending:
         return
-    if kind is FailureKind.SHED:
-        stats.shed()
-    elif kind in _UNANSWERED:
-        stats.unanswered(now - attempt.started)
+    del query.pending[attempt.shard]
+    query.results_by_shard[attempt.shard] = event.body
+    cancel_twins(state, query, attempt.shard, now, effects)
+    finish_when_gathered(state, query, now, effects)
 
 
 def _note_versions(
--- a/nutmegstep/engine/sending.py
+++ b/nutmegstep/engine/sending.py
@@ -9,12 +9,15 @@
 from nutmegstep.engine.state import AttemptState, EngineState, QueryState
 from nutmegstep.model import Shard, Target
 from nutmegstep.routing import choose_replica, usable_replicas
+from nutmegstep.warmup import COLD_REQUEST_SECONDS
 
 __all__ = [
     'candidates_of',
+    'choose_free',
     'close_attempt',
     'open_attempt',
     'give_up_attempt',
+    'request_deadline',
     'requested_shard',
     'send_attempt',
     'send_shard',
@@ -49,20 +52,42 @@
     tried: frozenset[str] | set[str],
     now: float,
 ) -> list[Target]:
-    """Return the replicas of a shard that may receive a request now."""
-    leaving = state.leaving_until_by_target
+    """Return the replicas of a shard that this VM has the right to use."""
+    usable = usable_replicas(
+        shard,
+        state.fleet.targets_by_name,
+        state.withdrawn_domains,
+        state.draining_targets,
+    )
     return [
         target
-        for target in usable_replicas(
-            shard,
-            state.fleet.targets_by_name,
-            state.withdrawn_domains,
-            state.draining_targets,
-        )
-        if target.name not in tried and leaving.get(target.name, 0) <= now
+        for target in usable
+        if target.name not in tried and _may_receive(state, target, now)
     ]
 
 
+def choose_free(
+    state: EngineState,
+    candidates: list[Target],
+    now: float,
+) -> Target | None:
+    """Return the best candidate that has a free slot in this step."""
+    stats_by_name = state.targets.stats_by_name
+    warmup = state.warmup
+    return choose_replica(
+        [
+            target
+            for target in candidates
+            if warmup.may_send(
+                target, stats_by_name[target.name].in_flight, now
+            )
+        ],
+        state.targets,
+        state.failure_domain,
+        state.random,
+    )
+
+
 def open_attempt(
     state: EngineState,
     query_id: int,
@@ -129,12 +154,7 @@
         del query.pending[shard.name]
         query.lacking_by_shard.setdefault(shard.name, 'no_replica')
         return
-    target = choose_replica(
-        candidates,
-        state.targets,
-        state.failure_domain,
-        state.random,
-    )
+    target = choose_free(state, candidates, now)
     if target is None:
         _wait_for_slot(state, query, shard, candidates)
         return
@@ -167,7 +187,7 @@
             shard.name,
             query.version,
             query.request.body,
-            query.deadline,
+            request_deadline(state, target, query.deadline, now),
             query.request.traceparent,
             fresh_connection,
         ),
@@ -190,6 +210,24 @@
     ]
 
 
+def _may_receive(state: EngineState, target: Target, now: float) -> bool:
+    if state.leaving_until_by_target.get(target.name, 0) > now:
+        return False
+    return state.warmup.has_right(target.name, now)
+
+
+def request_deadline(
+    state: EngineState,
+    target: str,
+    deadline: float,
+    now: float,
+) -> float:
+    """Return the deadline of a target request; short for a cold target."""
+    if state.warmup.is_warm(target):
+        return deadline
+    return min(deadline, now + COLD_REQUEST_SECONDS)
+
+
 def _wait_for_slot(
     state: EngineState,
     query: QueryState,
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -23,6 +23,7 @@
 )
 from nutmegstep.routing import TargetTable
 from nutmegstep.snapshot import HeldVersions
+from nutmegstep.warmup import Warmup
 
 __all__ = [
     'AttemptState',
@@ -173,6 +174,7 @@
     abandoned_claims: set[int] = field(default_factory=set)
     attempts_by_id: dict[int, AttemptState] = field(default_factory=dict)
     targets: TargetTable = field(default_factory=TargetTable)
+    warmup: Warmup = field(default_factory=Warmup)
     window_by_service: dict[str, LatencyWindow] = field(default_factory=dict)
     waiting_by_target: dict[str, deque[tuple[int, str]]] = field(
         default_factory=dict,
--- /dev/null
+++ b/nutmegstep/engine/warming.py
@@ -0,0 +1,81 @@
+"""Feeds the outcomes of target requests to routing and warm-up."""
+
+from typing import Final
+
+from nutmegstep.engine.effects import Effect, ReportWarm
+from nutmegstep.engine.events import (
+    AllowanceChanged,
+    FailureKind,
+    TargetAnswered,
+    TargetFailed,
+    TargetWarm,
+)
+from nutmegstep.engine.state import AttemptState, EngineState
+
+__all__ = ['measure_answer', 'note_failure', 'on_allowance', 'on_target_warm']
+
+# A target that said that it is leaving gets no new work for this long; one
+# that comes back under the same name has restarted by then.
+_LEAVING_SECONDS: Final = 10
+
+_UNANSWERED: Final = frozenset((FailureKind.TIMEOUT, FailureKind.SILENT))
+
+
+def on_allowance(
+    state: EngineState,
+    event: AllowanceChanged,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Take over the promises for cold targets."""
+    state.warmup.allow(event.until_by_target, now)
+    state.recheck_waiting = True
+
+
+def on_target_warm(
+    state: EngineState,
+    event: TargetWarm,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Believe a peer that a target is warm."""
+    state.warmup.set_warm(event.target, event.boot_id)
+    state.recheck_waiting = True
+
+
+def measure_answer(
+    state: EngineState,
+    attempt: AttemptState,
+    event: TargetAnswered,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Count an answer of a target."""
+    target = state.fleet.targets_by_name.get(attempt.target)
+    if target is None:
+        return
+    seconds = now - attempt.started
+    state.targets.stats_by_name[target.name].answered(seconds)
+    if state.warmup.answered(target, event.boot_id, seconds, now):
+        effects.append(ReportWarm(target.name, event.boot_id))
+        state.recheck_waiting = True
+
+
+def note_failure(
+    state: EngineState,
+    attempt: AttemptState,
+    event: TargetFailed,
+    now: float,
+) -> None:
+    """Count a failed request of a target."""
+    if event.kind is FailureKind.DRAINING:
+        until = now + _LEAVING_SECONDS
+        state.leaving_until_by_target[attempt.target] = until
+    stats = state.targets.stats_by_name.get(attempt.target)
+    if stats is None:
+        return
+    if event.kind is FailureKind.SHED:
+        stats.shed()
+        state.warmup.shed(attempt.target, event.boot_id)
+    elif event.kind in _UNANSWERED:
+        stats.unanswered(now - attempt.started)
--- a/nutmegstep/model/core.py
+++ b/nutmegstep/model/core.py
@@ -59,6 +59,8 @@
         The same during a cold start, summed over all VMs.
     connections : int
         Most open connections, summed over all VMs.
+    ramp_step : datetime.timedelta
+        Shortest time between two doublings of the load of a cold target.
     """
 
     name: str
@@ -68,6 +70,7 @@
     slots: int
     cold_slots: int
     connections: int
+    ramp_step: timedelta = timedelta(seconds=1)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/nutmegstep/warmup/__init__.py
@@ -0,0 +1,5 @@
+"""Cold detection and the ramp of cold targets."""
+
+from nutmegstep.warmup.core import COLD_REQUEST_SECONDS, Warmup
+
+__all__ = ['COLD_REQUEST_SECONDS', 'Warmup']
--- /dev/null
+++ b/nutmegstep/warmup/core.py
@@ -0,0 +1,213 @@
+"""Decides whether a target is warm and how much a cold one may receive."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from nutmegstep.model import Target
+
+__all__ = ['COLD_REQUEST_SECONDS', 'Warmup']
+
+# A VM that gave a promise waits this much longer than the promise before it
+# grants the target again; no request to a cold target may outlast that.
+COLD_REQUEST_SECONDS: Final = 2
+
+_RECENT_ANSWERS: Final = 8
+_RECENT_MASK: Final = (1 << _RECENT_ANSWERS) - 1
+_BAD_OF_RECENT: Final = 5
+_JUMP_FACTOR: Final = 4
+# Step of the running median, as a share of its value.
+_MEDIAN_STEP: Final = 0.05
+# A median of a few answers of a warming target is too high or too low.
+_MEDIAN_ANSWERS: Final = 32
+
+
+# Late reports about earlier processes of a target must not make it warm.
+_KEPT_BOOT_IDS: Final = 4
+
+
+@dataclass(slots=True)
+class _TargetWarmth:
+    warm_boot_id: str = ''
+    past_boot_ids: tuple[str, ...] = ()
+    boot_id: str = ''
+    recent: int = 0
+    median: float = 0
+    answers: int = 0
+    allowed: int = 0
+    next_step: float = 0
+
+    def note(self, *, bad: bool) -> bool:
+        """Shift in an outcome; return whether too many were bad."""
+        self.recent = (self.recent << 1 | bad) & _RECENT_MASK
+        return self.recent.bit_count() >= _BAD_OF_RECENT
+
+    def jumped(self, seconds: float) -> bool:
+        """Return whether a latency is far above the running median."""
+        self.answers += 1
+        if not self.median:
+            self.median = seconds
+        bad = seconds > self.median * _JUMP_FACTOR
+        step = self.median * _MEDIAN_STEP
+        self.median += step if seconds > self.median else -step
+        return bad and self.answers > _MEDIAN_ANSWERS
+
+
+@dataclass(slots=True)
+class Warmup:
+    """What this VM knows about warm and cold targets.
+
+    Parameters
+    ----------
+    until_by_target : Mapping
+        Until when this VM may send to each cold target.
+
+    Examples
+    --------
+    >>> target = Target('a', '::1', 1, 'domain-1', 4, 1, 80)
+    >>> warmup = Warmup()
+    >>> warmup.may_send(target, 0, now=0)
+    False
+    >>> warmup.set_warm('a', 'boot-1')
+    >>> warmup.may_send(target, 3, now=0)
+    True
+    """
+
+    until_by_target: Mapping[str, float] = field(default_factory=dict)
+    by_target: dict[str, _TargetWarmth] = field(default_factory=dict)
+
+    def is_warm(self, target: str) -> bool:
+        """Return whether a target is known as warm; unknown is cold."""
+        known = self.by_target.get(target)
+        return known is not None and bool(known.warm_boot_id)
+
+    def has_right(self, target: str, now: float) -> bool:
+        """Return whether a target is warm or a promise for it is in force."""
+        if self.is_warm(target):
+            return True
+        return self.until_by_target.get(target, 0) > now
+
+    def may_send(self, target: Target, in_flight: int, now: float) -> bool:
+        """Return whether a request may be sent in this step.
+
+        Parameters
+        ----------
+        target : Target
+            The target.
+        in_flight : int
+            Requests of this VM to the target without an outcome.
+        now : float
+            Monotonic instant of the send in seconds.
+        """
+        known = self.by_target.get(target.name)
+        if known is not None and known.warm_boot_id:
+            return True
+        if self.until_by_target.get(target.name, 0) <= now:
+            return False
+        allowed = known.allowed if known else 0
+        return in_flight < max(allowed, target.cold_slots)
+
+    def allow(self, until_by_target: Mapping[str, float], now: float) -> None:
+        """Take over the promises in force.
+
+        The ramp of a target whose promise lapsed starts again: another VM may
+        have sent to it meanwhile.
+        """
+        for name, known in self.by_target.items():
+            held = self.until_by_target.get(name, 0) > now
+            if not held or until_by_target.get(name, 0) <= now:
+                known.allowed = 0
+        self.until_by_target = until_by_target
+
+    def set_warm(self, target: str, boot_id: str) -> None:
+        """Record that a target is warm, unless a newer process answered."""
+        known = self._of(target)
+        if boot_id in known.past_boot_ids:
+            return
+        if known.boot_id != boot_id:
+            _restart(known, boot_id)
+        known.warm_boot_id = boot_id
+        known.recent = 0
+
+    def answered(
+        self,
+        target: Target,
+        boot_id: str,
+        seconds: float,
+        now: float,
+    ) -> bool:
+        """Count an answer.
+
+        Returns
+        -------
+        bool
+            Whether the target has just become warm and must be reported.
+        """
+        known = self._of(target.name)
+        if known.boot_id != boot_id:
+            _restart(known, boot_id)
+        if known.warm_boot_id:
+            if known.note(bad=known.jumped(seconds)):
+                _set_cold(known)
+            return False
+        return self._ramped(known, target, now)
+
+    def shed(self, target: str, boot_id: str) -> None:
+        """Count a request that a target refused to execute."""
+        known = self._of(target)
+        if boot_id and known.boot_id != boot_id:
+            _restart(known, boot_id)
+        if known.note(bad=True):
+            _set_cold(known)
+        # A shed during the ramp shows that the step was too large.
+        known.allowed //= 2
+
+    def keep_only(self, targets: Iterable[str]) -> None:
+        """Forget targets that left the configuration."""
+        kept = self.by_target.keys() & targets
+        self.by_target = {name: self.by_target[name] for name in sorted(kept)}
+
+    def _of(self, target: str) -> _TargetWarmth:
+        known = self.by_target.get(target)
+        if known is None:
+            known = _TargetWarmth()
+            self.by_target[target] = known
+        return known
+
+    def _ramped(
+        self,
+        known: _TargetWarmth,
+        target: Target,
+        now: float,
+    ) -> bool:
+        if self.until_by_target.get(target.name, 0) <= now:
+            return False
+        step = target.ramp_step.total_seconds()
+        if not known.allowed:
+            known.allowed = target.cold_slots
+            known.next_step = now + step
+        if now < known.next_step:
+            return False
+        if known.allowed >= target.slots:
+            known.warm_boot_id = known.boot_id
+            known.recent = 0
+            return True
+        known.allowed = min(target.slots, known.allowed * 2)
+        known.next_step = now + step
+        return False
+
+
+def _restart(known: _TargetWarmth, boot_id: str) -> None:
+    if known.boot_id:
+        past = (*known.past_boot_ids, known.boot_id)
+        known.past_boot_ids = past[-_KEPT_BOOT_IDS:]
+    known.boot_id = boot_id
+    _set_cold(known)
+    known.median = 0
+    known.answers = 0
+
+
+def _set_cold(known: _TargetWarmth) -> None:
+    known.warm_boot_id = ''
+    known.recent = 0
+    known.allowed = 0
--- a/tests/engine/conftest.py
+++ b/tests/engine/conftest.py
@@ -13,6 +13,7 @@
     CatalogueChanged,
     FleetChanged,
     QueryArrived,
+    TargetWarm,
 )
 from nutmegstep.model import (
     CoverageRule,
@@ -54,6 +55,8 @@
         }
         self.apply(FleetChanged(Fleet(1, {'stock': service}, targets, 7, {})))
         self.versions(1)
+        for name in targets:
+            self.apply(TargetWarm(name, 'b'))
 
     def versions(self, *numbers: int) -> None:
         """Put versions into the catalogue."""
--- /dev/null
+++ b/tests/warmup/test_core.py
@@ -0,0 +1,65 @@
+"""Tests of cold detection and of the ramp (G3)."""
+
+from nutmegstep.model import Target
+from nutmegstep.warmup import Warmup
+
+TARGET = Target('a', '::1', 1, 'domain-1', 4, 1, 80)
+
+
+def _warm(answers: int = 40) -> Warmup:
+    warmup = Warmup()
+    warmup.set_warm('a', 'b1')
+    for _ in range(answers):
+        warmup.answered(TARGET, 'b1', 0.01, now=0)
+    assert warmup.is_warm('a')
+    return warmup
+
+
+def test_another_boot_is_cold_and_stale_reports_do_not_count() -> None:
+    """Guards against full load on a target that restarted."""
+    warmup = _warm()
+    warmup.answered(TARGET, 'b2', 0.01, now=0)
+    assert not warmup.is_warm('a')
+    warmup.set_warm('a', 'b1')
+    assert not warmup.is_warm('a')
+    warmup.set_warm('a', 'b3')
+    assert warmup.is_warm('a')
+
+
+def test_jumps_and_sheds_in_five_of_eight_make_cold() -> None:
+    """Guards against a silent cold start, and against a single outlier."""
+    warmup = _warm()
+    for _ in range(4):
+        warmup.answered(TARGET, 'b1', 0.1, now=0)
+    assert warmup.is_warm('a')
+    warmup.shed('a', 'b1')
+    assert not warmup.is_warm('a')
+
+
+def test_ramp_doubles_per_step_and_restarts_after_a_lapse() -> None:
+    """Guards against a ramp that is too fast or survives its promise."""
+    warmup = Warmup()
+    warmup.allow({'a': 100}, now=0)
+    allowed = []
+    for tenth in range(35):
+        reported = warmup.answered(TARGET, 'b1', 0.01, now=tenth / 10)
+        allowed.append(
+            sum(
+                warmup.may_send(TARGET, in_flight, tenth / 10)
+                for in_flight in range(9)
+            ),
+        )
+        if reported:
+            break
+    assert allowed[:30:5] == [1, 1, 2, 2, 4, 4]
+    assert allowed[9:30:10] == [1, 2, 4]
+    assert reported
+    assert tenth == 30
+    lapsed = Warmup()
+    lapsed.allow({'a': 1.5}, now=0)
+    for second in (0, 1):
+        lapsed.answered(TARGET, 'b1', 0.01, now=second)
+    assert lapsed.may_send(TARGET, 1, now=1)
+    assert not lapsed.may_send(TARGET, 0, now=1.5)
+    lapsed.allow({'a': 5}, now=2)
+    assert not lapsed.may_send(TARGET, 1, now=2)
