--- a/nutmegstep/engine/admitting.py
+++ b/nutmegstep/engine/admitting.py
@@ -6,6 +6,7 @@
 from nutmegstep.engine.control import refusal_reason
 from nutmegstep.engine.effects import Effect, ReplyRefusal, SetTimer
 from nutmegstep.engine.events import QueryArrived, TimerKey, TimerKind
+from nutmegstep.engine.explaining import explain_refusal
 from nutmegstep.engine.finishing import refuse_query
 from nutmegstep.engine.restarting import refuse_snapshot, start_version
 from nutmegstep.engine.state import EngineState, QueryState
@@ -72,10 +73,10 @@
     reason = refusal_reason(state, query.service, now)
     if reason is not None:
         refusal = refuse(Verdict.NOT_RUN, reason, 'not accepted')
-        effects.append(ReplyRefusal(event.query_id, refusal))
+        _refuse(state, event, refusal, now, effects)
         return
     if now >= query.deadline:
-        effects.append(ReplyRefusal(event.query_id, _TOO_LATE))
+        _refuse(state, event, _TOO_LATE, now, effects)
         return
     identical = state.query_by_content.get(_content(query))
     if identical is None:
@@ -117,7 +118,7 @@
     effects: list[Effect],
 ) -> None:
     service = state.fleet.services_by_name[event.query.service]
-    query = _new_query(state, event, service)
+    query = _new_query(state, event, service, now)
     decision = state.admission.decide(
         service.name,
         service.work_class,
@@ -125,11 +126,11 @@
         _limit(state, service, now),
     )
     if decision is Decision.REFUSE:
-        effects.append(ReplyRefusal(event.query_id, _OVERLOADED))
+        _refuse(state, event, _OVERLOADED, now, effects)
         return
     late = now + query.window.expected >= query.deadline
     if decision is Decision.QUEUE and late:
-        effects.append(ReplyRefusal(event.query_id, _TOO_LATE))
+        _refuse(state, event, _TOO_LATE, now, effects)
         return
     state.queries_by_id[event.query_id] = query
     state.query_by_content[_content(event.query)] = query
@@ -141,10 +142,23 @@
     _start(state, query, now, effects)
 
 
+def _refuse(
+    state: EngineState,
+    event: QueryArrived,
+    refusal: Refusal,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    query = event.query
+    explain_refusal(state, query.request_id, query.service, refusal, now)
+    effects.append(ReplyRefusal(event.query_id, refusal))
+
+
 def _new_query(
     state: EngineState,
     event: QueryArrived,
     service: Service,
+    now: float,
 ) -> QueryState:
     window = state.window_by_service.get(service.name)
     if window is None:
@@ -157,6 +171,7 @@
         event.query.deadline,
         window,
         cost=_cost(state, event.query, service),
+        arrived=now,
     )
 
 
--- /dev/null
+++ b/nutmegstep/engine/explaining.py
@@ -0,0 +1,131 @@
+"""Keeps why queries were refused, partial or slow, for operators."""
+
+from dataclasses import dataclass
+from typing import Final
+
+from nutmegstep.engine.state import EngineState, QueryState
+from nutmegstep.hedging import silence_bound
+from nutmegstep.model import Answer, LackingShard
+from nutmegstep.verdict import Refusal
+
+__all__ = [
+    'Explanation',
+    'explain_query',
+    'explain_refusal',
+    'explanations_of',
+]
+
+_REFUSED: Final = 'refused'
+_PARTIAL: Final = 'partial'
+_SLOW: Final = 'slow'
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """Why a request was refused, partial or slow.
+
+    Parameters
+    ----------
+    request_ids : tuple of str
+        Every caller's request that shared the outcome.
+    service : str
+        Name of the service.
+    kind : str
+        ``refused``, ``partial`` or ``slow``.
+    at : float
+        Monotonic instant of the reply in seconds.
+    seconds : float
+        Time since arrival; 0 for a request that was refused at once.
+    refusal : Refusal or None
+        The refusal with its verdicts.
+    index_version : int
+        Pinned snapshot; 0 when none was chosen.
+    lacking : tuple of LackingShard
+        Shards without a result, with the reasons.
+    target_requests : int
+        Targets asked at the last version, retries and hedges included.
+    hedges : int
+        Shards that were hedged at the last version.
+    restarts : int
+        Restarts at another version.
+    """
+
+    request_ids: tuple[str, ...]
+    service: str
+    kind: str
+    at: float
+    seconds: float = 0
+    refusal: Refusal | None = None
+    index_version: int = 0
+    lacking: tuple[LackingShard, ...] = ()
+    target_requests: int = 0
+    hedges: int = 0
+    restarts: int = 0
+
+
+def explain_refusal(
+    state: EngineState,
+    request_id: str,
+    service: str,
+    refusal: Refusal,
+    now: float,
+) -> None:
+    """Record a refusal of a request that has no query state."""
+    explanation = Explanation(
+        (request_id,),
+        service,
+        _REFUSED,
+        now,
+        refusal=refusal,
+    )
+    state.explanations.append(explanation)
+
+
+def explain_query(
+    state: EngineState,
+    query: QueryState,
+    outcome: Answer | Refusal,
+    now: float,
+) -> None:
+    """Record the outcome of a query, unless it was whole and in time."""
+    seconds = now - query.arrived
+    kind = _kind(query, outcome, seconds)
+    if kind is None:
+        return
+    lacking = query.lacking_by_shard.items()
+    tried = query.tried_by_shard.values()
+    explanation = Explanation(
+        tuple(query.callers.values()),
+        query.service.name,
+        kind,
+        now,
+        seconds,
+        outcome if isinstance(outcome, Refusal) else None,
+        query.version,
+        tuple(LackingShard(shard, reason) for shard, reason in lacking),
+        sum(map(len, tried)),
+        len(query.hedged),
+        max(0, len(query.tried_versions) - 1),
+    )
+    state.explanations.append(explanation)
+
+
+def explanations_of(state: EngineState, request_id: str) -> list[Explanation]:
+    """Return what is kept about a request, oldest first."""
+    return [
+        explanation
+        for explanation in state.explanations
+        if request_id in explanation.request_ids
+    ]
+
+
+def _kind(
+    query: QueryState,
+    outcome: Answer | Refusal,
+    seconds: float,
+) -> str | None:
+    if isinstance(outcome, Refusal):
+        return _REFUSED
+    if outcome.lacking:
+        return _PARTIAL
+    return _SLOW if seconds > silence_bound(query.window.tail) else None
--- a/nutmegstep/engine/finishing.py
+++ b/nutmegstep/engine/finishing.py
@@ -11,6 +11,7 @@
     ReplyRefusal,
 )
 from nutmegstep.engine.events import TimerKey, TimerKind
+from nutmegstep.engine.explaining import explain_query
 from nutmegstep.engine.sending import give_up_attempt
 from nutmegstep.engine.state import EngineState, QueryState
 from nutmegstep.model import Answer, CoverageRule
@@ -79,6 +80,7 @@
     effects: list[Effect],
 ) -> None:
     """End a query with a refusal to each caller."""
+    explain_query(state, query, refusal, now)
     end_query(state, query, now, effects)
     for caller in query.callers:
         effects.append(ReplyRefusal(caller, refusal))
@@ -98,6 +100,7 @@
     if isinstance(outcome, Refusal):
         refuse_query(state, query, outcome, now, effects)
         return
+    explain_query(state, query, outcome, now)
     end_query(state, query, now, effects)
     for caller in query.callers:
         effects.append(ReplyAnswer(caller, outcome))
--- a/nutmegstep/engine/one_shot.py
+++ b/nutmegstep/engine/one_shot.py
@@ -9,9 +9,7 @@
     CancelTimer,
     Effect,
     ReplyAnswer,
-    ReplyRefusal,
     RequestClaim,
-    SendToTarget,
     SettleClaim,
     SetTimer,
 )
@@ -27,26 +25,25 @@
     TimerKind,
 )
 from nutmegstep.engine.finishing import drain_if_idle
-from nutmegstep.engine.sending import (
-    candidates_of,
-    choose_free,
-    close_attempt,
-    open_attempt,
-    request_deadline,
-    requested_shard,
+from nutmegstep.engine.permits import (
+    refuse_ready,
+    refuse_sent,
+    reply_refusal,
+    returned_permit,
+    send_or_refuse,
+    settle,
 )
+from nutmegstep.engine.sending import close_attempt
 from nutmegstep.engine.state import (
     EngineState,
     OneShotClaiming,
     OneShotReady,
     OneShotSent,
 )
-from nutmegstep.model import Answer, IndexVersion, Shard, Target
-from nutmegstep.snapshot import choose_version, service_shards
+from nutmegstep.model import Answer
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
 __all__ = [
-    'Pinned',
     'on_claim_refused',
     'on_claim_replayed',
     'on_claim_won',
@@ -55,12 +52,8 @@
     'on_one_shot_deadline',
     'on_one_shot_failed',
     'on_one_shot_gone',
-    'returned_permit',
-    'send_once',
 ]
 
-Pinned = tuple[IndexVersion, Shard, Target]
-
 # A repeat that comes back while the first attempt is being decided at the
 # platform only adds load there.
 _CLAIM_RETRY_AFTER: Final = timedelta(seconds=1)
@@ -86,7 +79,8 @@
         reason = Reason.DEADLINE_EXCEEDED
     if reason is not None:
         refusal = _undecided(reason, 'refused before the claim was decided')
-        effects.append(ReplyRefusal(event.query_id, refusal))
+        claiming = OneShotClaiming(event.query_id, request)
+        reply_refusal(state, claiming, refusal, now, effects)
         return
     timer = TimerKey(TimerKind.DEADLINE, event.query_id)
     state.one_shots_by_id[event.query_id] = OneShotClaiming(
@@ -109,7 +103,7 @@
     waiting = state.one_shots_by_id.get(event.query_id)
     if isinstance(waiting, OneShotClaiming):
         ready = OneShotReady(waiting.query_id, waiting.request, event.permit)
-        _send_or_refuse(state, ready, now, effects)
+        send_or_refuse(state, ready, now, effects)
         return
     if event.query_id in state.abandoned_claims:
         # The caller was already answered: the claim must be released. A claim
@@ -135,7 +129,7 @@
     """Return the stored answer of an earlier attempt."""
     if _forget_claiming(state, event.query_id, effects):
         effects.append(ReplyAnswer(event.query_id, event.answer))
-        drain_if_idle(state, effects)
+    drain_if_idle(state, effects)
 
 
 def on_claim_refused(
@@ -145,90 +139,18 @@
     effects: list[Effect],
 ) -> None:
     """Return the refusal of the claim service with its verdicts."""
-    if _forget_claiming(state, event.query_id, effects):
-        effects.append(ReplyRefusal(event.query_id, event.refusal))
-        drain_if_idle(state, effects)
-
-
-def send_once(
-    state: EngineState,
-    ready: OneShotReady,
-    pinned: Pinned,
-    now: float,
-) -> SendToTarget:
-    """Consume the permit of a request and return the send.
-
-    Parameters
-    ----------
-    state : EngineState
-        Records the request as sent.
-    ready : OneShotReady
-        The request with its permit; it must not be used again.
-    pinned : tuple
-        Version, shard and target.
-    now : float
-        Monotonic instant in seconds.
-
-    Returns
-    -------
-    SendToTarget
-        The only send of the permit.
-    """
-    version, shard, target = pinned
-    request = ready.request
-    attempt_id = open_attempt(
-        state,
-        ready.query_id,
-        shard.name,
-        target.name,
-        now,
-    )
-    state.one_shots_by_id[ready.query_id] = OneShotSent(
-        ready.query_id,
-        request,
-        attempt_id,
-        version.number,
-        ready,
-    )
-    return SendToTarget(
-        attempt_id,
-        ready.query_id,
-        target.name,
-        shard.name,
-        version.number,
-        request.body,
-        request_deadline(state, target.name, request.deadline, now),
-        request.traceparent,
-        permit=ready.permit,
-    )
-
-
-def returned_permit(
-    sent: OneShotSent,
-    failure: TargetFailed,
-    target: str,
-) -> OneShotReady | None:
-    """Return the right to send again, if the failure proves it.
-
-    Returns
-    -------
-    OneShotReady or None
-        None when the target may have executed the request.
-    """
-    if failure.may_have_run or failure.attempt_id != sent.attempt_id:
-        return None
-    return OneShotReady(
-        sent.query_id,
-        sent.request,
-        sent.spent.permit,
-        sent.spent.tried | {target},
-    )
+    waiting = state.one_shots_by_id.get(event.query_id)
+    forgotten = _forget_claiming(state, event.query_id, effects)
+    if forgotten and waiting is not None:
+        reply_refusal(state, waiting, event.refusal, now, effects)
+    drain_if_idle(state, effects)
 
 
 def on_one_shot_answered(
     state: EngineState,
     sent: OneShotSent,
     event: TargetAnswered,
+    now: float,
     effects: list[Effect],
 ) -> None:
     """Return the answer and keep it for repeats of the request."""
@@ -237,7 +159,7 @@
         return
     if event.index_version != sent.version:
         detail = 'the target answered from another index version'
-        _end_sent(state, sent, Reason.TARGET_FAILED, detail, effects)
+        refuse_sent(state, sent, Reason.TARGET_FAILED, detail, now, effects)
         return
     answer = Answer(
         sent.request.service,
@@ -246,7 +168,7 @@
         (),
         {attempt.shard: event.body},
     )
-    _settle(state, sent, answer, effects, may_have_run=True)
+    settle(state, sent, answer, effects, may_have_run=True)
     effects.append(ReplyAnswer(sent.query_id, answer))
     drain_if_idle(state, effects)
 
@@ -267,18 +189,19 @@
         late = event.kind is FailureKind.TIMEOUT
         reason = Reason.DEADLINE_EXCEEDED if late else Reason.TARGET_FAILED
         detail = f'the target request failed: {event.kind.value}'
-        _end_sent(state, sent, reason, detail, effects)
+        refuse_sent(state, sent, reason, detail, now, effects)
         return
     if state.retries.spend():
-        _send_or_refuse(state, ready, now, effects)
+        send_or_refuse(state, ready, now, effects)
         return
     detail = f'not executed ({event.kind.value}), the retry budget is empty'
-    _end_ready(state, ready, Reason.TARGET_FAILED, detail, effects)
+    refuse_ready(state, ready, Reason.TARGET_FAILED, detail, now, effects)
 
 
 def on_one_shot_deadline(
     state: EngineState,
     query_id: int,
+    now: float,
     effects: list[Effect],
 ) -> None:
     """Refuse a request whose deadline has passed."""
@@ -287,13 +210,14 @@
         close_attempt(state, waiting.attempt_id)
         effects.append(CancelAttempt(waiting.attempt_id))
         detail = 'no answer of the target within the deadline'
-        _end_sent(state, waiting, Reason.DEADLINE_EXCEEDED, detail, effects)
+        refuse_sent(
+            state, waiting, Reason.DEADLINE_EXCEEDED, detail, now, effects
+        )
         return
     _abandon(state, query_id, effects)
     detail = 'the claim was not decided within the deadline'
     refusal = _undecided(Reason.DEADLINE_EXCEEDED, detail)
-    effects.append(ReplyRefusal(query_id, refusal))
-    drain_if_idle(state, effects)
+    reply_refusal(state, waiting, refusal, now, effects)
 
 
 def on_one_shot_gone(
@@ -341,83 +265,3 @@
 ) -> None:
     if _forget_claiming(state, query_id, effects):
         state.abandoned_claims.add(query_id)
-
-
-def _send_or_refuse(
-    state: EngineState,
-    ready: OneShotReady,
-    now: float,
-    effects: list[Effect],
-) -> None:
-    if now >= ready.request.deadline:
-        detail = 'the deadline passed before the request was sent'
-        _end_ready(state, ready, Reason.DEADLINE_EXCEEDED, detail, effects)
-        return
-    pinned = _pin(state, ready, now)
-    if pinned is None:
-        detail = 'no replica can take the request'
-        _end_ready(state, ready, Reason.TARGET_FAILED, detail, effects)
-        return
-    effects.append(send_once(state, ready, pinned, now))
-
-
-def _pin(
-    state: EngineState,
-    ready: OneShotReady,
-    now: float,
-) -> Pinned | None:
-    service = state.fleet.services_by_name.get(ready.request.service)
-    if service is None:
-        return None
-    versions = state.versions_by_index.get(service.index, ())
-    version = choose_version(versions, service, state.held, now)
-    if version is None:
-        return None
-    shards = service_shards(service, version)
-    if not shards:
-        return None
-    shard = requested_shard(ready.request.record_key, shards)
-    candidates = candidates_of(state, shard, ready.tried, now)
-    target = choose_free(state, candidates, now)
-    return None if target is None else (version, shard, target)
-
-
-def _settle(
-    state: EngineState,
-    waiting: OneShotReady | OneShotSent,
-    answer: Answer | None,
-    effects: list[Effect],
-    *,
-    may_have_run: bool,
-) -> None:
-    state.one_shots_by_id.pop(waiting.query_id, None)
-    query_id = waiting.query_id
-    key = waiting.request.idempotency_key
-    effects.append(CancelTimer(TimerKey(TimerKind.DEADLINE, query_id)))
-    effects.append(SettleClaim(query_id, key, answer, may_have_run))
-
-
-def _end_ready(
-    state: EngineState,
-    ready: OneShotReady,
-    reason: Reason,
-    detail: str,
-    effects: list[Effect],
-) -> None:
-    _settle(state, ready, None, effects, may_have_run=False)
-    refusal = refuse(Verdict.NOT_RUN, reason, detail)
-    effects.append(ReplyRefusal(ready.query_id, refusal))
-    drain_if_idle(state, effects)
-
-
-def _end_sent(
-    state: EngineState,
-    sent: OneShotSent,
-    reason: Reason,
-    detail: str,
-    effects: list[Effect],
-) -> None:
-    _settle(state, sent, None, effects, may_have_run=True)
-    refusal = refuse(Verdict.MAY_HAVE_RUN, reason, detail)
-    effects.append(ReplyRefusal(sent.query_id, refusal))
-    drain_if_idle(state, effects)
--- /dev/null
+++ b/nutmegstep/engine/permits.py
@@ -0,0 +1,216 @@
+"""Consumes and returns the permits of one-shot requests."""
+
+from nutmegstep.engine.effects import (
+    CancelTimer,
+    Effect,
+    ReplyRefusal,
+    SendToTarget,
+    SettleClaim,
+)
+from nutmegstep.engine.events import TargetFailed, TimerKey, TimerKind
+from nutmegstep.engine.explaining import explain_refusal
+from nutmegstep.engine.finishing import drain_if_idle
+from nutmegstep.engine.sending import (
+    candidates_of,
+    choose_free,
+    open_attempt,
+    request_deadline,
+    requested_shard,
+)
+from nutmegstep.engine.state import (
+    EngineState,
+    OneShotReady,
+    OneShotSent,
+    OneShotState,
+)
+from nutmegstep.model import Answer, IndexVersion, Shard, Target
+from nutmegstep.snapshot import choose_version, service_shards
+from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
+
+__all__ = [
+    'Pinned',
+    'refuse_ready',
+    'refuse_sent',
+    'reply_refusal',
+    'returned_permit',
+    'send_once',
+    'send_or_refuse',
+    'settle',
+]
+
+Pinned = tuple[IndexVersion, Shard, Target]
+
+
+def send_once(
+    state: EngineState,
+    ready: OneShotReady,
+    pinned: Pinned,
+    now: float,
+) -> SendToTarget:
+    """Consume the permit of a request and return the send.
+
+    Parameters
+    ----------
+    state : EngineState
+        Records the request as sent.
+    ready : OneShotReady
+        The request with its permit; it must not be used again.
+    pinned : tuple
+        Version, shard and target.
+    now : float
+        Monotonic instant in seconds.
+
+    Returns
+    -------
+    SendToTarget
+        The only send of the permit.
+    """
+    version, shard, target = pinned
+    request = ready.request
+    attempt_id = open_attempt(
+        state,
+        ready.query_id,
+        shard.name,
+        target.name,
+        now,
+    )
+    state.one_shots_by_id[ready.query_id] = OneShotSent(
+        ready.query_id,
+        request,
+        attempt_id,
+        version.number,
+        ready,
+    )
+    return SendToTarget(
+        attempt_id,
+        ready.query_id,
+        target.name,
+        shard.name,
+        version.number,
+        request.body,
+        request_deadline(state, target.name, request.deadline, now),
+        request.traceparent,
+        permit=ready.permit,
+    )
+
+
+def returned_permit(
+    sent: OneShotSent,
+    failure: TargetFailed,
+    target: str,
+) -> OneShotReady | None:
+    """Return the right to send again, if the failure proves it.
+
+    Returns
+    -------
+    OneShotReady or None
+        None when the target may have executed the request.
+    """
+    if failure.may_have_run or failure.attempt_id != sent.attempt_id:
+        return None
+    return OneShotReady(
+        sent.query_id,
+        sent.request,
+        sent.spent.permit,
+        sent.spent.tried | {target},
+    )
+
+
+def send_or_refuse(
+    state: EngineState,
+    ready: OneShotReady,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Send a request with its permit, or refuse it as not run."""
+    if now >= ready.request.deadline:
+        detail = 'the deadline passed before the request was sent'
+        refuse_ready(
+            state, ready, Reason.DEADLINE_EXCEEDED, detail, now, effects
+        )
+        return
+    pinned = _pin(state, ready, now)
+    if pinned is None:
+        detail = 'no replica can take the request'
+        refuse_ready(state, ready, Reason.TARGET_FAILED, detail, now, effects)
+        return
+    effects.append(send_once(state, ready, pinned, now))
+
+
+def settle(
+    state: EngineState,
+    waiting: OneShotReady | OneShotSent,
+    answer: Answer | None,
+    effects: list[Effect],
+    *,
+    may_have_run: bool,
+) -> None:
+    """Forget a request and tell the claim service how it ended."""
+    state.one_shots_by_id.pop(waiting.query_id, None)
+    query_id = waiting.query_id
+    key = waiting.request.idempotency_key
+    effects.append(CancelTimer(TimerKey(TimerKind.DEADLINE, query_id)))
+    effects.append(SettleClaim(query_id, key, answer, may_have_run))
+
+
+def refuse_ready(
+    state: EngineState,
+    ready: OneShotReady,
+    reason: Reason,
+    detail: str,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Refuse a request that was not executed; its claim is abandoned."""
+    settle(state, ready, None, effects, may_have_run=False)
+    refusal = refuse(Verdict.NOT_RUN, reason, detail)
+    reply_refusal(state, ready, refusal, now, effects)
+
+
+def refuse_sent(
+    state: EngineState,
+    sent: OneShotSent,
+    reason: Reason,
+    detail: str,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Refuse a request that a target may have executed."""
+    settle(state, sent, None, effects, may_have_run=True)
+    refusal = refuse(Verdict.MAY_HAVE_RUN, reason, detail)
+    reply_refusal(state, sent, refusal, now, effects)
+
+
+def reply_refusal(
+    state: EngineState,
+    waiting: OneShotState | OneShotReady,
+    refusal: Refusal,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Reply with a refusal and keep the reason for operators."""
+    request = waiting.request
+    explain_refusal(state, request.request_id, request.service, refusal, now)
+    effects.append(ReplyRefusal(waiting.query_id, refusal))
+    drain_if_idle(state, effects)
+
+
+def _pin(
+    state: EngineState,
+    ready: OneShotReady,
+    now: float,
+) -> Pinned | None:
+    service = state.fleet.services_by_name.get(ready.request.service)
+    if service is None:
+        return None
+    versions = state.versions_by_index.get(service.index, ())
+    version = choose_version(versions, service, state.held, now)
+    if version is None:
+        return None
+    shards = service_shards(service, version)
+    if not shards:
+        return None
+    shard = requested_shard(ready.request.record_key, shards)
+    candidates = candidates_of(state, shard, ready.tried, now)
+    target = choose_free(state, candidates, now)
+    return None if target is None else (version, shard, target)
--- a/nutmegstep/engine/scatter.py
+++ b/nutmegstep/engine/scatter.py
@@ -10,6 +10,7 @@
     TimerFired,
     TimerKind,
 )
+from nutmegstep.engine.explaining import explain_query
 from nutmegstep.engine.finishing import (
     drain_if_idle,
     end_query,
@@ -51,7 +52,7 @@
     measure_answer(state, attempt, event, now, effects)
     waiting = state.one_shots_by_id.get(attempt.query_id)
     if isinstance(waiting, OneShotSent):
-        one_shot.on_one_shot_answered(state, waiting, event, effects)
+        one_shot.on_one_shot_answered(state, waiting, event, now, effects)
         return
     close_attempt(state, event.attempt_id)
     query = state.queries_by_id.get(attempt.query_id)
@@ -99,7 +100,7 @@
         return
     query_id = event.timer.query_id
     if query_id in state.one_shots_by_id:
-        one_shot.on_one_shot_deadline(state, query_id, effects)
+        one_shot.on_one_shot_deadline(state, query_id, now, effects)
         return
     query = state.query_by_caller.get(query_id)
     if query is not None:
@@ -115,13 +116,9 @@
 ) -> None:
     if len(query.callers) > 1:
         leave_query(state, query, query_id, effects)
-        effects.append(_reply(query_id, outcome_of(query)))
-        return
-    if query.queued:
-        refusal = outcome_of(query)
-        end_query(state, query, now, effects)
-        effects.append(_reply(query_id, refusal))
-        drain_if_idle(state, effects)
+        outcome = outcome_of(query)
+        explain_query(state, query, outcome, now)
+        effects.append(_reply(query_id, outcome))
         return
     for shard in query.pending:
         query.lacking_by_shard[shard] = 'deadline_exceeded'
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
+from typing import TYPE_CHECKING, Final
 
 from nutmegstep.admission import Admission
 from nutmegstep.hedging import (
@@ -25,6 +26,9 @@
 from nutmegstep.snapshot import HeldVersions
 from nutmegstep.warmup import Warmup
 
+if TYPE_CHECKING:
+    from nutmegstep.engine.explaining import Explanation
+
 __all__ = [
     'AttemptState',
     'EngineState',
@@ -37,6 +41,9 @@
 ]
 
 
+_KEPT_EXPLANATIONS: Final = 512
+
+
 def empty_fleet() -> Fleet:
     """Return the configuration of a VM that has none yet."""
     return Fleet(0, {}, {}, 1, {})
@@ -70,6 +77,8 @@
         Latencies of the service.
     cost : int
         Shard requests that admission counts.
+    arrived : float
+        Monotonic instant of the arrival in seconds.
     queued : bool
         Whether the query still waits for its start.
     callers : dict
@@ -86,6 +95,7 @@
     deadline: float
     window: LatencyWindow
     cost: int = 1
+    arrived: float = 0
     queued: bool = False
     callers: dict[int, str] = field(default_factory=dict)
     version: int = 0
@@ -194,4 +204,7 @@
     last_attempt_id: int = 0
     draining: bool = False
     drain_finished: bool = False
+    explanations: deque['Explanation'] = field(
+        default_factory=lambda: deque(maxlen=_KEPT_EXPLANATIONS),
+    )
     leaving_until_by_target: dict[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/nutmegstep/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tools."""
--- /dev/null
+++ b/tests/engine/test_explaining.py
@@ -0,0 +1,37 @@
+"""Tests of the records that operators read with `explain`."""
+
+from nutmegstep.engine import effects as fx
+from nutmegstep.engine import events as ev
+from nutmegstep.engine.explaining import explanations_of
+from nutmegstep.model import CoverageRule
+from nutmegstep.verdict import Reason
+
+
+def test_refused_partial_and_slow_queries_are_explained(build) -> None:
+    """Guards against operators who cannot see why a query failed."""
+    engine = build(CoverageRule.PARTIAL)
+    kinds = []
+    for number, answered in enumerate((0, 1, 2)):
+        engine.query(number)
+        for send in engine.of(fx.SendToTarget)[:answered]:
+            answer = ev.TargetAnswered(send.attempt_id, 1, 'b', b'1')
+            engine.apply(answer, 0.9)
+        timer = ev.TimerKey(ev.TimerKind.DEADLINE, number)
+        engine.apply(ev.TimerFired(timer), 1)
+        record = explanations_of(engine.state, f'r-{number}')[0]
+        kinds.append((record.kind, len(record.lacking)))
+    assert kinds == [('refused', 2), ('partial', 1), ('slow', 0)]
+
+
+def test_records_are_bounded_and_quick_answers_leave_none(build) -> None:
+    """Guards against memory that grows with refused requests."""
+    engine = build()
+    engine.query(1, record_key='k')
+    send = engine.sole(fx.SendToTarget)
+    engine.apply(ev.TargetAnswered(send.attempt_id, 1, 'b', b'1'), 0.01)
+    assert not engine.state.explanations
+    for number in range(600):
+        engine.query(number, deadline=-1)
+    assert len(engine.state.explanations) == 512
+    record = explanations_of(engine.state, 'r-599')[0]
+    assert record.refusal.reason is Reason.DEADLINE_EXCEEDED
--- a/tests/engine/test_one_shot.py
+++ b/tests/engine/test_one_shot.py
@@ -8,13 +8,13 @@
 from nutmegstep.engine import effects as fx
 from nutmegstep.engine import events as ev
 from nutmegstep.model import OneShotRequest, SendPermit
-from nutmegstep.verdict import Verdict
+from nutmegstep.verdict import Reason, Verdict, refuse
 
 KEY = UUID('01890000-0000-7000-8000-000000000000')
 PERMIT = SendPermit(KEY, b'nonce')
 DEADLINE = ev.TimerFired(ev.TimerKey(ev.TimerKind.DEADLINE, 1))
 SECOND_SEND = """
-from nutmegstep.engine.one_shot import Pinned, send_once
+from nutmegstep.engine.permits import Pinned, send_once
 from nutmegstep.engine.state import EngineState, OneShotSent
 def send_again(state: EngineState, sent: OneShotSent, to: Pinned) -> None:
     send_once(state, sent, to, 0)  # type: ignore[arg-type]
@@ -82,6 +82,15 @@
     assert not engine.apply(ev.ClaimWon(1, PERMIT), 1)
 
 
+def test_drain_waits_for_an_abandoned_claim(engine) -> None:
+    """Guards against a claim left behind, and a drain that never ends."""
+    engine.apply(ev.CallerGone(1))
+    assert not engine.apply(ev.DrainStarted())
+    refusal = refuse(Verdict.MAY_HAVE_RUN, Reason.ALREADY_CLAIMED, '')
+    engine.apply(ev.ClaimRefused(1, refusal))
+    assert [type(effect) for effect in engine.effects] == [fx.FinishDrain]
+
+
 def test_second_send_is_a_type_error() -> None:
     """Guards against a send function that takes a request already sent."""
     args = ('--config-file=', '--strict', '-c', SECOND_SEND)
