--- a/nutmegstep/engine/core.py
+++ b/nutmegstep/engine/core.py
@@ -58,7 +58,8 @@
     _FUNCTION_BY_EVENT[type(event)](state, event, now, effects)
     while state.released or state.recheck_waiting or state.has_room:
         serve_waiting(state, now, effects)
-        admit_queued(state, now, effects)
+        if state.has_room:
+            admit_queued(state, now, effects)
     return effects
 
 
--- a/nutmegstep/engine/scatter.py
+++ b/nutmegstep/engine/scatter.py
@@ -201,7 +201,10 @@
     if has_twin(state, query, attempt.shard):
         return
     shard = query.shards_by_name[attempt.shard]
-    if state.retries.spend():
+    # A target that answers 409 executes nothing, and a version that is not
+    # loaded yet fails on every shard at once: counted as retries, these
+    # re-asks would empty the budget before the query can restart.
+    if reason == FailureKind.VERSION_GONE.value or state.retries.spend():
         send_shard(state, query, shard, now, effects)
     else:
         del query.pending[shard.name]
--- a/nutmegstep/engine/sending.py
+++ b/nutmegstep/engine/sending.py
@@ -121,7 +121,8 @@
     # that came back starts at zero.
     if stats is not None and stats.in_flight:
         stats.in_flight -= 1
-        state.released.append(attempt.target)
+        if state.waiting_by_target:
+            state.released.append(attempt.target)
     return attempt
 
 
@@ -202,11 +203,13 @@
 ) -> list[Target]:
     """Return the replicas that may still answer a shard of a query."""
     tried = query.tried_by_shard.get(shard.name, _NONE_TRIED)
+    candidates = candidates_of(state, shard, tried, now)
     index = query.service.index
+    lacking = state.held.lacking_of(index, query.version)
+    if not lacking:
+        return candidates
     return [
-        target
-        for target in candidates_of(state, shard, tried, now)
-        if not state.held.lacks(index, query.version, target.name, now)
+        target for target in candidates if lacking.get(target.name, now) <= now
     ]
 
 
--- a/nutmegstep/engine/waiting.py
+++ b/nutmegstep/engine/waiting.py
@@ -17,11 +17,11 @@
 
     Withdrawals and drains are checked again by `send_shard`.
     """
-    if state.recheck_waiting:
-        # Withdrawals and drains also concern shards that wait at full targets.
-        state.recheck_waiting = False
-        for name in tuple(state.waiting_by_target):
-            _serve_target(state, name, now, effects, only_free=False)
+    # Withdrawals and drains also concern shards that wait at full targets.
+    names = tuple(state.waiting_by_target) if state.recheck_waiting else ()
+    state.recheck_waiting = False
+    for name in names:
+        _serve_target(state, name, now, effects, only_free=False)
     while state.released:
         _serve_target(state, state.released.pop(), now, effects)
 
--- a/nutmegstep/snapshot/core.py
+++ b/nutmegstep/snapshot/core.py
@@ -1,7 +1,8 @@
 """Chooses one index version for all shards of a query."""
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import Final
 
 from nutmegstep.model import IndexVersion, Service, Shard
@@ -15,6 +16,7 @@
 _LACKING_SECONDS: Final = 1
 
 _VersionKey = tuple[str, int]
+_NONE: Final[Mapping[str, float]] = MappingProxyType({})
 
 
 @dataclass(slots=True)
@@ -64,6 +66,10 @@
         lacking = self.lacking_until_by_version.get((index, number))
         return lacking is not None and lacking.get(target, now) > now
 
+    def lacking_of(self, index: str, number: int) -> Mapping[str, float]:
+        """Return until when each target counts as lacking a version."""
+        return self.lacking_until_by_version.get((index, number), _NONE)
+
     def keep_only(self, index: str, numbers: Collection[int]) -> None:
         """Forget versions of an index that left the catalogue."""
         for by_version in (
