Avoid failing targets and bound the waiting entries

A target that refuses connections had the lowest latency and stayed the first choice; failures now count as a latency of 1 s. Rechecks of waiting shards could duplicate their entries; an entry is now kept once per target. Sends, hedges and waiting shards check the query's deadline, which a paused VM may have passed, and a restart cancels the earlier hedge timer.

--- a/nutmegstep/engine/hedges.py
+++ b/nutmegstep/engine/hedges.py
@@ -44,6 +44,8 @@
     effects: list[Effect],
 ) -> None:
     """Hedge the shards that have no answer; the second time from silence."""
+    if now >= query.deadline:
+        return
     query.hedge_rounds += 1
     silent = query.hedge_rounds > 1
     for name in query.pending:
--- a/nutmegstep/engine/restarting.py
+++ b/nutmegstep/engine/restarting.py
@@ -1,6 +1,7 @@
 """Starts queries at a version and restarts them at another one."""
 
-from nutmegstep.engine.effects import Effect
+from nutmegstep.engine.effects import CancelTimer, Effect
+from nutmegstep.engine.events import TimerKey, TimerKind
 from nutmegstep.engine.finishing import (
     cancel_attempts,
     finish_when_gathered,
@@ -71,6 +72,7 @@
         refuse_snapshot(state, query, detail, now, effects)
         return
     cancel_attempts(state, query, now, effects)
+    effects.append(CancelTimer(TimerKey(TimerKind.HEDGE, query.query_id)))
     start_version(state, query, version, now, effects)
 
 
--- a/nutmegstep/engine/sending.py
+++ b/nutmegstep/engine/sending.py
@@ -1,6 +1,5 @@
 """Sends target requests; withdrawals and drains are checked in the same step."""
 
-from collections import deque
 from typing import Final
 
 import xxhash
@@ -150,10 +149,13 @@
     effects: list[Effect],
 ) -> None:
     """Send the request of a shard, let it wait, or record it as lacking."""
-    candidates = untried_holders(state, query, shard, now)
+    # A paused VM may take up the outcome of an attempt after the deadline.
+    in_time = now < query.deadline
+    candidates = untried_holders(state, query, shard, now) if in_time else []
     if not candidates:
+        reason = 'no_replica' if in_time else 'deadline_exceeded'
         del query.pending[shard.name]
-        query.lacking_by_shard.setdefault(shard.name, 'no_replica')
+        query.lacking_by_shard.setdefault(shard.name, reason)
         return
     target = choose_free(state, candidates, now)
     if target is None:
@@ -239,23 +241,23 @@
 ) -> None:
     query.waiting.add(shard.name)
     for target in candidates:
-        waiting = state.waiting_by_target.setdefault(target.name, deque())
+        waiting = state.waiting_by_target.setdefault(target.name, {})
         if len(waiting) >= _MAX_WAITING_ENTRIES:
             _drop_ended(state, waiting)
-        waiting.append((query.query_id, shard.name))
+        waiting[(query.query_id, shard.name)] = None
 
 
 def _drop_ended(
     state: EngineState,
-    waiting: deque[tuple[int, str]],
+    waiting: dict[tuple[int, str], None],
 ) -> None:
     # A shard waits at each of its replicas and is sent from one; the entries
     # at the others are dropped when they are met, or here.
-    live = [
+    ended = [
         (query_id, shard)
         for query_id, shard in waiting
-        if query_id in state.queries_by_id
-        and shard in state.queries_by_id[query_id].waiting
+        if query_id not in state.queries_by_id
+        or shard not in state.queries_by_id[query_id].waiting
     ]
-    waiting.clear()
-    waiting.extend(live)
+    for entry in ended:
+        del waiting[entry]
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -186,7 +186,7 @@
     targets: TargetTable = field(default_factory=TargetTable)
     warmup: Warmup = field(default_factory=Warmup)
     window_by_service: dict[str, LatencyWindow] = field(default_factory=dict)
-    waiting_by_target: dict[str, deque[tuple[int, str]]] = field(
+    waiting_by_target: dict[str, dict[tuple[int, str], None]] = field(
         default_factory=dict,
     )
     released: list[str] = field(default_factory=list)
--- a/nutmegstep/engine/waiting.py
+++ b/nutmegstep/engine/waiting.py
@@ -34,7 +34,7 @@
     *,
     only_free: bool = True,
 ) -> None:
-    waiting = state.waiting_by_target.get(target, ())
+    waiting = state.waiting_by_target.get(target, {})
     # Bounded by the length at the start: a shard may have to wait again.
     left = len(waiting)
     while left and waiting:
@@ -42,7 +42,8 @@
         stats = state.targets.stats_by_name.get(target)
         if only_free and stats is not None and not stats.free:
             return
-        query_id, shard = state.waiting_by_target[target].popleft()
+        query_id, shard = next(iter(waiting))
+        del waiting[(query_id, shard)]
         query = state.queries_by_id.get(query_id)
         if query is None or shard not in query.waiting:
             continue
--- a/nutmegstep/engine/warming.py
+++ b/nutmegstep/engine/warming.py
@@ -18,6 +18,14 @@
 # that comes back under the same name has restarted by then.
 _LEAVING_SECONDS: Final = 10
 
+_BROKEN: Final = frozenset(
+    (
+        FailureKind.CONNECT,
+        FailureKind.RESET,
+        FailureKind.INVALID,
+        FailureKind.ERROR,
+    ),
+)
 _UNANSWERED: Final = frozenset((FailureKind.TIMEOUT, FailureKind.SILENT))
 
 
@@ -79,3 +87,5 @@
         state.warmup.shed(attempt.target, event.boot_id)
     elif event.kind in _UNANSWERED:
         stats.unanswered(now - attempt.started)
+    elif event.kind in _BROKEN:
+        stats.failed()
--- a/nutmegstep/routing/statistics.py
+++ b/nutmegstep/routing/statistics.py
@@ -10,6 +10,7 @@
 
 # Latency that is assumed of a target without a measurement, in seconds.
 _FIRST_LATENCY: Final = 0.01
+_FAILED_LATENCY: Final = 1
 _LATENCY_WEIGHT: Final = 0.2
 _MIN_LIMIT: Final = 1
 
@@ -61,6 +62,14 @@
         if seconds > self.latency:
             self.latency += (seconds - self.latency) * _LATENCY_WEIGHT
 
+    def failed(self) -> None:
+        """Count a request that failed, as if it had taken a second.
+
+        A target that refuses connections fails quickly; by its latency alone
+        it would be the best choice of every query.
+        """
+        self.unanswered(_FAILED_LATENCY)
+
     def shed(self) -> None:
         """Halve the limit after a target refused work."""
         self.limit = max(_MIN_LIMIT, self.limit / 2)
--- a/tests/routing/test_core.py
+++ b/tests/routing/test_core.py
@@ -50,3 +50,9 @@
     for _ in range(40):
         stats.answered(0.01)
     assert stats.limit == stats.ceiling == 4
+
+
+def test_target_that_fails_quickly_is_avoided(table) -> None:
+    """Guards against a dead target that is the first choice of all."""
+    table.stats_by_name['a'].failed()
+    assert _choices(table, 'abc') == {'b', 'c'}
