--- a/nutmegstep/engine/sending.py
+++ b/nutmegstep/engine/sending.py
@@ -1,6 +1,5 @@
 """Sends target requests; withdrawals and drains are checked in the same step."""
 
-from collections import deque
 from typing import Final
 
 import xxhash
@@ -9,12 +8,15 @@
 from nutmegstep.engine.state import AttemptState, EngineState, QueryState
 from nutmegstep.model import Shard, Target
 from nutmegstep.routing import choose_replica, usable_replicas
+from nutmegstep.warmup import COLD_REQUEST_SECONDS
 
 __all__ = [
     'candidates_of',
+    'choose_free',
     'close_attempt',
     'open_attempt',
     'give_up_attempt',
+    'request_deadline',
     'requested_shard',
     'send_attempt',
     'send_shard',
@@ -49,20 +51,42 @@
     tried: frozenset[str] | set[str],
     now: float,
 ) -> list[Target]:
-    """Return the replicas of a shard that may receive a request now."""
-    leaving = state.leaving_until_by_target
+    """Return the replicas of a shard that this VM has the right to use."""
+    usable = usable_replicas(
+        shard,
+        state.fleet.targets_by_name,
+        state.withdrawn_domains,
+        state.draining_targets,
+    )
     return [
         target
-        for target in usable_replicas(
-            shard,
-            state.fleet.targets_by_name,
-            state.withdrawn_domains,
-            state.draining_targets,
-        )
-        if target.name not in tried and leaving.get(target.name, 0) <= now
+        for target in usable
+        if target.name not in tried and _may_receive(state, target, now)
     ]
 
 
+def choose_free(
+    state: EngineState,
+    candidates: list[Target],
+    now: float,
+) -> Target | None:
+    """Return the best candidate that has a free slot in this step."""
+    stats_by_name = state.targets.stats_by_name
+    warmup = state.warmup
+    return choose_replica(
+        [
+            target
+            for target in candidates
+            if warmup.may_send(
+                target, stats_by_name[target.name].in_flight, now
+            )
+        ],
+        state.targets,
+        state.failure_domain,
+        state.random,
+    )
+
+
 def open_attempt(
     state: EngineState,
     query_id: int,
@@ -96,7 +120,8 @@
     # that came back starts at zero.
     if stats is not None and stats.in_flight:
         stats.in_flight -= 1
-        state.released.append(attempt.target)
+        if state.waiting_by_target:
+            state.released.append(attempt.target)
     return attempt
 
 
@@ -124,17 +149,15 @@
     effects: list[Effect],
 ) -> None:
     """Send the request of a shard, let it wait, or record it as lacking."""
-    candidates = untried_holders(state, query, shard, now)
+    # A paused VM may take up the outcome of an attempt after the deadline.
+    in_time = now < query.deadline
+    candidates = untried_holders(state, query, shard, now) if in_time else []
     if not candidates:
+        reason = 'no_replica' if in_time else 'deadline_exceeded'
         del query.pending[shard.name]
-        query.lacking_by_shard.setdefault(shard.name, 'no_replica')
+        query.lacking_by_shard.setdefault(shard.name, reason)
         return
-    target = choose_replica(
-        candidates,
-        state.targets,
-        state.failure_domain,
-        state.random,
-    )
+    target = choose_free(state, candidates, now)
     if target is None:
         _wait_for_slot(state, query, shard, candidates)
         return
@@ -167,7 +190,7 @@
             shard.name,
             query.version,
             query.request.body,
-            query.deadline,
+            request_deadline(state, target, query.deadline, now),
             query.request.traceparent,
             fresh_connection,
         ),
@@ -182,14 +205,34 @@
 ) -> list[Target]:
     """Return the replicas that may still answer a shard of a query."""
     tried = query.tried_by_shard.get(shard.name, _NONE_TRIED)
+    candidates = candidates_of(state, shard, tried, now)
     index = query.service.index
+    lacking = state.held.lacking_of(index, query.version)
+    if not lacking:
+        return candidates
     return [
-        target
-        for target in candidates_of(state, shard, tried, now)
-        if not state.held.lacks(index, query.version, target.name, now)
+        target for target in candidates if lacking.get(target.name, now) <= now
     ]
 
 
+def _may_receive(state: EngineState, target: Target, now: float) -> bool:
+    if state.leaving_until_by_target.get(target.name, 0) > now:
+        return False
+    return state.warmup.has_right(target.name, now)
+
+
+def request_deadline(
+    state: EngineState,
+    target: str,
+    deadline: float,
+    now: float,
+) -> float:
+    """Return the deadline of a target request; short for a cold target."""
+    if state.warmup.is_warm(target):
+        return deadline
+    return min(deadline, now + COLD_REQUEST_SECONDS)
+
+
 def _wait_for_slot(
     state: EngineState,
     query: QueryState,
@@ -198,23 +241,23 @@
 ) -> None:
     query.waiting.add(shard.name)
     for target in candidates:
-        waiting = state.waiting_by_target.setdefault(target.name, deque())
+        waiting = state.waiting_by_target.setdefault(target.name, {})
         if len(waiting) >= _MAX_WAITING_ENTRIES:
             _drop_ended(state, waiting)
-        waiting.append((query.query_id, shard.name))
+        waiting[(query.query_id, shard.name)] = None
 
 
 def _drop_ended(
     state: EngineState,
-    waiting: deque[tuple[int, str]],
+    waiting: dict[tuple[int, str], None],
 ) -> None:
     # A shard waits at each of its replicas and is sent from one; the entries
     # at the others are dropped when they are met, or here.
-    live = [
+    ended = [
         (query_id, shard)
         for query_id, shard in waiting
-        if query_id in state.queries_by_id
-        and shard in state.queries_by_id[query_id].waiting
+        if query_id not in state.queries_by_id
+        or shard not in state.queries_by_id[query_id].waiting
     ]
-    waiting.clear()
-    waiting.extend(live)
+    for entry in ended:
+        del waiting[entry]
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
+from typing import TYPE_CHECKING, Final
 
 from nutmegstep.admission import Admission
 from nutmegstep.hedging import (
@@ -23,6 +24,10 @@
 )
 from nutmegstep.routing import TargetTable
 from nutmegstep.snapshot import HeldVersions
+from nutmegstep.warmup import Warmup
+
+if TYPE_CHECKING:
+    from nutmegstep.engine.explaining import Explanation
 
 __all__ = [
     'AttemptState',
@@ -36,6 +41,9 @@
 ]
 
 
+_KEPT_EXPLANATIONS: Final = 512
+
+
 def empty_fleet() -> Fleet:
     """Return the configuration of a VM that has none yet."""
     return Fleet(0, {}, {}, 1, {})
@@ -69,6 +77,8 @@
         Latencies of the service.
     cost : int
         Shard requests that admission counts.
+    arrived : float
+        Monotonic instant of the arrival in seconds.
     queued : bool
         Whether the query still waits for its start.
     callers : dict
@@ -85,6 +95,7 @@
     deadline: float
     window: LatencyWindow
     cost: int = 1
+    arrived: float = 0
     queued: bool = False
     callers: dict[int, str] = field(default_factory=dict)
     version: int = 0
@@ -173,8 +184,9 @@
     abandoned_claims: set[int] = field(default_factory=set)
     attempts_by_id: dict[int, AttemptState] = field(default_factory=dict)
     targets: TargetTable = field(default_factory=TargetTable)
+    warmup: Warmup = field(default_factory=Warmup)
     window_by_service: dict[str, LatencyWindow] = field(default_factory=dict)
-    waiting_by_target: dict[str, deque[tuple[int, str]]] = field(
+    waiting_by_target: dict[str, dict[tuple[int, str], None]] = field(
         default_factory=dict,
     )
     released: list[str] = field(default_factory=list)
@@ -192,4 +204,7 @@
     last_attempt_id: int = 0
     draining: bool = False
     drain_finished: bool = False
+    explanations: deque['Explanation'] = field(
+        default_factory=lambda: deque(maxlen=_KEPT_EXPLANATIONS),
+    )
     leaving_until_by_target: dict[str, float] = field(default_factory=dict)
