Restart a query when a shard cannot be had at its version

A scenario showed a query that stayed at a version which one replica had dropped while the other one reset its connections; a newer version was held by working replicas. One replica without the version is now reason enough.

The check of draining targets forgets targets that are no longer drained.

--- a/nutmegstep/engine/restarting.py
+++ b/nutmegstep/engine/restarting.py
@@ -57,20 +57,25 @@
     now: float,
     effects: list[Effect],
 ) -> None:
-    """Restart a query when no replica of a shard holds its version."""
-    if shard.name in query.pending or not _is_version_gone(
-        state,
-        query,
-        shard,
-        now,
-    ):
+    """Restart a query when a shard cannot be had at its version.
+
+    Notes
+    -----
+    One replica that dropped the version is reason enough: the others were
+    tried without success, and a newer version may have replicas that work.
+    """
+    lacking = _replicas_without_version(state, query, shard, now)
+    if shard.name in query.pending or not lacking:
         finish_when_gathered(state, query, now, effects)
         return
     version = _next_version(state, query, now)
-    if version is None:
+    if version is None and lacking == len(shard.replicas):
         detail = f'no replica of shard {shard.name} holds the version'
         refuse_snapshot(state, query, detail, now, effects)
         return
+    if version is None:
+        finish_when_gathered(state, query, now, effects)
+        return
     cancel_attempts(state, query, now, effects)
     effects.append(CancelTimer(TimerKey(TimerKind.HEDGE, query.query_id)))
     start_version(state, query, version, now, effects)
@@ -86,14 +91,14 @@
     return {shard.name: shard}
 
 
-def _is_version_gone(
+def _replicas_without_version(
     state: EngineState,
     query: QueryState,
     shard: Shard,
     now: float,
-) -> bool:
+) -> int:
     index = query.service.index
-    return all(
+    return sum(
         state.held.lacks(index, query.version, target, now)
         for target in shard.replicas
     )
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -121,6 +121,8 @@
 def _drain_targets(world: World, targets_by_vm: dict[str, list[str]]) -> None:
     for vm, targets in targets_by_vm.items():
         world.draining_by_vm[vm] = frozenset(targets)
+        for target in world.targets_by_name:
+            world.draining_at.pop((vm, target), None)
         for target in targets:
             world.draining_at[(vm, target)] = world.now
         _send_control(world, vm)
