Add the control side of an entry process

The server now refuses a plaintext address before it creates a gRPC server; the former order left one that was never shut down.

--- /dev/null
+++ b/nutmegstep/node/documents.py
@@ -0,0 +1,83 @@
+"""Conversion between platform objects and the control state."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from pydantic import TypeAdapter
+from xxhash import xxh3_128_hexdigest
+
+from nutmegstep.control import (
+    Catalogue,
+    Configuration,
+    ControlState,
+    Register,
+)
+from nutmegstep.declarations import decode_fleet
+from nutmegstep.model import Fleet
+from nutmegstep.node.ports import StoredObject
+
+__all__ = [
+    'CONFIG_NAME',
+    'CONTROL_NAME',
+    'decode_object',
+    'encode_registers',
+    'object_names',
+]
+
+CONFIG_NAME: Final = 'config/fleet'
+CONTROL_NAME: Final = 'control/state'
+_INDEX_PREFIX: Final = 'indexes/'
+
+
+@dataclass(frozen=True, slots=True)
+class _Registers:
+    withdrawals_by_domain: Mapping[str, Register]
+    drains_by_target: Mapping[str, Register]
+
+
+_adapter = TypeAdapter(_Registers)
+
+
+def object_names(fleet: Fleet) -> tuple[str, ...]:
+    """Return the names of the objects that a process follows."""
+    indexes = {service.index for service in fleet.services_by_name.values()}
+    index_names = (f'{_INDEX_PREFIX}{index}' for index in sorted(indexes))
+    return (CONFIG_NAME, CONTROL_NAME, *index_names)
+
+
+def decode_object(stored: StoredObject) -> ControlState:
+    """Return the part of the control state that an object holds.
+
+    Raises
+    ------
+    ValueError
+        The object does not match its model.
+    """
+    if stored.name == CONTROL_NAME:
+        registers = _adapter.validate_json(stored.document)
+        return ControlState(
+            withdrawals_by_domain=registers.withdrawals_by_domain,
+            drains_by_target=registers.drains_by_target,
+        )
+    if stored.name == CONFIG_NAME:
+        fleet = decode_fleet(stored.document)
+        digest = xxh3_128_hexdigest(stored.document)
+        return ControlState(
+            Configuration(fleet.generation, digest, stored.document),
+        )
+    index = stored.name.removeprefix(_INDEX_PREFIX)
+    catalogue = Catalogue(stored.version, stored.document)
+    return ControlState(catalogues_by_index={index: catalogue})
+
+
+def encode_registers(state: ControlState) -> bytes:
+    """Return the document of `control/state`.
+
+    Examples
+    --------
+    >>> encode_registers(ControlState())
+    b'{"withdrawals_by_domain":{},"drains_by_target":{}}'
+    """
+    registers = _Registers(state.withdrawals_by_domain, state.drains_by_target)
+    return _adapter.dump_json(registers)
--- /dev/null
+++ b/nutmegstep/node/exchange.py
@@ -0,0 +1,234 @@
+"""What a process says in an exchange and learns from one."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from nutmegstep.allowance import (
+    answer_ask,
+    record_ask,
+    record_grant,
+    record_release,
+)
+from nutmegstep.control import Catalogue, ControlState
+from nutmegstep.engine.events import TargetWarm
+from nutmegstep.membership import (
+    Health,
+    Identity,
+    member_health,
+    record_heartbeat,
+    record_list,
+)
+from nutmegstep.node.contacts import own_asks
+from nutmegstep.node.state import (
+    NodeState,
+    adopt,
+    control_versions,
+    update_allowance,
+)
+from nutmegstep.peers import (
+    ControlDocument,
+    ControlVersions,
+    Heartbeat,
+    HeartbeatReply,
+    KnownVersions,
+    Process,
+    WarmReport,
+)
+
+__all__ = [
+    'answer_fetch',
+    'answer_heartbeat',
+    'build_heartbeat',
+    'learn_document',
+    'learn_reply',
+    'learn_warm',
+    'should_fetch',
+]
+
+# A report is repeated in ten heartbeats; a peer that was silent for longer
+# gets all reports in the reply to its next heartbeat.
+_REPORT_SECONDS: Final = 5
+_MILLISECONDS: Final = 1000
+
+
+def build_heartbeat(
+    state: NodeState,
+    now: float,
+    released_targets: Iterable[str] = (),
+) -> Heartbeat:
+    """Return the next heartbeat, asks included."""
+    state.sequence += 1
+    asked = record_ask(
+        state.allowance,
+        own_asks(state, now),
+        state.sequence,
+        now,
+    )
+    return Heartbeat(
+        state.own,
+        state.sequence,
+        control_versions(state, now),
+        tuple(sorted(asked)),
+        tuple(sorted(released_targets)),
+        _reports(state, now - _REPORT_SECONDS),
+    )
+
+
+def answer_heartbeat(
+    state: NodeState,
+    heartbeat: Heartbeat,
+    now: float,
+) -> HeartbeatReply:
+    """Take a peer's heartbeat and return the reply."""
+    is_new = _is_new(state, heartbeat.sender, now)
+    versions = control_versions(state, now)
+    if not _hear(state, heartbeat.sender, now):
+        return HeartbeatReply(state.own, versions, stale_incarnation=True)
+    vm = heartbeat.sender.vm
+    asker = Identity(vm.name, heartbeat.sender.incarnation)
+    record_release(
+        state.allowance,
+        asker,
+        heartbeat.released_targets,
+        heartbeat.sequence,
+    )
+    granted = answer_ask(
+        state.allowance,
+        asker,
+        heartbeat.asked_targets,
+        heartbeat.sequence,
+        now,
+    )
+    learn_warm(state, heartbeat.warm_reports, now)
+    _learn_age(state, heartbeat.versions, now)
+    oldest = float('-inf') if is_new else now - _REPORT_SECONDS
+    return HeartbeatReply(
+        state.own,
+        versions,
+        tuple(sorted(granted)),
+        _reports(state, oldest),
+    )
+
+
+def learn_reply(
+    state: NodeState,
+    reply: HeartbeatReply,
+    sent: float,
+    now: float,
+) -> None:
+    """Take the reply to a heartbeat that was sent at the instant `sent`."""
+    if reply.stale_incarnation or not _hear(state, reply.receiver, now):
+        return
+    giver = reply.receiver.vm.name
+    record_grant(state.allowance, giver, reply.granted_targets, sent)
+    learn_warm(state, reply.warm_reports, now)
+    _learn_age(state, reply.versions, now)
+    update_allowance(state, now)
+
+
+def learn_warm(
+    state: NodeState,
+    reports: tuple[WarmReport, ...],
+    now: float,
+) -> None:
+    """Take warm reports; each new one becomes an engine event."""
+    for report in reports:
+        if state.boot_by_target.get(report.target) != report.boot_id:
+            state.boot_by_target[report.target] = report.boot_id
+            state.learned_by_target[report.target] = now
+            state.emit(TargetWarm(report.target, report.boot_id))
+
+
+def should_fetch(
+    state: NodeState,
+    theirs: ControlVersions,
+    now: float,
+) -> bool:
+    """Return whether a peer may have something newer."""
+    ours = control_versions(state, now)
+    if theirs.generation > ours.generation:
+        return True
+    if theirs.registers_digest != ours.registers_digest:
+        return True
+    if theirs.catalogues_digest != ours.catalogues_digest:
+        return True
+    return theirs.list_digest != ours.list_digest and _is_younger(theirs, ours)
+
+
+def answer_fetch(
+    state: NodeState,
+    known: KnownVersions,
+    now: float,
+) -> ControlDocument:
+    """Return what is newer than the asker's versions."""
+    control = state.control
+    newer: dict[str, Catalogue] = {
+        index: catalogue
+        for index, catalogue in control.catalogues_by_index.items()
+        if catalogue.version > known.versions_by_index.get(index, 0)
+    }
+    part = ControlState(
+        withdrawals_by_domain=control.withdrawals_by_domain,
+        drains_by_target=control.drains_by_target,
+        catalogues_by_index=newer,
+    )
+    if control.configuration.generation > known.generation:
+        part = ControlState(
+            control.configuration,
+            part.withdrawals_by_domain,
+            part.drains_by_target,
+            newer,
+        )
+    age = control_versions(state, now).list_age_ms
+    return ControlDocument(part, state.membership.listed_vms, age)
+
+
+def learn_document(
+    state: NodeState,
+    document: ControlDocument,
+    now: float,
+) -> bool:
+    """Take a fetched document; return whether the control state changed."""
+    if document.list_age_ms is not None:
+        listed_at = now - document.list_age_ms / _MILLISECONDS
+        record_list(state.membership, document.vms, listed_at)
+    return adopt(state, document.state)
+
+
+def _hear(state: NodeState, process: Process, now: float) -> bool:
+    return record_heartbeat(
+        state.membership,
+        process.vm,
+        process.incarnation,
+        now,
+    )
+
+
+def _is_new(state: NodeState, process: Process, now: float) -> bool:
+    member = state.membership.members_by_name.get(process.vm.name)
+    if member is None or member.incarnation != process.incarnation:
+        return True
+    return member_health(member, now) is Health.DOWN
+
+
+def _learn_age(state: NodeState, theirs: ControlVersions, now: float) -> None:
+    ours = control_versions(state, now)
+    same = theirs.list_digest == ours.list_digest
+    if same and theirs.list_age_ms is not None and _is_younger(theirs, ours):
+        listed_at = now - theirs.list_age_ms / _MILLISECONDS
+        vms = state.membership.listed_vms
+        record_list(state.membership, vms, listed_at)
+
+
+def _is_younger(theirs: ControlVersions, ours: ControlVersions) -> bool:
+    if theirs.list_age_ms is None:
+        return False
+    return ours.list_age_ms is None or theirs.list_age_ms < ours.list_age_ms
+
+
+def _reports(state: NodeState, oldest: float) -> tuple[WarmReport, ...]:
+    return tuple(
+        WarmReport(target, boot_id)
+        for target, boot_id in sorted(state.boot_by_target.items())
+        if state.learned_by_target[target] >= oldest
+    )
--- /dev/null
+++ b/nutmegstep/node/state.py
@@ -0,0 +1,115 @@
+"""State of the control side of an entry process."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+import orjson
+from xxhash import xxh3_64_intdigest
+
+from nutmegstep.allowance import AllowanceState, until_by_target
+from nutmegstep.control import (
+    ControlState,
+    catalogues_digest,
+    changed_events,
+    merge,
+    registers_digest,
+)
+from nutmegstep.engine.events import AllowanceChanged, Event, FleetChanged
+from nutmegstep.engine.state import empty_fleet
+from nutmegstep.membership import MembershipState, roster
+from nutmegstep.model import Fleet
+from nutmegstep.peers import ControlVersions, Process
+
+__all__ = ['NodeState', 'adopt', 'control_versions', 'update_allowance']
+
+
+@dataclass(slots=True)
+class NodeState:
+    """Everything the control side knows; changed in place.
+
+    Parameters
+    ----------
+    own : Process
+        The own process.
+    emit : Callable
+        Takes engine events.
+    wanted_targets : frozenset of str
+        Cold targets to which this VM would send.
+    stored_registers : int or None
+        Digest of the registers last read from the platform.
+    """
+
+    own: Process
+    membership: MembershipState
+    allowance: AllowanceState
+    emit: Callable[[Event], None]
+    control: ControlState = field(default_factory=ControlState)
+    fleet: Fleet = field(default_factory=empty_fleet)
+    wanted_targets: frozenset[str] = frozenset()
+    until_by_target: dict[str, float] = field(default_factory=dict)
+    boot_by_target: dict[str, str] = field(default_factory=dict)
+    learned_by_target: dict[str, float] = field(default_factory=dict)
+    sequence: int = 0
+    stored_registers: int | None = None
+    source: str = 'none'
+
+
+def adopt(state: NodeState, theirs: ControlState) -> bool:
+    """Merge a control state and emit events; return whether it changed.
+
+    Raises
+    ------
+    ValueError
+        A document does not match its model. Withdrawals and drains are in
+        force all the same.
+    """
+    merged = merge(state.control, theirs)
+    registers_only = replace(
+        state.control,
+        withdrawals_by_domain=merged.withdrawals_by_domain,
+        drains_by_target=merged.drains_by_target,
+    )
+    changed = _step(state, registers_only)
+    return _step(state, merged) or changed
+
+
+def control_versions(state: NodeState, now: float) -> ControlVersions:
+    """Return the versions that a heartbeat carries."""
+    membership = state.membership
+    vms = sorted(
+        (vm.name, vm.address, vm.leaving) for vm in membership.listed_vms
+    )
+    age = now - membership.listed_at
+    has_list = bool(membership.listed_vms)
+    return ControlVersions(
+        state.control.configuration.generation,
+        state.control.configuration.digest,
+        registers_digest(state.control),
+        catalogues_digest(state.control),
+        xxh3_64_intdigest(orjson.dumps(vms)),
+        max(0, round(age * 1000)) if has_list else None,
+    )
+
+
+def update_allowance(state: NodeState, now: float) -> None:
+    """Emit `AllowanceChanged` when a right was won, renewed or lost."""
+    domain = state.membership.failure_domain
+    required = state.fleet.entry_vms_by_domain.get(domain)
+    current: dict[str, float] = {}
+    if required is not None:
+        names = roster(state.membership, domain, now)
+        current = until_by_target(state.allowance, names, required, now)
+    if current != state.until_by_target:
+        state.until_by_target = current
+        state.emit(AllowanceChanged(current))
+
+
+def _step(state: NodeState, after: ControlState) -> bool:
+    events = changed_events(state.control, after)
+    changed = after != state.control
+    state.control = after
+    for event in events:
+        if isinstance(event, FleetChanged):
+            state.fleet = event.fleet
+        state.emit(event)
+    return changed
--- a/nutmegstep/peers/server.py
+++ b/nutmegstep/peers/server.py
@@ -69,6 +69,8 @@
         ValueError
             Plaintext on an address that is not a loopback address.
         """
+        if self._files is None:
+            require_loopback(address)
         self._server = grpc.aio.server(options=_OPTIONS)
         calls = _calls(self._handlers, self._traffic)
         generated: Any = peers_pb2_grpc
@@ -84,7 +86,6 @@
 
     def _bind(self, address: str) -> int:
         if self._files is None:
-            require_loopback(address)
             return int(self._server.add_insecure_port(address))
         credentials = server_credentials(self._files)
         return int(self._server.add_secure_port(address, credentials))
