--- /dev/null
+++ b/nutmegstep/measure/slopes.py
@@ -0,0 +1,138 @@
+"""Measures how cost grows with the number of targets and shards.
+
+``python -m nutmegstep.measure.slopes`` prints, for each subject, the figures
+at three or more sizes and the slope of a straight line through them.
+"""
+
+import argparse
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from statistics import linear_regression
+from types import MappingProxyType
+from typing import Final
+
+from nutmegstep.measure import costs
+
+__all__ = ['SUBJECTS_BY_NAME', 'Point', 'Slope', 'main', 'measure_slope']
+
+_SHARD_COUNTS: Final = (25, 120, 480)
+_TARGET_COUNTS: Final = (1000, 5000, 23000)
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """Figure of a subject at one size."""
+
+    size: int
+    figure: float
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """Figures of a subject and the line through them.
+
+    Parameters
+    ----------
+    subject : str
+        What was measured.
+    unit : str
+        Unit of the figures.
+    against : str
+        What the size counts.
+    points : tuple of Point
+        At least three sizes.
+    """
+
+    subject: str
+    unit: str
+    against: str
+    points: tuple[Point, ...]
+
+    @property
+    def per_item(self) -> float:
+        """Growth of the figure with each item."""
+        return linear_regression(
+            [point.size for point in self.points],
+            [point.figure for point in self.points],
+        ).slope
+
+
+@dataclass(frozen=True, slots=True)
+class Subject:
+    """How to measure a figure at a size."""
+
+    unit: str
+    against: str
+    sizes: tuple[int, ...]
+    measure: Callable[[int], float]
+
+
+def measure_slope(name: str, sizes: Iterable[int] = ()) -> Slope:
+    """Measure a subject at its sizes, or at the given ones.
+
+    Parameters
+    ----------
+    name : str
+        Key of `SUBJECTS_BY_NAME`.
+    sizes : Iterable of int
+        Other sizes than those of the subject.
+
+    Returns
+    -------
+    Slope
+        The figures.
+    """
+    subject = SUBJECTS_BY_NAME[name]
+    points = tuple(
+        Point(size, subject.measure(size))
+        for size in tuple(sizes) or subject.sizes
+    )
+    return Slope(name, subject.unit, subject.against, points)
+
+
+def _by_shards(unit: str, measure: Callable[[int], float]) -> Subject:
+    return Subject(unit, 'shard', _SHARD_COUNTS, measure)
+
+
+def _by_targets(unit: str, measure: Callable[[int], float]) -> Subject:
+    return Subject(unit, 'target', _TARGET_COUNTS, measure)
+
+
+#: What can be measured; parts that come later add their own lines.
+SUBJECTS_BY_NAME: Final[Mapping[str, Subject]] = MappingProxyType(
+    {
+        'reducer time of a query': _by_shards('us', costs.query_time_by_shards),
+        'reducer time, 25 shards': _by_targets(
+            'us', costs.query_time_by_targets
+        ),
+        'memory of a query in flight': _by_shards('B', costs.query_memory),
+        'memory of the state': _by_targets('B', costs.state_memory),
+        'configuration size': _by_targets('B', costs.fleet_bytes),
+        'configuration encode': _by_targets('us', costs.fleet_encode),
+        'configuration decode': _by_targets('us', costs.fleet_decode),
+        'catalogue size': _by_shards('B', costs.catalogue_bytes),
+        'catalogue encode': _by_shards('us', costs.catalogue_encode),
+        'catalogue decode': _by_shards('us', costs.catalogue_decode),
+    },
+)
+
+
+def main() -> None:
+    """Parse the arguments, measure and print."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--only', help='name of one subject')
+    only = parser.parse_args().only
+    for name in (only,) if only else SUBJECTS_BY_NAME:
+        slope = measure_slope(name)
+        figures = '  '.join(
+            f'{point.size}: {point.figure:.0f}' for point in slope.points
+        )
+        print(
+            f'{slope.subject:<28} {figures}  -> {slope.per_item:.3f} '
+            f'{slope.unit} per {slope.against}',
+            flush=True,
+        )
+
+
+if __name__ == '__main__':
+    main()
