--- a/nutmegstep/measure/__main__.py
+++ b/nutmegstep/measure/__main__.py
@@ -8,7 +8,8 @@
 import orjson
 
 from nutmegstep.measure.bare import run_bare_loop
-from nutmegstep.measure.bench import Bench, load_bench
+from nutmegstep.measure.bench import Bench, Phase, load_bench
+from nutmegstep.measure.goals import goal_lines
 from nutmegstep.measure.report import HEADING, format_phase, phase_record
 from nutmegstep.measure.scenarios import SCENARIOS_BY_NAME
 from nutmegstep.standins.deployments import (
@@ -24,8 +25,13 @@
 _BARE_SECONDS = 3
 
 
-async def _run(bench: Bench, names: list[str], output: Path) -> int:
-    untrue = 0
+async def _run(
+    bench: Bench,
+    names: list[str],
+    output: Path,
+    bare_us: float,
+) -> int:
+    phases: list[Phase] = []
     print(HEADING, flush=True)
     with output.open('ab') as lines:
         for name in names:
@@ -33,19 +39,18 @@
                 print(format_phase(bench.deployment, phase), flush=True)
                 document = phase_record(bench.deployment, phase)
                 lines.write(orjson.dumps(document, option=_JSON_LINE))
-                untrue += phase.load.untrue_by_fault.total()
-    for note in bench.notes:
+                phases.append(phase)
+    for note in (*bench.notes, *goal_lines(phases, bare_us)):
         print(f'{bench.deployment}: {note}')
     totals = await bench.control.totals()
     print(
-        f'{bench.deployment}: most load of a cold target {totals.cold_peak}, '
-        f'targets above their cold slots {totals.cold_over_limit}, '
-        f'connections refused by targets {totals.refused_connections}',
+        f'{bench.deployment}: connections refused by targets '
+        f'{totals.refused_connections}',
     )
-    return untrue
+    return sum(one.load.untrue_by_fault.total() for one in phases)
 
 
-async def _run_bare(bench: Bench) -> None:
+async def _run_bare(bench: Bench) -> float:
     version = build_version(bench.deployment, INDEX_VERSION)
     endpoints = [
         ('127.0.0.1', bench.port_by_target[name], shard.name)
@@ -57,6 +62,7 @@
         f'{bench.deployment}: bare loop {bare.microseconds:.0f} us per target '
         f'request over {bare.requests} requests',
     )
+    return bare.microseconds
 
 
 async def _measure(arguments: argparse.Namespace) -> int:
@@ -69,10 +75,9 @@
         arguments.overload_factor,
     )
     chosen = arguments.only.split(',')
-    if _BARE in chosen:
-        await _run_bare(bench)
+    bare_us = await _run_bare(bench) if _BARE in chosen else 0
     names = [name for name in chosen if name != _BARE]
-    return await _run(bench, names, arguments.output)
+    return await _run(bench, names, arguments.output, bare_us)
 
 
 def main() -> None:
--- a/nutmegstep/measure/scenarios.py
+++ b/nutmegstep/measure/scenarios.py
@@ -88,6 +88,12 @@
         replicas = _one_replica_per_shard(bench)
         await bench.control.switch('cold', replicas, restarted=True)
         yield await _steady(bench, side, 'cold')
+        totals = await bench.control.totals()
+        bench.notes.append(
+            f'cold, {side}: most load of a cold target {totals.cold_peak}, '
+            f'{totals.cold_over_limit} of {len(replicas)} cold targets above '
+            f'their cold slots, all entry processes together',
+        )
 
 
 async def _find_capacity(bench: Bench, side: str) -> Phase:
--- a/nutmegstep/standins/target.py
+++ b/nutmegstep/standins/target.py
@@ -151,8 +151,12 @@
         self.boot_id = self._new_boot_id()
 
     def turn_cold(self, *, restarted: bool = False) -> None:
-        """Start bearing only the cold slots, by default without notice."""
+        """Start bearing only the cold slots, by default without notice.
+
+        The recorded peak is that of the latest cold phase.
+        """
         self.cold = True
+        self.counts.cold_peak = 0
         self._warm_at = self.counts.executed + self.settings.warm_after
         if restarted:
             self.boot_id = self._new_boot_id()
