Check the control state at the write and log faults without values

The check of serve reads withdrawals and drains in the step of the write; requests that wait for a target whose address changed are cancelled. A fault in a handler is logged with its type and stack only, because the text of an exception can contain a body or a key.

--- a/nutmegstep/cli/serve.py
+++ b/nutmegstep/cli/serve.py
@@ -19,7 +19,7 @@
 from nutmegstep.engine import EngineState
 from nutmegstep.engine.events import CatalogueChanged, FleetChanged
 from nutmegstep.platform_api import PlatformClient
-from nutmegstep.runtime import Runtime
+from nutmegstep.runtime import Runtime, build_send_check
 from nutmegstep.runtime import run as run_until_stopped
 from nutmegstep.settings import (
     Settings,
@@ -80,7 +80,7 @@
 async def _serve(settings: Settings) -> bool:
     clock = SystemClock()
     state = EngineState(settings.failure_domain, Random())
-    pool = TargetPool(clock)
+    pool = TargetPool(clock, build_send_check(state))
     runtime = Runtime(state, clock, pool)
     await _load(runtime, settings)
     telemetry = _build_telemetry(settings, runtime, clock)
--- a/nutmegstep/runtime/__init__.py
+++ b/nutmegstep/runtime/__init__.py
@@ -11,6 +11,7 @@
     SendObserver,
     WarmReporter,
 )
+from nutmegstep.runtime.sends import build_send_check
 
 __all__ = [
     'ClaimService',
@@ -23,6 +24,7 @@
     'Runtime',
     'SendObserver',
     'WarmReporter',
+    'build_send_check',
     'drain',
     'run',
 ]
--- a/nutmegstep/targets/core.py
+++ b/nutmegstep/targets/core.py
@@ -114,13 +114,14 @@
         for task in tuple(self._tasks):
             task.cancel()
         for group in tuple(self._group_by_target.values()):
-            for attempt_id in tuple(group.waiting):
-                self.cancel(attempt_id)
+            self._drop_waiting(group)
             group.close()
 
     def _find_group(self, target: Target, limit: int) -> TargetGroup:
         group = self._group_by_target.get(target.name)
         if group is not None and not same_address(group.target, target):
+            # Waiting requests must not reach the old address.
+            self._drop_waiting(group)
             group.retire()
             group = None
         if group is None:
@@ -129,6 +130,10 @@
         group.limit = limit
         return group
 
+    def _drop_waiting(self, group: TargetGroup) -> None:
+        for attempt_id in tuple(group.waiting):
+            self.cancel(attempt_id)
+
     def _send_fresh(self, group: TargetGroup, waiting: WaitingRequest) -> None:
         if group.open_count >= group.limit and group.idle:
             group.members.discard(group.idle.close_oldest())
--- a/nutmegstep/web/cycle.py
+++ b/nutmegstep/web/cycle.py
@@ -4,6 +4,7 @@
 import enum
 import logging
 import math
+import traceback
 from typing import Final, Protocol
 
 import h11
@@ -173,8 +174,8 @@
     async def _answer(self, request: HttpRequest) -> None:
         try:
             response = await self._owner.handler(request)
-        except Exception:
-            _LOG.exception('a request handler failed')
+        except Exception as error:
+            _log_fault(error)
             response = self._owner.error_response(
                 _STATUS_FAILED,
                 self._reader.headers,
@@ -225,3 +226,13 @@
         if not self._transport.is_closing():
             self._transport.write_eof()
             self._transport.resume_reading()
+
+
+def _log_fault(error: Exception) -> None:
+    # The text of an exception can contain a body or a key; the stack shows
+    # source lines only.
+    fields = {
+        'fault': type(error).__name__,
+        'stack': traceback.format_tb(error.__traceback__),
+    }
+    _LOG.error('a request handler failed', extra=fields)
--- a/tests/targets/test_core.py
+++ b/tests/targets/test_core.py
@@ -150,6 +150,19 @@
     assert _failures(fixture.outcomes) == expected
 
 
+async def test_moved_target_cancels_waiting(fixture: _Fixture) -> None:
+    """Guards against queued work that goes to a target's old address."""
+    fixture.send(1)
+    fixture.target = replace(fixture.target, port=1)
+    fixture.send(2)
+    outcomes = await fixture.until(2)
+    assert _failures(outcomes) == [
+        (1, FailureKind.CANCELLED, False),
+        (2, FailureKind.CONNECT, False),
+    ]
+    assert not fixture.server.requests
+
+
 async def test_refused_connect_did_not_run(fixture: _Fixture) -> None:
     """Guards against waiting requests that hang when nobody listens."""
     fixture.target = replace(fixture.target, port=1)
