Accept the kernel's backlog before the listener closes

A close of the listening socket reset connections that the kernel had established, and new connections without a byte were closed at once.

--- a/nutmegstep/web/core.py
+++ b/nutmegstep/web/core.py
@@ -34,6 +34,15 @@
     return HttpResponse(status, b'{}')
 
 
+def _accept(listening: socket.socket) -> socket.socket | None:
+    try:
+        accepted, _ = listening.accept()
+    except OSError:
+        return None
+    accepted.setblocking(False)
+    return accepted
+
+
 class HttpServer:
     """A listening server and its connections.
 
@@ -75,7 +84,9 @@
         self.draining = False
         self.last_connection = float(0)
         self._connections: set[ServerConnection] = set()
+        self._socket: socket.socket | None = None
         self._listener: asyncio.Server | None = None
+        self._accepting: list[asyncio.Task[object]] = []
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._none_open = asyncio.Event()
         self._none_open.set()
@@ -92,11 +103,16 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Start to accept connections."""
+        family = socket.AF_INET6 if ':' in host else socket.AF_INET
+        self._socket = socket.create_server(
+            (host, port),
+            family=family,
+            backlog=_BACKLOG,
+        )
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            lambda: ServerConnection(self),
-            host,
-            port,
+            self._new_connection,
+            sock=self._socket,
             backlog=_BACKLOG,
         )
         self._schedule_sweep()
@@ -124,21 +140,44 @@
     def close(self) -> None:
         """Stop to accept; requests that have begun are still answered.
 
-        Connections without a request are closed.
+        Connections that wait for another request are closed. New ones have
+        the usual time for their first request.
         """
         self.draining = True
-        if self._listener is not None:
+        if self._listener is not None and self._socket is not None:
+            last = self._socket.dup()
+            self._socket = None
             self._listener.close()
+            self._accept_backlog(last)
         for connection in tuple(self._connections):
-            if connection.cycle.phase is Phase.IDLE:
+            cycle = connection.cycle
+            if cycle.answered and cycle.phase is Phase.IDLE:
                 connection.abort()
 
     async def wait_closed(self) -> None:
         """Wait until no connection is open."""
+        await asyncio.gather(*self._accepting)
         await self._none_open.wait()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
 
+    def _new_connection(self) -> ServerConnection:
+        return ServerConnection(self)
+
+    def _accept_backlog(self, listening: socket.socket) -> None:
+        # Closing a listening socket resets the connections that the kernel
+        # has established and the process has not accepted yet.
+        loop = asyncio.get_running_loop()
+        with listening:
+            accepted = _accept(listening)
+            while accepted is not None:
+                accepting = loop.connect_accepted_socket(
+                    self._new_connection,
+                    accepted,
+                )
+                self._accepting.append(loop.create_task(accepting))
+                accepted = _accept(listening)
+
     def _schedule_sweep(self) -> None:
         self._sweep_timer = asyncio.get_running_loop().call_later(
             _SWEEP_SECONDS,
--- a/nutmegstep/web/cycle.py
+++ b/nutmegstep/web/cycle.py
@@ -76,6 +76,8 @@
         What the connection waits for.
     deadline : float
         Instant of the event loop's clock at which the phase times out.
+    answered : bool
+        Whether a request of the connection has been answered.
     paused : bool
         Whether the peer leaves a response unread; no further request is
         taken meanwhile.
@@ -88,6 +90,7 @@
         over_limit: bool,
     ) -> None:
         self.paused = False
+        self.answered = False
         self._owner = owner
         self._transport = transport
         self._over_limit = over_limit
@@ -187,6 +190,7 @@
         self.feed(None)
 
     def _end_cycle(self, reusable: bool, close: bool) -> None:
+        self.answered = True
         limits = self._owner.limits
         if close or not reusable:
             self._linger()
