Start without the platform and refuse by the head

serve ended with a traceback when the platform could not be reached. It now starts, fails /ready and refuses each request with no_configuration until a configuration arrives; loading it again is the task of the control part. Checked with a closed platform port: /ready gives 503 and a query 503 with verdict not_run.

--- a/nutmegstep/cli/serve.py
+++ b/nutmegstep/cli/serve.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import logging
 import os
 import sys
 from datetime import timedelta
@@ -19,8 +20,11 @@
 from nutmegstep.engine import EngineState
 from nutmegstep.engine.events import CatalogueChanged, FleetChanged
 from nutmegstep.platform_api import PlatformClient
-from nutmegstep.runtime import Runtime, build_send_check
-from nutmegstep.runtime import run as run_until_stopped
+from nutmegstep.runtime import (
+    Runtime,
+    build_send_check,
+    run as run_until_stopped,
+)
 from nutmegstep.settings import (
     Settings,
     SettingsError,
@@ -36,10 +40,12 @@
     configure_logs,
     serve_operators,
 )
+from nutmegstep.verdict import Reason
 from nutmegstep.web import HttpLimits, HttpServer, serve_http
 
 __all__ = ['add_parser']
 
+_LOG: Final = logging.getLogger(__name__)
 _EXIT_CUT: Final = 1
 _EXIT_USAGE: Final = 2
 _UNDECLARED_TIMEOUT: Final = timedelta(seconds=1)
@@ -77,17 +83,30 @@
         runtime.dispatch(CatalogueChanged(index, versions))
 
 
+async def _load_if_reachable(runtime: Runtime, settings: Settings) -> None:
+    # Without the platform the process starts and refuses everything; /ready
+    # fails until a configuration arrives.
+    try:
+        await _load(runtime, settings)
+    except OSError as error:
+        _LOG.error('the platform cannot be reached: %s', error)
+
+
+def _head_refusal(state: EngineState) -> Reason | None:
+    return None if state.fleet.generation else Reason.NO_CONFIGURATION
+
+
 async def _serve(settings: Settings) -> bool:
     clock = SystemClock()
     state = EngineState(settings.failure_domain, Random())
     pool = TargetPool(clock, build_send_check(state))
     runtime = Runtime(state, clock, pool)
-    await _load(runtime, settings)
+    await _load_if_reachable(runtime, settings)
     telemetry = _build_telemetry(settings, runtime, clock)
     runtime.observe_send = telemetry.observe_send
     gate = CallerGate(
         lambda: state.fleet.generation > 0,
-        lambda service: None,
+        lambda service: _head_refusal(state),
         telemetry.count_early_refusal,
     )
     operators = await serve_operators(
