--- a/nutmegstep/web/cycle.py
+++ b/nutmegstep/web/cycle.py
@@ -4,6 +4,7 @@
 import enum
 import logging
 import math
+import traceback
 from typing import Final, Protocol
 
 import h11
@@ -75,6 +76,8 @@
         What the connection waits for.
     deadline : float
         Instant of the event loop's clock at which the phase times out.
+    answered : bool
+        Whether a request of the connection has been answered.
     paused : bool
         Whether the peer leaves a response unread; no further request is
         taken meanwhile.
@@ -87,6 +90,7 @@
         over_limit: bool,
     ) -> None:
         self.paused = False
+        self.answered = False
         self._owner = owner
         self._transport = transport
         self._over_limit = over_limit
@@ -173,8 +177,8 @@
     async def _answer(self, request: HttpRequest) -> None:
         try:
             response = await self._owner.handler(request)
-        except Exception:
-            _LOG.exception('a request handler failed')
+        except Exception as error:
+            _log_fault(error)
             response = self._owner.error_response(
                 _STATUS_FAILED,
                 self._reader.headers,
@@ -186,6 +190,7 @@
         self.feed(None)
 
     def _end_cycle(self, reusable: bool, close: bool) -> None:
+        self.answered = True
         limits = self._owner.limits
         if close or not reusable:
             self._linger()
@@ -225,3 +230,13 @@
         if not self._transport.is_closing():
             self._transport.write_eof()
             self._transport.resume_reading()
+
+
+def _log_fault(error: Exception) -> None:
+    # The text of an exception can contain a body or a key; the stack shows
+    # source lines only.
+    fields = {
+        'fault': type(error).__name__,
+        'stack': traceback.format_tb(error.__traceback__),
+    }
+    _LOG.error('a request handler failed', extra=fields)
