Compose the entry process: control plane, claims, cold targets

The serve command read the configuration once and had no peers, no claims and no promises. The new package nutmegstep.entry builds all parts, connects them and stops them in order. Claims carry the claimer's 64-bit incarnation, so that peers can be found by it (40 bytes a record instead of 48).

--- a/nutmegstep/claims/journal.py
+++ b/nutmegstep/claims/journal.py
@@ -13,7 +13,7 @@
 """Size above which a journal takes no more claims."""
 
 _MAGIC: Final = b'NSJ1'
-_RECORD: Final = struct.Struct('>16sQ16s8s')
+_RECORD: Final = struct.Struct('>16sQQ8s')
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,20 +26,20 @@
         The 16 bytes of the idempotency key.
     fingerprint : int
         64-bit hash of the request's content.
-    claimer : bytes
-        16 bytes; incarnation of the entry process that holds the claim.
+    claimer : int
+        64-bit incarnation of the entry process that holds the claim.
     nonce : bytes
         8 bytes; identifies the attempt.
     """
 
     key: bytes
     fingerprint: int
-    claimer: bytes
+    claimer: int
     nonce: bytes
 
 
 def encode_journal(records: Iterable[ClaimRecord]) -> bytes:
-    """Return the binary form: a format mark and 48 bytes per claim."""
+    """Return the binary form: a format mark and 40 bytes per claim."""
     packed = (
         _RECORD.pack(
             record.key,
@@ -59,7 +59,7 @@
 
     Examples
     --------
-    >>> record = ClaimRecord(bytes(16), 7, bytes(16), bytes(8))
+    >>> record = ClaimRecord(bytes(16), 7, 1, bytes(8))
     >>> decode_journal(encode_journal([record])).unwrap()[bytes(16)] == record
     True
     >>> decode_journal(b'?').failure()
--- a/nutmegstep/claims/messages.py
+++ b/nutmegstep/claims/messages.py
@@ -141,7 +141,7 @@
     """Ask an entry process what became of its claim."""
 
     query_id: int
-    claimer: bytes
+    claimer: int
     key: UUID
 
 
--- a/nutmegstep/claims/service.py
+++ b/nutmegstep/claims/service.py
@@ -33,7 +33,7 @@
 
 __all__ = ['AskFunction', 'ClaimCoordinator', 'JournalStore']
 
-AskFunction = Callable[[bytes, UUID], Awaitable[ClaimStatus | None]]
+AskFunction = Callable[[int, UUID], Awaitable[ClaimStatus | None]]
 """Asks a claimer by its incarnation; None when it does not answer."""
 
 
--- a/nutmegstep/claims/state.py
+++ b/nutmegstep/claims/state.py
@@ -111,13 +111,13 @@
 
     Parameters
     ----------
-    incarnation : bytes
-        16 random bytes of this entry process.
+    incarnation : int
+        64-bit random number of this run of the entry process.
     random : random.Random
         Source of nonces.
     """
 
-    incarnation: bytes
+    incarnation: int
     random: Random
     own: OwnClaims = field(default_factory=OwnClaims)
     journals_by_name: OrderedDict[str, JournalState] = field(
--- /dev/null
+++ b/nutmegstep/entry/__init__.py
@@ -0,0 +1,5 @@
+"""Composition of an entry process."""
+
+from nutmegstep.entry.core import serve
+
+__all__ = ['serve']
--- a/nutmegstep/settings/core.py
+++ b/nutmegstep/settings/core.py
@@ -34,6 +34,13 @@
     return _read_ip(host.strip('[]')), _read_port(port)
 
 
+def _read_seeds(text: str) -> tuple[str, ...]:
+    parts = [part.strip() for part in text.split(',') if part.strip()]
+    for part in parts:
+        _read_address(part)
+    return tuple(parts)
+
+
 def _read_name(text: str) -> str:
     if not text.strip():
         raise ValueError(text)
@@ -90,6 +97,18 @@
         IP number of the operators' HTTP port.
     operator_port : int
         Operators' HTTP port; 0 lets the kernel choose.
+    vm_name : str
+        Name of this VM, as in the platform's list.
+    peer_host : str
+        IP number on which other entry processes reach this one.
+    peer_port : int
+        gRPC port for peers and operators; 0 lets the kernel choose.
+    peer_port_file : pathlib.Path or None
+        File that receives the address for peers.
+    seeds : tuple of str
+        Addresses of peers that are asked while no other VM is known.
+    tls_certificate, tls_key, tls_authorities : pathlib.Path or None
+        PEM files; all or none. Without them only loopback addresses serve.
     caller_connections : int
         Most open connections of callers.
     sampling_ratio : float
@@ -138,6 +157,54 @@
         'operators HTTP port; 0 lets the kernel choose',
         0,
     )
+    vm_name: str = _setting(
+        _read_name,
+        'a name',
+        'name of this VM, as in the list of the platform',
+        'entry-vm',
+    )
+    peer_host: str = _setting(
+        _read_ip,
+        'an IP number',
+        'IP number for peers and operators (gRPC)',
+        '127.0.0.1',
+    )
+    peer_port: int = _setting(
+        _read_port,
+        f'a port from 0 to {_PORT_MAX}',
+        'gRPC port for peers and operators; 0 lets the kernel choose',
+        0,
+    )
+    peer_port_file: Path | None = _setting(
+        Path,
+        'a path',
+        'file that receives the address for peers',
+        None,
+    )
+    seeds: tuple[str, ...] = _setting(
+        _read_seeds,
+        'addresses separated by commas, as in 127.0.0.1:9000,127.0.0.2:9000',
+        'peers that are asked while no other VM is known',
+        (),
+    )
+    tls_certificate: Path | None = _setting(
+        Path,
+        'a path',
+        'PEM file with the certificate of this VM',
+        None,
+    )
+    tls_key: Path | None = _setting(
+        Path,
+        'a path',
+        'PEM file with the key of this VM',
+        None,
+    )
+    tls_authorities: Path | None = _setting(
+        Path,
+        'a path',
+        'PEM file with the authorities that sign certificates',
+        None,
+    )
     caller_connections: int = _setting(
         _read_count,
         'an integer of at least 1',
@@ -196,7 +263,21 @@
             found[one.name] = _read(one, text)
         elif one.default is MISSING:
             raise SettingsError(f'{_names(one)} is not set')
-    return Settings(**found)
+    return _check_tls(Settings(**found))
+
+
+def _check_tls(settings: Settings) -> Settings:
+    files = (
+        settings.tls_certificate,
+        settings.tls_key,
+        settings.tls_authorities,
+    )
+    if any(files) and not all(files):
+        raise SettingsError(
+            '--tls-certificate, --tls-key and --tls-authorities '
+            'must be set together',
+        )
+    return settings
 
 
 def _read(one: Field[Any], text: str) -> Any:
--- a/nutmegstep/standins/__main__.py
+++ b/nutmegstep/standins/__main__.py
@@ -21,12 +21,13 @@
 from nutmegstep.standins.platform import PlatformStandIn
 from nutmegstep.standins.target import TargetStandIn
 from nutmegstep.standins.target_server import serve_target
-from nutmegstep.web import serve_http
+from nutmegstep.web import HttpLimits, serve_http
 
 __all__ = ['main']
 
 _LOOPBACK = '127.0.0.1'
 _POLL_SECONDS = 0.05
+_VALUE_BYTES = 1_000_000
 
 
 async def _serve_domain(arguments: argparse.Namespace, domain: int) -> None:
@@ -57,8 +58,14 @@
     )
 
 
-async def _serve_platform(deployment: str, directory: Path) -> None:
-    server = await serve_http(PlatformStandIn().handle, _LOOPBACK, 0)
+async def _serve_platform(arguments: argparse.Namespace) -> None:
+    deployment, directory = arguments.deployment, arguments.directory
+    server = await serve_http(
+        PlatformStandIn().handle,
+        _LOOPBACK,
+        0,
+        HttpLimits(body_bytes=_VALUE_BYTES),
+    )
     port = server.sockets[0].getsockname()[1]
     port_by_target: dict[str, int] = {}
     for domain in range(1, DOMAIN_COUNT + 1):
@@ -67,7 +74,7 @@
             await asyncio.sleep(_POLL_SECONDS)
         port_by_target.update(orjson.loads(path.read_bytes()))
     client = PlatformClient(_LOOPBACK, port)
-    fleet = build_fleet(deployment, port_by_target)
+    fleet = build_fleet(deployment, port_by_target, arguments.entry_vms)
     version = build_version(deployment, INDEX_VERSION)
     await client.put('config/fleet', encode_fleet(fleet))
     await client.put('indexes/records', encode_catalogue((version,)))
@@ -86,7 +93,7 @@
     for domain in (arguments.domain,) if arguments.domain else domains:
         await _serve_domain(arguments, domain)
     if arguments.domain in {None, 1}:
-        await _serve_platform(arguments.deployment, arguments.directory)
+        await _serve_platform(arguments)
     await asyncio.Event().wait()
 
 
@@ -106,6 +113,12 @@
         choices=range(1, DOMAIN_COUNT + 1),
         help='serve the targets of one failure domain; 1 has the platform',
     )
+    parser.add_argument(
+        '--entry-vms',
+        type=int,
+        default=2,
+        help='declared entry VMs of each failure domain',
+    )
     parser.add_argument(
         '--service-scale',
         type=float,
--- a/nutmegstep/standins/deployments.py
+++ b/nutmegstep/standins/deployments.py
@@ -79,8 +79,22 @@
     )
 
 
-def build_fleet(deployment: str, port_by_target: Mapping[str, int]) -> Fleet:
-    """Return the configuration of a deployment on loopback addresses."""
+def build_fleet(
+    deployment: str,
+    port_by_target: Mapping[str, int],
+    entry_vms: int = 2,
+) -> Fleet:
+    """Return the configuration of a deployment on loopback addresses.
+
+    Parameters
+    ----------
+    deployment : str
+        Name of the deployment.
+    port_by_target : Mapping
+        TCP port of each target.
+    entry_vms : int, optional
+        Entry VMs of each failure domain.
+    """
     shapes = SHAPES_BY_DEPLOYMENT[deployment]
     targets = {
         name: Target(
@@ -110,7 +124,7 @@
         {service.name: service},
         targets,
         _ENTRY_VMS_MAX,
-        dict.fromkeys(_DOMAINS, 2),
+        dict.fromkeys(_DOMAINS, entry_vms),
     )
 
 
--- a/tests/claims/fakes.py
+++ b/tests/claims/fakes.py
@@ -49,28 +49,28 @@
 
     random: Random
     clock: ManualClock = field(default_factory=ManualClock)
-    vms_by_name: dict[bytes, ClaimState] = field(default_factory=dict)
+    vms_by_name: dict[int, ClaimState] = field(default_factory=dict)
     stored_by_name: dict[str, tuple[int, bytes]] = field(default_factory=dict)
-    calls: list[tuple[bytes, ClaimEffect]] = field(default_factory=list)
-    won: list[tuple[bytes, ClaimWon]] = field(default_factory=list)
+    calls: list[tuple[int, ClaimEffect]] = field(default_factory=list)
+    won: list[tuple[int, ClaimWon]] = field(default_factory=list)
     replayed: list[ClaimReplayed] = field(default_factory=list)
     refused: list[ClaimRefused] = field(default_factory=list)
     revision: int = 0
-    deliver: Callable[[bytes, ClaimNotice], None] | None = None
-    paused: set[bytes] = field(default_factory=set)
-    held_back: list[tuple[bytes, ClaimEvent]] = field(default_factory=list)
+    deliver: Callable[[int, ClaimNotice], None] | None = None
+    paused: set[int] = field(default_factory=set)
+    held_back: list[tuple[int, ClaimEvent]] = field(default_factory=list)
     platform_down: bool = False
     lost_answers: int = 0
 
-    def start_vm(self) -> bytes:
+    def start_vm(self) -> int:
         """Start a VM and return its incarnation."""
-        incarnation = self.random.randbytes(16)
+        incarnation = self.random.getrandbits(64)
         self.vms_by_name[incarnation] = ClaimState(incarnation, self.random)
         return incarnation
 
     def request(
         self,
-        vm: bytes,
+        vm: int,
         key: UUID,
         query_id: int,
         timeout: float = 1,
@@ -90,18 +90,18 @@
 
     def request_claim(
         self,
-        vm: bytes,
+        vm: int,
         request: OneShotRequest,
         query_id: int,
     ) -> None:
         """Let a VM claim the key of a request."""
         self.dispatch(vm, ClaimRequested(query_id, request, self.clock.now()))
 
-    def settle(self, vm: bytes, event: ClaimSettled) -> None:
+    def settle(self, vm: int, event: ClaimSettled) -> None:
         """Tell a VM how its won claim ended."""
         self.dispatch(vm, event)
 
-    def dispatch(self, vm: bytes, event: ClaimEvent) -> None:
+    def dispatch(self, vm: int, event: ClaimEvent) -> None:
         """Apply an event and keep the effects as calls under way."""
         if vm in self.paused:
             self.held_back.append((vm, event))
@@ -129,7 +129,7 @@
             self.clock.advance(max(0, effect.at - self.clock.monotonic()))
         self.perform(vm, effect)
 
-    def perform(self, vm: bytes, effect: ClaimEffect) -> None:
+    def perform(self, vm: int, effect: ClaimEffect) -> None:
         """Finish a call now."""
         if isinstance(effect, WakeAt):
             self.dispatch(vm, Woken())
@@ -140,7 +140,7 @@
         elif isinstance(effect, WriteJournal):
             self.dispatch(vm, self._write(effect))
 
-    def resume(self, vm: bytes) -> None:
+    def resume(self, vm: int) -> None:
         """Let a paused VM handle what it missed."""
         self.paused.discard(vm)
         held_back = self.held_back
@@ -148,7 +148,7 @@
         for owner, event in held_back:
             self.dispatch(owner, event)
 
-    def _take(self, vm: bytes, effect: Notify) -> None:
+    def _take(self, vm: int, effect: Notify) -> None:
         if self.deliver:
             self.deliver(vm, effect.event)
         elif isinstance(effect.event, ClaimWon):
--- a/tests/claims/test_core.py
+++ b/tests/claims/test_core.py
@@ -135,7 +135,7 @@
     cluster = Cluster(Random(drawn.draw(st.integers(0, 99))))
     vms = [cluster.start_vm() for _ in range(3)]
     key = make_key(cluster.clock, cluster.random)
-    unsettled: list[bytes] = []
+    unsettled: list[int] = []
     arrived_by_query: dict[int, float] = {}
     abandoned_at = -1.0
     may_have_run = 0
--- a/tests/scenarios/test_random_histories.py
+++ b/tests/scenarios/test_random_histories.py
@@ -7,6 +7,7 @@
 import os
 from typing import Any
 
+import pytest
 import yaml
 from hypothesis import note, seed, settings
 from hypothesis import strategies as st
@@ -184,7 +185,11 @@
 
 _PROMISE_MARGIN = 2.0
 
-TestHistories = seed(_SEED)(Histories.TestCase)
+_TEST_SECONDS = 900
+
+TestHistories = pytest.mark.timeout(_TEST_SECONDS)(
+    seed(_SEED)(Histories.TestCase),
+)
 TestHistories.settings = settings(
     max_examples=_EXAMPLES,
     stateful_step_count=_STEPS,
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -92,7 +92,7 @@
 
     name: str
     engine: EngineState
-    incarnation: bytes
+    incarnation: int
     paused: bool = False
     drained: bool = False
     held_back: list[Event] = field(default_factory=list)
@@ -419,7 +419,7 @@
         )
         self.note(f'{vm.name} -> caller: {asked.name} {text}')
 
-    def _deliver_claim(self, incarnation: bytes, event: ClaimNotice) -> None:
+    def _deliver_claim(self, incarnation: int, event: ClaimNotice) -> None:
         vm = next(
             known
             for known in self.vms_by_name.values()
@@ -437,7 +437,7 @@
                 delay = max(0, effect.at - self.now)
             self.later(delay, partial(self._finish_call, vm, effect))
 
-    def _finish_call(self, vm: bytes, effect: ClaimEffect) -> None:
+    def _finish_call(self, vm: int, effect: ClaimEffect) -> None:
         self.cluster.perform(vm, effect)
         self._take_calls()
 
