--- a/tests/standins/test_target_server.py
+++ b/tests/standins/test_target_server.py
@@ -3,6 +3,8 @@
 import asyncio
 from random import Random
 
+import orjson
+
 from nutmegstep.standins import (
     ServedTarget,
     TargetSettings,
@@ -68,3 +70,16 @@
     assert served.target.counts.refused_connections == 1
     writer.close()
     refused_writer.close()
+
+
+async def test_control_repartitions_and_reports() -> None:
+    """Guards against a control action that reaches no target."""
+    served, _ = await _serve()
+    control = control_handler({'t-1': served})
+    body = b'{"targets": ["t-1"], "shards_by_version": {"5": ["b"]}}'
+    await control(HttpRequest('POST', '/versions', {}, {}, body))
+    assert served.target.shards_by_version == {5: frozenset(('b',))}
+    cold = b'{"targets": ["t-1", "elsewhere"], "restarted": true}'
+    await control(HttpRequest('POST', '/cold', {}, {}, cold))
+    report = await control(HttpRequest('GET', '/targets', {}, {}, b''))
+    assert orjson.loads(report.body)['t-1']['cold'] is True
