--- a/nutmegstep/measure/withdrawal.py
+++ b/nutmegstep/measure/withdrawal.py
@@ -94,7 +94,8 @@
     bench.notes.append(
         f'withdraw: the last new work at the domain came {last_change:.2f} s '
         f'after the command (bound {BOUND_SECONDS} s, sampled each '
-        f'{_SAMPLE_SECONDS} s)',
+        f'{_SAMPLE_SECONDS} s); no proof of the withdrawal, because callers '
+        'had left the entry processes that prefer these targets',
     )
 
 
