--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -71,9 +71,15 @@
     done
     wait_for "$directory/platform.port"
     platform=127.0.0.1:$(cat "$directory/platform.port")
+    seeds=
     for number in 1 2 3 4 5 6; do
         start_entry product "$number" "$python" -m nutmegstep serve \
-            --failure-domain "domain-$(( (number - 1) % 3 + 1 ))"
+            --failure-domain "domain-$(( (number - 1) % 3 + 1 ))" \
+            --vm-name "entry-$number" --peer-host "127.0.0.$number" \
+            --peer-port-file "$directory/peer-$number.port" \
+            --seeds "$seeds" --log-level warning
+        wait_for "$directory/peer-$number.port"
+        seeds=${seeds:+$seeds,}$(cat "$directory/peer-$number.port")
         start_entry baseline "$number" "$python" -m nutmegstep.measure.baseline
     done
     for number in 1 2 3 4 5 6; do
