Keep one form of withdrawals and drains

The commands wrote `control/state` with failure_domains_by_name and changed_by; entry processes read and wrote withdrawals_by_domain without it, and each side had its own merge. A process ignored a withdrawal that an operator stored, and a relay's write-back lost it.

Both sides now use ControlDocument, Register and merge_registers of nutmegstep.declarations. changed_by goes through the gRPC messages, the digest and the write-back. It is the last key of the merge, so that processes with equal counters end on one register. A document with unknown fields is refused instead of being read as an empty one.

ControlCommand and ControlKind of nutmegstep.peers are gone: ControlChange and ControlSubject say the same. Operators get ReadControl, which returns the stored form.

--- a/nutmegstep/control/__init__.py
+++ b/nutmegstep/control/__init__.py
@@ -5,10 +5,9 @@
     Catalogue,
     Configuration,
     ControlState,
-    Register,
+    control_document,
     merge,
-    merge_registers,
-    set_register,
+    state_of_control,
 )
 from nutmegstep.control.changes import changed_events
 from nutmegstep.control.digests import catalogues_digest, registers_digest
@@ -18,11 +17,10 @@
     'Catalogue',
     'Configuration',
     'ControlState',
-    'Register',
     'catalogues_digest',
     'changed_events',
+    'control_document',
     'merge',
-    'merge_registers',
     'registers_digest',
-    'set_register',
+    'state_of_control',
 ]
--- a/nutmegstep/control/changes.py
+++ b/nutmegstep/control/changes.py
@@ -2,8 +2,12 @@
 
 from collections.abc import Iterator, Mapping
 
-from nutmegstep.control.core import ControlState, Register
-from nutmegstep.declarations import decode_catalogue, decode_fleet
+from nutmegstep.control.core import ControlState
+from nutmegstep.declarations import (
+    Register,
+    decode_catalogue,
+    decode_fleet,
+)
 from nutmegstep.engine.events import (
     CatalogueChanged,
     ControlChanged,
@@ -54,16 +58,18 @@
 
 def _control_event(state: ControlState) -> ControlChanged:
     return ControlChanged(
-        _active_names(state.withdrawals_by_domain),
-        _active_names(state.drains_by_target),
+        _withdrawn_names(state.withdrawals_by_domain),
+        _withdrawn_names(state.drains_by_target),
     )
 
 
-def _active_names(
+def _withdrawn_names(
     registers_by_name: Mapping[str, Register],
 ) -> frozenset[str]:
     return frozenset(
-        name for name, register in registers_by_name.items() if register.active
+        name
+        for name, register in registers_by_name.items()
+        if register.withdrawn
     )
 
 
--- a/nutmegstep/control/core.py
+++ b/nutmegstep/control/core.py
@@ -4,15 +4,20 @@
 from dataclasses import dataclass, field
 from typing import Final, TypeVar
 
+from nutmegstep.declarations import (
+    ControlDocument,
+    Register,
+    merge_registers,
+)
+
 __all__ = [
     'NO_CONFIGURATION',
     'Catalogue',
     'Configuration',
     'ControlState',
-    'Register',
+    'control_document',
     'merge',
-    'merge_registers',
-    'set_register',
+    'state_of_control',
 ]
 
 _Entry = TypeVar('_Entry')
@@ -40,22 +45,6 @@
 NO_CONFIGURATION: Final = Configuration(0, '', b'')
 
 
-@dataclass(frozen=True, slots=True)
-class Register:
-    """Whether a name is withdrawn or draining.
-
-    Parameters
-    ----------
-    counter : int
-        Grows with every command on the name.
-    active : bool
-        True means withdrawn or draining.
-    """
-
-    counter: int
-    active: bool
-
-
 @dataclass(frozen=True, slots=True)
 class Catalogue:
     """Versions of one index as the platform stores them.
@@ -114,39 +103,24 @@
     )
 
 
-def merge_registers(
-    ours: Mapping[str, Register],
-    theirs: Mapping[str, Register],
-) -> dict[str, Register]:
-    """Return the register with the higher counter for each name.
+def control_document(state: ControlState) -> ControlDocument:
+    """Return the withdrawals and drains in the form of the platform."""
+    return ControlDocument(state.withdrawals_by_domain, state.drains_by_target)
+
+
+def state_of_control(document: ControlDocument) -> ControlState:
+    """Return a state that has only withdrawals and drains.
 
     Examples
     --------
-    >>> active, restored = Register(2, True), Register(2, False)
-    >>> merge_registers({'d1': restored}, {'d1': active})['d1'].active
+    >>> document = ControlDocument({'d1': Register(1, True, 'ilze')})
+    >>> control_document(state_of_control(document)) == document
     True
     """
-    return _merge_entries(ours, theirs, _newer_register)
-
-
-def set_register(
-    registers_by_name: Mapping[str, Register],
-    name: str,
-    *,
-    active: bool,
-) -> dict[str, Register]:
-    """Return the registers with one name set by an operator.
-
-    Notes
-    -----
-    A command that changes nothing keeps the counter, so that a repeated
-    command does not win over a later one of another operator.
-    """
-    current = registers_by_name.get(name, Register(0, active=False))
-    if current.active == active:
-        return dict(registers_by_name)
-    changed = Register(current.counter + 1, active)
-    return {**registers_by_name, name: changed}
+    return ControlState(
+        withdrawals_by_domain=document.failure_domains_by_name,
+        drains_by_target=document.targets_by_name,
+    )
 
 
 def _merge_entries(
@@ -167,11 +141,5 @@
     return theirs if theirs.generation > ours.generation else ours
 
 
-def _newer_register(ours: Register, theirs: Register) -> Register:
-    if (theirs.counter, theirs.active) > (ours.counter, ours.active):
-        return theirs
-    return ours
-
-
 def _newer_catalogue(ours: Catalogue, theirs: Catalogue) -> Catalogue:
     return theirs if theirs.version > ours.version else ours
--- a/nutmegstep/control/digests.py
+++ b/nutmegstep/control/digests.py
@@ -5,7 +5,8 @@
 import orjson
 from xxhash import xxh3_64_intdigest
 
-from nutmegstep.control.core import ControlState, Register
+from nutmegstep.control.core import ControlState
+from nutmegstep.declarations import Register
 
 __all__ = ['catalogues_digest', 'registers_digest']
 
@@ -36,8 +37,8 @@
 
 def _list_registers(
     registers_by_name: Mapping[str, Register],
-) -> list[tuple[str, int, bool]]:
+) -> list[tuple[str, int, bool, str]]:
     return [
-        (name, register.counter, register.active)
+        (name, register.counter, register.withdrawn, register.changed_by)
         for name, register in sorted(registers_by_name.items())
     ]
--- a/nutmegstep/declarations/__init__.py
+++ b/nutmegstep/declarations/__init__.py
@@ -10,6 +10,7 @@
     decode_control,
     encode_control,
     merge_control,
+    merge_registers,
 )
 from nutmegstep.declarations.core import (
     decode_catalogue,
@@ -56,4 +57,5 @@
     'find_files',
     'fleet_digest',
     'merge_control',
+    'merge_registers',
 ]
--- a/nutmegstep/declarations/control.py
+++ b/nutmegstep/declarations/control.py
@@ -3,8 +3,9 @@
 import enum
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import ClassVar
 
-from pydantic import TypeAdapter
+from pydantic import ConfigDict, TypeAdapter
 
 __all__ = [
     'ControlChange',
@@ -15,6 +16,7 @@
     'decode_control',
     'encode_control',
     'merge_control',
+    'merge_registers',
 ]
 
 
@@ -37,7 +39,8 @@
     withdrawn : bool
         Whether the name is out of service; wins at equal counters.
     changed_by : str
-        Operator of the latest change.
+        Operator of the latest change; the higher name wins when all else is
+        equal, so that every process ends with the same register.
     """
 
     counter: int
@@ -47,7 +50,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlDocument:
-    """All registers; a name that is absent is in service."""
+    """All registers; a name that is absent is in service.
+
+    Notes
+    -----
+    Unknown fields are an error. A document of another format would otherwise
+    be read as an empty one, and withdrawals would end.
+    """
+
+    __pydantic_config__: ClassVar[ConfigDict] = ConfigDict(extra='forbid')
 
     failure_domains_by_name: Mapping[str, Register] = field(
         default_factory=dict,
@@ -133,15 +144,26 @@
     True
     """
     return ControlDocument(
-        _merge(first.failure_domains_by_name, second.failure_domains_by_name),
-        _merge(first.targets_by_name, second.targets_by_name),
+        merge_registers(
+            first.failure_domains_by_name,
+            second.failure_domains_by_name,
+        ),
+        merge_registers(first.targets_by_name, second.targets_by_name),
     )
 
 
-def _merge(
+def merge_registers(
     first: Mapping[str, Register],
     second: Mapping[str, Register],
-) -> Mapping[str, Register]:
+) -> dict[str, Register]:
+    """Return the register with the higher counter for each name.
+
+    Examples
+    --------
+    >>> withdrawn, restored = Register(2, True), Register(2, False)
+    >>> merge_registers({'d1': restored}, {'d1': withdrawn})['d1'].withdrawn
+    True
+    """
     never = Register(0, withdrawn=False)
     return {
         name: max(
@@ -153,5 +175,5 @@
     }
 
 
-def _rank(register: Register) -> tuple[int, bool]:
-    return register.counter, register.withdrawn
+def _rank(register: Register) -> tuple[int, bool, str]:
+    return register.counter, register.withdrawn, register.changed_by
--- a/nutmegstep/node/core.py
+++ b/nutmegstep/node/core.py
@@ -9,7 +9,7 @@
 
 from nutmegstep.allowance import AllowanceState, drop_expired, release_all
 from nutmegstep.clock import Clock
-from nutmegstep.control import Register
+from nutmegstep.declarations import ControlChange, Register
 from nutmegstep.engine.events import Event
 from nutmegstep.membership import (
     Identity,
@@ -19,12 +19,12 @@
     record_tick,
 )
 from nutmegstep.node import exchange, handlers, loops, relay
+from nutmegstep.node.documents import encode_registers
 from nutmegstep.node.links import PeerLinks
 from nutmegstep.node.ports import ControlPlatform
 from nutmegstep.node.state import NodeState, update_allowance
 from nutmegstep.peers import (
     ClaimReport,
-    ControlCommand,
     ControlDocument,
     Heartbeat,
     HeartbeatReply,
@@ -188,6 +188,7 @@
                 self._clock.monotonic(),
             ),
             callbacks.explain,
+            lambda: encode_registers(self.state.control),
             self._on_command,
             self._on_forget,
         )
@@ -204,8 +205,8 @@
         now = self._clock.monotonic()
         return exchange.answer_fetch(self.state, known, now)
 
-    def _on_command(self, command: ControlCommand) -> Register:
-        register = handlers.apply_command(self.state, command)
+    def _on_command(self, change: ControlChange) -> Register:
+        register = handlers.apply_command(self.state, change)
         self._links.push()
         return register
 
--- a/nutmegstep/node/documents.py
+++ b/nutmegstep/node/documents.py
@@ -1,19 +1,21 @@
 """Conversion between platform objects and the control state."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Final
 
-from pydantic import TypeAdapter
 from xxhash import xxh3_128_hexdigest
 
 from nutmegstep.control import (
     Catalogue,
     Configuration,
     ControlState,
-    Register,
+    control_document,
+    state_of_control,
+)
+from nutmegstep.declarations import (
+    decode_control,
+    decode_fleet,
+    encode_control,
 )
-from nutmegstep.declarations import decode_fleet
 from nutmegstep.model import Fleet
 from nutmegstep.node.ports import StoredObject
 
@@ -30,15 +32,6 @@
 _INDEX_PREFIX: Final = 'indexes/'
 
 
-@dataclass(frozen=True, slots=True)
-class _Registers:
-    withdrawals_by_domain: Mapping[str, Register]
-    drains_by_target: Mapping[str, Register]
-
-
-_adapter = TypeAdapter(_Registers)
-
-
 def object_names(fleet: Fleet) -> tuple[str, ...]:
     """Return the names of the objects that a process follows."""
     indexes = {service.index for service in fleet.services_by_name.values()}
@@ -55,11 +48,7 @@
         The object does not match its model.
     """
     if stored.name == CONTROL_NAME:
-        registers = _adapter.validate_json(stored.document)
-        return ControlState(
-            withdrawals_by_domain=registers.withdrawals_by_domain,
-            drains_by_target=registers.drains_by_target,
-        )
+        return state_of_control(decode_control(stored.document))
     if stored.name == CONFIG_NAME:
         fleet = decode_fleet(stored.document)
         digest = xxh3_128_hexdigest(stored.document)
@@ -77,7 +66,6 @@
     Examples
     --------
     >>> encode_registers(ControlState())
-    b'{"withdrawals_by_domain":{},"drains_by_target":{}}'
+    b'{"failure_domains_by_name":{},"targets_by_name":{}}'
     """
-    registers = _Registers(state.withdrawals_by_domain, state.drains_by_target)
-    return _adapter.dump_json(registers)
+    return encode_control(control_document(state))
--- a/nutmegstep/node/handlers.py
+++ b/nutmegstep/node/handlers.py
@@ -5,26 +5,31 @@
 
 import orjson
 
-from nutmegstep.control import ControlState, Register, set_register
+from nutmegstep.control import control_document, state_of_control
+from nutmegstep.declarations import (
+    ControlChange,
+    ControlSubject,
+    Register,
+    apply_change,
+)
 from nutmegstep.membership import forget, roster, suspected_names, view
 from nutmegstep.node.state import NodeState, adopt
-from nutmegstep.peers import ControlCommand, ControlKind, Traffic
+from nutmegstep.peers import Traffic
 
 __all__ = ['apply_command', 'forget_vm', 'mark_leaving', 'status_document']
 
 
-def apply_command(state: NodeState, command: ControlCommand) -> Register:
+def apply_command(state: NodeState, change: ControlChange) -> Register:
     """Set a register as an operator asks and return it."""
-    if command.kind is ControlKind.WITHDRAWAL:
-        before = state.control.withdrawals_by_domain
-        after = set_register(before, command.name, active=command.active)
-        changed = ControlState(withdrawals_by_domain=after)
-    else:
-        before = state.control.drains_by_target
-        after = set_register(before, command.name, active=command.active)
-        changed = ControlState(drains_by_target=after)
-    adopt(state, changed)
-    return after.get(command.name, Register(0, active=False))
+    changed = apply_change(control_document(state.control), change)
+    adopt(state, state_of_control(changed))
+    is_target = change.subject is ControlSubject.TARGET
+    registers = (
+        changed.targets_by_name
+        if is_target
+        else changed.failure_domains_by_name
+    )
+    return registers.get(change.name, Register(0, withdrawn=False))
 
 
 def forget_vm(
@@ -69,5 +74,7 @@
 
 def _listed(registers_by_name: Mapping[str, Register]) -> list[str]:
     return sorted(
-        name for name, register in registers_by_name.items() if register.active
+        name
+        for name, register in registers_by_name.items()
+        if register.withdrawn
     )
--- a/nutmegstep/peers/__init__.py
+++ b/nutmegstep/peers/__init__.py
@@ -4,9 +4,7 @@
 from nutmegstep.peers.core import (
     ClaimReport,
     ClaimState,
-    ControlCommand,
     ControlDocument,
-    ControlKind,
     ControlVersions,
     Heartbeat,
     HeartbeatReply,
@@ -24,9 +22,7 @@
 __all__ = [
     'ClaimReport',
     'ClaimState',
-    'ControlCommand',
     'ControlDocument',
-    'ControlKind',
     'ControlVersions',
     'Heartbeat',
     'HeartbeatReply',
--- a/nutmegstep/peers/bounds.py
+++ b/nutmegstep/peers/bounds.py
@@ -12,6 +12,7 @@
     'check_count',
     'check_name',
     'check_names',
+    'check_operator',
 ]
 
 KEY_BYTES: Final = 16
@@ -39,6 +40,11 @@
     )
 
 
+def check_operator(field: str, name: str) -> str:
+    """Return an operator's name, which may be empty, or raise."""
+    return check_name(field, name) if name else name
+
+
 def check_count(field: str, entries: Sized) -> None:
     """Raise `MessageError` when a collection is too long."""
     if len(entries) > _MOST_ENTRIES:
--- a/nutmegstep/peers/client.py
+++ b/nutmegstep/peers/client.py
@@ -5,12 +5,11 @@
 import grpc
 from google.protobuf.message import Message
 
-from nutmegstep.control import Register
+from nutmegstep.declarations import ControlChange, Register
 from nutmegstep.peers import convert, convert_control
 from nutmegstep.peers.bounds import MESSAGE_BYTES
 from nutmegstep.peers.core import (
     ClaimReport,
-    ControlCommand,
     ControlDocument,
     Heartbeat,
     HeartbeatReply,
@@ -108,19 +107,21 @@
         reply = await self._call(address, _OPERATORS, 'Explain', request)
         return bytes(reply.document)
 
+    async def read_control(self, address: str) -> bytes:
+        """Return withdrawals and drains as `control/state` holds them."""
+        request = wire.ReadControlRequest()
+        reply = await self._call(address, _OPERATORS, 'ReadControl', request)
+        return bytes(reply.document)
+
     async def apply_control(
         self,
         address: str,
-        command: ControlCommand,
+        change: ControlChange,
     ) -> Register:
-        """Apply an operator's command and return the register."""
-        request = wire.ApplyControlRequest(
-            kind=wire.ApplyControlRequest.Kind.Name(command.kind.value),
-            name=command.name,
-            active=command.active,
-        )
+        """Apply an operator's change and return the register."""
+        request = convert_control.encode_change(change)
         reply = await self._call(address, _OPERATORS, 'ApplyControl', request)
-        return Register(reply.register.counter, reply.register.active)
+        return convert_control.decode_register(reply.register)
 
     async def forget(self, address: str, name: str, *, spread: bool) -> bool:
         """Drop a dead VM from rosters; return whether it was known."""
@@ -151,6 +152,7 @@
         except grpc.aio.AioRpcError as error:
             raise PeerError(
                 f'{call} at {address}: {error.code().name}: {error.details()}',
+                error.code().name,
             ) from error
         self._traffic.count(call, reply)
         return reply
--- a/nutmegstep/peers/convert_control.py
+++ b/nutmegstep/peers/convert_control.py
@@ -2,25 +2,44 @@
 
 from collections.abc import Mapping
 from datetime import timedelta
+from types import MappingProxyType
+from typing import Final
 
 from nutmegstep.control import (
     Catalogue,
     Configuration,
     ControlState,
-    Register,
 )
-from nutmegstep.peers.bounds import check_count, check_name
+from nutmegstep.declarations import ControlChange, ControlSubject, Register
+from nutmegstep.peers.bounds import check_count, check_name, check_operator
 from nutmegstep.peers.convert import decode_vm, encode_vm
-from nutmegstep.peers.core import ClaimReport, ClaimState, ControlDocument
+from nutmegstep.peers.core import (
+    ClaimReport,
+    ClaimState,
+    ControlDocument,
+    MessageError,
+)
 from nutmegstep.peers.generated import peers_pb2 as wire
 
 __all__ = [
+    'decode_change',
     'decode_claim',
     'decode_document',
+    'decode_register',
+    'encode_change',
     'encode_claim',
     'encode_document',
+    'encode_register',
 ]
 
+_Kind = wire.ApplyControlRequest.Kind
+_KIND_BY_SUBJECT: Final = MappingProxyType(
+    {
+        ControlSubject.FAILURE_DOMAIN: _Kind.KIND_FAILURE_DOMAIN,
+        ControlSubject.TARGET: _Kind.KIND_TARGET,
+    },
+)
+
 
 def encode_document(document: ControlDocument) -> wire.FetchControlReply:
     """Return the wire form of the control state."""
@@ -100,11 +119,58 @@
     )
 
 
+def encode_change(change: ControlChange) -> wire.ApplyControlRequest:
+    """Return the wire form of an operator's change."""
+    return wire.ApplyControlRequest(
+        kind=_KIND_BY_SUBJECT[change.subject],
+        name=change.name,
+        withdrawn=change.withdrawn,
+        changed_by=change.changed_by,
+    )
+
+
+def decode_change(message: wire.ApplyControlRequest) -> ControlChange:
+    """Return a checked change.
+
+    Raises
+    ------
+    MessageError
+        A field breaks its bound.
+    """
+    subject_by_kind = {kind: key for key, kind in _KIND_BY_SUBJECT.items()}
+    if message.kind not in subject_by_kind:
+        raise MessageError(f'kind has unknown number {message.kind}')
+    return ControlChange(
+        subject_by_kind[message.kind],
+        check_name('name', message.name),
+        message.withdrawn,
+        check_operator('changed_by', message.changed_by),
+    )
+
+
+def encode_register(register: Register) -> wire.Register:
+    """Return the wire form of a register."""
+    return wire.Register(
+        counter=register.counter,
+        withdrawn=register.withdrawn,
+        changed_by=register.changed_by,
+    )
+
+
+def decode_register(message: wire.Register) -> Register:
+    """Return a checked register."""
+    return Register(
+        message.counter,
+        message.withdrawn,
+        check_operator('changed_by', message.changed_by),
+    )
+
+
 def _encode_registers(
     registers_by_name: Mapping[str, Register],
 ) -> dict[str, wire.Register]:
     return {
-        name: wire.Register(counter=register.counter, active=register.active)
+        name: encode_register(register)
         for name, register in registers_by_name.items()
     }
 
@@ -114,6 +180,6 @@
 ) -> dict[str, Register]:
     check_count('registers', messages_by_name)
     return {
-        check_name('register', name): Register(message.counter, message.active)
+        check_name('register', name): decode_register(message)
         for name, message in messages_by_name.items()
     }
--- a/nutmegstep/peers/core.py
+++ b/nutmegstep/peers/core.py
@@ -5,15 +5,14 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from nutmegstep.control import ControlState, Register
+from nutmegstep.control import ControlState
+from nutmegstep.declarations import ControlChange, Register
 from nutmegstep.membership import ListedVm
 
 __all__ = [
     'ClaimReport',
     'ClaimState',
-    'ControlCommand',
     'ControlDocument',
-    'ControlKind',
     'ControlVersions',
     'Heartbeat',
     'HeartbeatReply',
@@ -31,7 +30,19 @@
 
 
 class PeerError(Exception):
-    """A call to a peer failed; the text names address, call and cause."""
+    """A call to a peer failed; the text names address, call and cause.
+
+    Parameters
+    ----------
+    text : str
+        Address, call and cause.
+    status : str
+        Name of the gRPC status.
+    """
+
+    def __init__(self, text: str, status: str = '') -> None:
+        super().__init__(text)
+        self.status = status
 
 
 @enum.unique
@@ -44,14 +55,6 @@
     ABANDONED = 3
 
 
-@enum.unique
-class ControlKind(enum.Enum):
-    """What an operator's command sets; numbers of the wire."""
-
-    WITHDRAWAL = 1
-    DRAIN = 2
-
-
 @dataclass(frozen=True, slots=True)
 class Process:
     """One run of an entry process with the description of its VM."""
@@ -129,15 +132,6 @@
     abandoned_age: timedelta = timedelta()
 
 
-@dataclass(frozen=True, slots=True)
-class ControlCommand:
-    """An operator's command on one name."""
-
-    kind: ControlKind
-    name: str
-    active: bool
-
-
 @dataclass(frozen=True, slots=True)
 class PeerHandlers:
     """Functions that answer the calls; `forget` takes name and spread."""
@@ -147,5 +141,6 @@
     claim_status: Callable[[bytes], Awaitable[ClaimReport]]
     status: Callable[[], bytes]
     explain: Callable[[str], bytes]
-    apply_control: Callable[[ControlCommand], Register]
+    read_control: Callable[[], bytes]
+    apply_control: Callable[[ControlChange], Register]
     forget: Callable[[str, bool], bool]
--- a/nutmegstep/peers/server.py
+++ b/nutmegstep/peers/server.py
@@ -15,8 +15,6 @@
     check_name,
 )
 from nutmegstep.peers.core import (
-    ControlCommand,
-    ControlKind,
     KnownVersions,
     MessageError,
     PeerHandlers,
@@ -98,6 +96,7 @@
         'ClaimStatus': _claim(handlers),
         'Status': _status(handlers),
         'Explain': _explain(handlers),
+        'ReadControl': _read_control(handlers),
         'ApplyControl': _apply(handlers),
         'Forget': _forget(handlers),
     }
@@ -172,24 +171,21 @@
     return answer
 
 
+def _read_control(handlers: PeerHandlers) -> Any:
+    async def answer(request: wire.ReadControlRequest) -> wire.ReadControlReply:
+        return wire.ReadControlReply(document=handlers.read_control())
+
+    return answer
+
+
 def _apply(handlers: PeerHandlers) -> Any:
     async def answer(
         request: wire.ApplyControlRequest,
     ) -> wire.ApplyControlReply:
-        if request.kind not in {kind.value for kind in ControlKind}:
-            raise MessageError(f'kind has unknown number {request.kind}')
-        register = handlers.apply_control(
-            ControlCommand(
-                ControlKind(request.kind),
-                check_name('name', request.name),
-                request.active,
-            ),
-        )
+        change = convert_control.decode_change(request)
+        register = handlers.apply_control(change)
         return wire.ApplyControlReply(
-            register=wire.Register(
-                counter=register.counter,
-                active=register.active,
-            ),
+            register=convert_control.encode_register(register),
         )
 
     return answer
--- a/tests/control/test_core.py
+++ b/tests/control/test_core.py
@@ -1,24 +1,33 @@
 """Tests of the merge: guard against states that revert or diverge."""
 
+import pytest
 from hypothesis import given, seed, strategies
 
 from nutmegstep.control import (
     Catalogue,
     Configuration,
     ControlState,
-    Register,
     changed_events,
     merge,
-    set_register,
+    state_of_control,
+)
+from nutmegstep.declarations import (
+    ControlChange,
+    ControlDocument,
+    ControlSubject,
+    Register,
+    apply_change,
+    decode_control,
+    encode_control,
+    encode_fleet,
 )
-from nutmegstep.declarations import encode_fleet
 from nutmegstep.engine.events import ControlChanged, FleetChanged
 from nutmegstep.model import Fleet
 
 _small = strategies.integers(0, 3)
 _names = strategies.sampled_from('abc')
 _registers = strategies.dictionaries(
-    _names, strategies.builds(Register, _small, strategies.booleans())
+    _names, strategies.builds(Register, _small, strategies.booleans(), _names)
 )
 _states = strategies.builds(
     ControlState,
@@ -53,9 +62,22 @@
 
 def test_repeated_command_keeps_counter() -> None:
     """Guards against a repeated withdrawal that beats a later restore."""
-    once = set_register({}, 'd1', active=True)
-    assert set_register(once, 'd1', active=True) == once
-    assert set_register(once, 'd1', active=False)['d1'] == Register(2, False)
+    domain = ControlSubject.FAILURE_DOMAIN
+    withdraw = ControlChange(domain, 'd1', True, 'ilze')
+    restore = ControlChange(domain, 'd1', False, 'aidan')
+    once = apply_change(ControlDocument(), withdraw)
+    assert apply_change(once, withdraw) == once
+    restored = apply_change(once, restore).failure_domains_by_name['d1']
+    assert restored == Register(2, False, 'aidan')
+
+
+def test_other_format_is_not_an_empty_one() -> None:
+    """Guards against withdrawals that end with a document of another form."""
+    document = ControlDocument({'d1': Register(1, True, 'ilze')})
+    assert decode_control(encode_control(document)) == document
+    assert state_of_control(document).withdrawals_by_domain['d1'].withdrawn
+    with pytest.raises(ValueError, match='withdrawals_by_domain'):
+        decode_control(b'{"withdrawals_by_domain": {}}')
 
 
 def test_withdrawal_precedes_configuration() -> None:
--- a/tests/node/test_core.py
+++ b/tests/node/test_core.py
@@ -5,7 +5,12 @@
 from random import Random
 
 from nutmegstep.clock import SystemClock
-from nutmegstep.declarations import encode_fleet
+from nutmegstep.declarations import (
+    ControlChange,
+    ControlSubject,
+    decode_control,
+    encode_fleet,
+)
 from nutmegstep.engine.events import (
     AllowanceChanged,
     ControlChanged,
@@ -25,8 +30,6 @@
 from nutmegstep.peers import (
     ClaimReport,
     ClaimState,
-    ControlCommand,
-    ControlKind,
     PeerClient,
     Traffic,
 )
@@ -124,15 +127,16 @@
     assert (first.state.source, second.state.source) == ('platform', 'peers')
     assert FleetChanged(_FLEET) in events
     client = PeerClient(Traffic(), timeout=10)
-    command = ControlCommand(ControlKind.WITHDRAWAL, 'd2', active=True)
+    change = ControlChange(ControlSubject.FAILURE_DOMAIN, 'd2', True, 'ilze')
     await _until(lambda: 'vm-2' in first.state.membership.members_by_name)
-    await client.apply_control(address, command)
+    await client.apply_control(address, change)
     withdrawn = ControlChanged(frozenset(('d2',)), frozenset())
     await _until(lambda: withdrawn in events)
     platform.write('config/fleet', encode_fleet(Fleet(2, {}, {}, 1, {})))
     platform.away = False
     await _until(lambda: 'control/state' in platform.stored)
-    assert b'd2' in platform.stored['control/state'].document
+    stored = decode_control(platform.stored['control/state'].document)
+    assert stored.failure_domains_by_name['d2'].changed_by == 'ilze'
     assert first.state.fleet == second.state.fleet == _FLEET
     await client.close()
     await second.stop()
--- a/tests/peers/test_server.py
+++ b/tests/peers/test_server.py
@@ -6,14 +6,17 @@
 
 import pytest
 
-from nutmegstep.control import Configuration, ControlState, Register
+from nutmegstep.control import Configuration, ControlState
+from nutmegstep.declarations import (
+    ControlChange,
+    ControlSubject,
+    Register,
+)
 from nutmegstep.membership import ListedVm
 from nutmegstep.peers import (
     ClaimReport,
     ClaimState,
-    ControlCommand,
     ControlDocument,
-    ControlKind,
     ControlVersions,
     Heartbeat,
     HeartbeatReply,
@@ -34,7 +37,9 @@
     Process(_VM, 7), 1, _VERSIONS, ('t',), ('u',), (WarmReport('w', 'b'),)
 )
 _DOCUMENT = ControlDocument(
-    ControlState(Configuration(3, 'x', b'{}'), {'d1': Register(2, True)}),
+    ControlState(
+        Configuration(3, 'x', b'{}'), {'d1': Register(2, True, 'ilze')}
+    ),
     (_VM,),
     40,
 )
@@ -61,7 +66,8 @@
     _claim_status,
     lambda: b'{}',
     lambda request_id: request_id.encode(),
-    lambda command: Register(4, command.active),
+    lambda: b'{}',
+    lambda command: Register(4, command.withdrawn, command.changed_by),
     lambda name, spread: spread,
 )
 
@@ -79,11 +85,14 @@
     assert report == ClaimReport(
         ClaimState.ABANDONED, None, timedelta(milliseconds=5)
     )
-    command = ControlCommand(ControlKind.DRAIN, 't', active=True)
-    assert await client.apply_control(address, command) == Register(4, True)
+    command = ControlChange(ControlSubject.TARGET, 't', True, 'ilze')
+    assert await client.apply_control(address, command) == Register(
+        4, True, 'ilze'
+    )
     assert await client.forget(address, 'vm-9', spread=True)
     assert await client.explain(address, 'r') == b'r'
     assert await client.status(address) == b'{}'
+    assert await client.read_control(address) == b'{}'
     assert traffic.messages_by_call['Exchange'] == 2
     with pytest.raises(PeerError, match='key has 15 bytes, not 16'):
         await client.claim_status(address, bytes(15))
