Report status and alarms of an entry VM

Status listed names but neither readiness, the highest generation heard nor alarms, and its source was set only at the start. It is now the typed EntryStatus of nutmegstep.peers. Exchanges and platform reads note the generation and digest of each source: an equal generation with another digest is logged once per source and shown as an alarm.

NodeCallbacks takes an optional `ready`; a withdrawn failure domain, a drain and a missing configuration make the VM unready in any case.

--- a/nutmegstep/node/core.py
+++ b/nutmegstep/node/core.py
@@ -36,6 +36,7 @@
     TlsFiles,
     Traffic,
     WarmReport,
+    encode_status,
 )
 
 __all__ = ['ControlPlane', 'NodeCallbacks', 'NodeSettings']
@@ -85,11 +86,14 @@
         Answers peers that ask for the state of a claim by its key.
     explain : Callable
         Returns the JSON document that explains a request.
+    ready : Callable, optional
+        Tells whether ``/ready`` succeeds.
     """
 
     emit: Callable[[Event], None]
     claim_status: Callable[[bytes], Awaitable[ClaimReport]]
     explain: Callable[[str], bytes]
+    ready: Callable[[], bool] = lambda: True
 
 
 class ControlPlane:
@@ -182,10 +186,13 @@
             self._on_exchange,
             self._on_fetch,
             callbacks.claim_status,
-            lambda: handlers.status_document(
-                self.state,
-                self.traffic,
-                self._clock.monotonic(),
+            lambda: encode_status(
+                handlers.entry_status(
+                    self.state,
+                    self.traffic,
+                    self._clock.monotonic(),
+                    is_ready=callbacks.ready(),
+                ),
             ),
             callbacks.explain,
             lambda: encode_registers(self.state.control),
@@ -220,13 +227,9 @@
         except loops.PLATFORM_ERRORS as error:
             _log.warning('no platform at the start: %s', error)
         else:
-            self.state.source = 'platform'
             return
-        fetched = [
-            await self._links.fetch(address) for address in self._settings.seeds
-        ]
-        if any(fetched):
-            self.state.source = 'peers'
+        for address in self._settings.seeds:
+            await self._links.fetch(address)
 
     async def _beat(self) -> None:
         while True:
--- a/nutmegstep/node/exchange.py
+++ b/nutmegstep/node/exchange.py
@@ -19,7 +19,9 @@
     record_list,
 )
 from nutmegstep.node.contacts import own_asks
+from nutmegstep.node.heard import hear_configuration
 from nutmegstep.node.state import (
+    HeardConfiguration,
     NodeState,
     adopt,
     control_versions,
@@ -85,6 +87,7 @@
     if not _hear(state, heartbeat.sender, now):
         return HeartbeatReply(state.own, versions, stale_incarnation=True)
     vm = heartbeat.sender.vm
+    _hear_versions(state, vm.name, heartbeat.versions)
     asker = Identity(vm.name, heartbeat.sender.incarnation)
     record_release(
         state.allowance,
@@ -120,6 +123,7 @@
     if reply.stale_incarnation or not _hear(state, reply.receiver, now):
         return
     giver = reply.receiver.vm.name
+    _hear_versions(state, giver, reply.versions)
     record_grant(state.allowance, giver, reply.granted_targets, sent)
     learn_warm(state, reply.warm_reports, now)
     _learn_age(state, reply.versions, now)
@@ -204,6 +208,18 @@
     )
 
 
+def _hear_versions(
+    state: NodeState,
+    name: str,
+    versions: ControlVersions,
+) -> None:
+    heard = HeardConfiguration(
+        versions.generation,
+        versions.configuration_digest,
+    )
+    hear_configuration(state, name, heard)
+
+
 def _is_new(state: NodeState, process: Process, now: float) -> bool:
     member = state.membership.members_by_name.get(process.vm.name)
     if member is None or member.incarnation != process.incarnation:
--- a/nutmegstep/node/handlers.py
+++ b/nutmegstep/node/handlers.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 
-import orjson
-
 from nutmegstep.control import control_document, state_of_control
 from nutmegstep.declarations import (
     ControlChange,
@@ -13,10 +11,11 @@
     apply_change,
 )
 from nutmegstep.membership import forget, roster, suspected_names, view
+from nutmegstep.node.alarms import alarms
 from nutmegstep.node.state import NodeState, adopt
-from nutmegstep.peers import Traffic
+from nutmegstep.peers import EntryStatus, Traffic
 
-__all__ = ['apply_command', 'forget_vm', 'mark_leaving', 'status_document']
+__all__ = ['apply_command', 'entry_status', 'forget_vm', 'mark_leaving']
 
 
 def apply_command(state: NodeState, change: ControlChange) -> Register:
@@ -44,25 +43,50 @@
     return known
 
 
-def status_document(state: NodeState, traffic: Traffic, now: float) -> bytes:
-    """Return the JSON document of the operators' `Status`."""
+def entry_status(
+    state: NodeState,
+    traffic: Traffic,
+    now: float,
+    *,
+    is_ready: bool,
+) -> EntryStatus:
+    """Return what the process reports about itself.
+
+    Parameters
+    ----------
+    state : NodeState
+        State of the control side.
+    traffic : Traffic
+        Messages since the start.
+    now : float
+        Monotonic instant.
+    is_ready : bool
+        Whether the callers' side is ready.
+    """
     domain = state.membership.failure_domain
-    return orjson.dumps(
-        {
-            'name': state.own.vm.name,
-            'failure_domain': domain,
-            'generation': state.control.configuration.generation,
-            'configuration_digest': state.control.configuration.digest,
-            'source': state.source,
-            'withdrawals': _listed(state.control.withdrawals_by_domain),
-            'drains': _listed(state.control.drains_by_target),
-            'view': sorted(view(state.membership, now)),
-            'suspected': sorted(suspected_names(state.membership, now)),
-            'roster': sorted(roster(state.membership, domain, now)),
-            'cold_targets_allowed': sorted(state.until_by_target),
-            'messages_by_call': dict(traffic.messages_by_call),
-            'bytes_by_call': dict(traffic.bytes_by_call),
-        },
+    configuration = state.control.configuration
+    withdrawn = _withdrawn_names(state.control.withdrawals_by_domain)
+    in_service = domain not in withdrawn and not state.own.vm.leaving
+    return EntryStatus(
+        vm=state.own.vm.name,
+        failure_domain=domain,
+        ready=is_ready and in_service and configuration.generation > 0,
+        generation=configuration.generation,
+        configuration_digest=configuration.digest,
+        highest_generation=max(
+            state.highest_generation,
+            configuration.generation,
+        ),
+        configuration_source=state.source,
+        withdrawn=withdrawn,
+        draining=_withdrawn_names(state.control.drains_by_target),
+        view=tuple(sorted(view(state.membership, now))),
+        suspected=tuple(sorted(suspected_names(state.membership, now))),
+        roster=tuple(sorted(roster(state.membership, domain, now))),
+        cold_targets_allowed=tuple(sorted(state.until_by_target)),
+        messages_by_call=dict(traffic.messages_by_call),
+        bytes_by_call=dict(traffic.bytes_by_call),
+        alarms=alarms(state, now),
     )
 
 
@@ -72,9 +96,11 @@
     state.own = replace(state.own, vm=leaving)
 
 
-def _listed(registers_by_name: Mapping[str, Register]) -> list[str]:
-    return sorted(
+def _withdrawn_names(
+    registers_by_name: Mapping[str, Register],
+) -> tuple[str, ...]:
+    return tuple(
         name
-        for name, register in registers_by_name.items()
+        for name, register in sorted(registers_by_name.items())
         if register.withdrawn
     )
--- a/nutmegstep/node/links.py
+++ b/nutmegstep/node/links.py
@@ -162,8 +162,12 @@
 
     def _learn(self, address: str, document: ControlDocument) -> bool:
         now = self._clock.monotonic()
+        current = self._state.control.configuration.generation
         try:
-            return exchange.learn_document(self._state, document, now)
+            changed = exchange.learn_document(self._state, document, now)
         except ValueError as error:
             _log.error('control state of %s is not valid: %s', address, error)
             return False
+        if self._state.control.configuration.generation > current:
+            self._state.source = 'peers'
+        return changed
--- a/nutmegstep/node/relay.py
+++ b/nutmegstep/node/relay.py
@@ -13,8 +13,9 @@
     encode_registers,
     object_names,
 )
+from nutmegstep.node.heard import PLATFORM_SOURCE, hear_configuration
 from nutmegstep.node.ports import ControlPlatform, StoredObject
-from nutmegstep.node.state import NodeState, adopt
+from nutmegstep.node.state import HeardConfiguration, NodeState, adopt
 
 __all__ = ['load_all', 'read_list', 'take_object', 'watch_once', 'write_back']
 
@@ -88,18 +89,30 @@
         return False
     if stored.name == CONTROL_NAME:
         state.stored_registers = registers_digest(part)
+    if stored.name == CONFIG_NAME:
+        _hear_stored(state, part)
     current = state.control.configuration.generation
-    if 0 < part.configuration.generation < current:
-        _log.warning(
-            'platform has generation %d, older than %d in force',
-            part.configuration.generation,
-            current,
-        )
     try:
-        return adopt(state, part)
+        changed = adopt(state, part)
     except ValueError as error:
         _log.error('object %s is not valid: %s', stored.name, error)
         return False
+    if state.control.configuration.generation > current:
+        state.source = 'platform'
+    return changed
+
+
+def _hear_stored(state: NodeState, part: ControlState) -> None:
+    stored = part.configuration
+    current = state.control.configuration.generation
+    if stored.generation < current:
+        _log.warning(
+            'platform has generation %d, older than %d in force',
+            stored.generation,
+            current,
+        )
+    heard = HeardConfiguration(stored.generation, stored.digest)
+    hear_configuration(state, PLATFORM_SOURCE, heard)
 
 
 async def _load(
--- a/nutmegstep/node/state.py
+++ b/nutmegstep/node/state.py
@@ -20,7 +20,21 @@
 from nutmegstep.model import Fleet
 from nutmegstep.peers import ControlVersions, Process
 
-__all__ = ['NodeState', 'adopt', 'control_versions', 'update_allowance']
+__all__ = [
+    'HeardConfiguration',
+    'NodeState',
+    'adopt',
+    'control_versions',
+    'update_allowance',
+]
+
+
+@dataclass(frozen=True, slots=True)
+class HeardConfiguration:
+    """Generation and digest that a VM or the platform reports."""
+
+    generation: int
+    digest: str
 
 
 @dataclass(slots=True)
@@ -37,6 +51,15 @@
         Cold targets to which this VM would send.
     stored_registers : int or None
         Digest of the registers last read from the platform.
+    source : str
+        Where the configuration in force came from.
+    highest_generation : int
+        Highest generation reported by the platform or another VM.
+    platform_generation : int or None
+        Generation last read from the platform.
+    conflicts_by_source : dict
+        Reported configurations with another digest at the generation that
+        was in force then.
     """
 
     own: Process
@@ -52,6 +75,11 @@
     sequence: int = 0
     stored_registers: int | None = None
     source: str = 'none'
+    highest_generation: int = 0
+    platform_generation: int | None = None
+    conflicts_by_source: dict[str, HeardConfiguration] = field(
+        default_factory=dict,
+    )
 
 
 def adopt(state: NodeState, theirs: ControlState) -> bool:
--- a/nutmegstep/peers/__init__.py
+++ b/nutmegstep/peers/__init__.py
@@ -16,6 +16,11 @@
     WarmReport,
 )
 from nutmegstep.peers.server import PeerServer
+from nutmegstep.peers.status import (
+    EntryStatus,
+    decode_status,
+    encode_status,
+)
 from nutmegstep.peers.tls import TlsFiles
 from nutmegstep.peers.traffic import Traffic
 
@@ -24,6 +29,7 @@
     'ClaimState',
     'ControlDocument',
     'ControlVersions',
+    'EntryStatus',
     'Heartbeat',
     'HeartbeatReply',
     'KnownVersions',
@@ -36,4 +42,6 @@
     'TlsFiles',
     'Traffic',
     'WarmReport',
+    'decode_status',
+    'encode_status',
 ]
