Call entry VMs from the operators' commands

operator_interface returned a stub that failed every call, so status, explain and forget could not work, publish and the control commands asked nobody for newer generations and counters, and a withdrawal without the platform was refused.

Tests run the command functions against control planes and the platform stand-in over sockets: publication after a restore, withdrawals in an outage with errors and in a silent one, two relays that write back at once, operators in conflict, status, explain, forget, configurations in conflict, mutual TLS, strangers and renewed certificates.

--- a/nutmegstep/cli/control_command.py
+++ b/nutmegstep/cli/control_command.py
@@ -4,13 +4,20 @@
 import asyncio
 from contextlib import closing
 from dataclasses import asdict, dataclass
+from datetime import timedelta
+from typing import Final
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result
 
-from nutmegstep.cli.controlling import Applied, change_control
+from nutmegstep.cli.connecting import operator_interface
+from nutmegstep.cli.controlling import (
+    Applied,
+    change_at_peers,
+    change_control,
+)
 from nutmegstep.cli.exit_codes import CommandFailure, ExitCode
-from nutmegstep.cli.operators import operator_interface
+from nutmegstep.cli.operators import OperatorInterface
 from nutmegstep.cli.options import (
     Commands,
     add_command,
@@ -24,9 +31,20 @@
 from nutmegstep.cli.output import print_failure, print_outcome
 from nutmegstep.cli.publishing import read_in_force
 from nutmegstep.declarations import ControlChange, ControlSubject
-from nutmegstep.platform_api import ObjectClient
+from nutmegstep.platform_api import CALL_TIMEOUT, ObjectClient
+
+__all__ = [
+    'PLATFORM_TIMEOUT',
+    'ControlCommand',
+    'add_control_command',
+    'execute',
+]
 
-__all__ = ['ControlCommand', 'add_control_command', 'execute']
+# The platform answers in milliseconds. A silent one must not hold a
+# withdrawal back, which any entry VM takes as well; after the first call
+# without an answer the change goes there. Without `--entry` there is nobody
+# else to ask, and the usual bound holds.
+PLATFORM_TIMEOUT: Final = timedelta(milliseconds=500)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,8 +84,10 @@
 
 async def execute(arguments: argparse.Namespace) -> int:
     """Apply the change; return the exit code."""
-    with closing(platform_client(arguments)) as client:
-        changed = await _change(arguments, client)
+    timeout = PLATFORM_TIMEOUT if entry_addresses(arguments) else CALL_TIMEOUT
+    with closing(platform_client(arguments, timeout)) as client:
+        async with operator_interface(arguments) as interface:
+            changed = await _change(arguments, client, interface)
     if not is_successful(changed):
         return print_failure(arguments, changed.failure())
     applied = changed.unwrap()
@@ -81,32 +101,41 @@
 async def _change(
     arguments: argparse.Namespace,
     client: ObjectClient,
+    interface: OperatorInterface,
 ) -> Result[Applied, CommandFailure]:
-    if not arguments.force:
-        unknown = await _check_name(arguments, client)
-        if unknown is not None:
-            return Failure(unknown)
-    command = arguments.command
-    return await change_control(
-        client,
-        operator_interface(),
-        entry_addresses(arguments),
-        ControlChange(
-            command.subject,
-            arguments.name,
-            command.withdrawn,
-            operator_name(arguments),
-        ),
+    entries = entry_addresses(arguments)
+    change = ControlChange(
+        arguments.command.subject,
+        arguments.name,
+        arguments.command.withdrawn,
+        operator_name(arguments),
     )
+    failure = None
+    if not arguments.force:
+        failure = await _check_name(arguments, client)
+    if failure is None:
+        return await change_control(client, interface, entries, change)
+    if failure.code is ExitCode.UNAVAILABLE:
+        return await change_at_peers(interface, entries, change, failure)
+    return Failure(failure)
 
 
 async def _check_name(
     arguments: argparse.Namespace,
     client: ObjectClient,
 ) -> CommandFailure | None:
-    """Refuse an unknown name; without the platform every name passes."""
+    """Return why a name is refused or cannot be checked; else None.
+
+    Notes
+    -----
+    A configuration that is absent or cannot be read does not hold back a
+    withdrawal.
+    """
     read = await read_in_force(client)
-    if not is_successful(read) or read.unwrap().version is None:
+    if not is_successful(read):
+        failure = read.failure()
+        return failure if failure.code is ExitCode.UNAVAILABLE else None
+    if read.unwrap().version is None:
         return None
     fleet = read.unwrap().published.fleet
     known = {
--- a/nutmegstep/cli/controlling.py
+++ b/nutmegstep/cli/controlling.py
@@ -22,7 +22,7 @@
 )
 from nutmegstep.platform_api import ObjectClient, PlatformFailureKind
 
-__all__ = ['CONTROL_OBJECT', 'Applied', 'change_control']
+__all__ = ['CONTROL_OBJECT', 'Applied', 'change_at_peers', 'change_control']
 
 CONTROL_OBJECT: Final = 'control/state'
 # Operators rarely change withdrawals at the same time, and relays write only
@@ -84,7 +84,7 @@
     failure = stored.failure()
     if failure.code not in {ExitCode.UNAVAILABLE, ExitCode.UNCERTAIN}:
         return stored
-    return await _change_at_peers(interface, entries, change, failure)
+    return await change_at_peers(interface, entries, change, failure)
 
 
 async def _change_at_platform(
@@ -189,12 +189,25 @@
     return Success(_Read(stored.version, document))
 
 
-async def _change_at_peers(
+async def change_at_peers(
     interface: OperatorInterface,
     entries: Sequence[str],
     change: ControlChange,
     failure: CommandFailure,
 ) -> Result[Applied, CommandFailure]:
+    """Apply a change through the first entry VM that takes it.
+
+    Parameters
+    ----------
+    interface : OperatorInterface
+        Calls entry VMs.
+    entries : sequence of str
+        Entry VMs to ask in turn.
+    change : ControlChange
+        What to change.
+    failure : CommandFailure
+        Why the platform did not take the change.
+    """
     code = failure.code
     details = [f'platform: {failure.detail}']
     for address in entries:
--- a/nutmegstep/cli/core.py
+++ b/nutmegstep/cli/core.py
@@ -59,4 +59,7 @@
 def main(argv: Sequence[str] | None = None) -> None:
     """Parse the arguments, run a command and exit with its code."""
     arguments = build_parser().parse_args(argv)
+    check_arguments = getattr(arguments, 'check', None)
+    if check_arguments is not None:
+        check_arguments(arguments)
     sys.exit(arguments.run(arguments))
--- a/nutmegstep/cli/explain.py
+++ b/nutmegstep/cli/explain.py
@@ -7,8 +7,8 @@
 from returns.pipeline import is_successful
 
 from nutmegstep.cli.asking import ask_in_turn
+from nutmegstep.cli.connecting import operator_interface
 from nutmegstep.cli.exit_codes import ExitCode
-from nutmegstep.cli.operators import operator_interface
 from nutmegstep.cli.options import (
     Commands,
     add_command,
@@ -38,11 +38,11 @@
 
 async def execute(arguments: argparse.Namespace) -> int:
     """Ask an entry VM; return the exit code."""
-    interface = operator_interface()
-    asked = await ask_in_turn(
-        entry_addresses(arguments),
-        lambda entry: interface.explain(entry, arguments.request_id),
-    )
+    async with operator_interface(arguments) as interface:
+        asked = await ask_in_turn(
+            entry_addresses(arguments),
+            lambda entry: interface.explain(entry, arguments.request_id),
+        )
     if not is_successful(asked):
         return print_failure(arguments, asked.failure())
     explanation = asked.unwrap()
--- a/nutmegstep/cli/options.py
+++ b/nutmegstep/cli/options.py
@@ -4,12 +4,15 @@
 import getpass
 import os
 import textwrap
+from datetime import timedelta
 from pathlib import Path
+from types import MappingProxyType
 from typing import Final, TypeAlias
 
 from nutmegstep.cli.exit_codes import describe_exit_codes
 from nutmegstep.declarations import FILE_PATTERN
-from nutmegstep.platform_api import ObjectClient
+from nutmegstep.peers import TlsFiles
+from nutmegstep.platform_api import CALL_TIMEOUT, ObjectClient
 
 __all__ = [
     'Commands',
@@ -22,6 +25,7 @@
     'entry_addresses',
     'operator_name',
     'platform_client',
+    'tls_files',
 ]
 
 Commands: TypeAlias = 'argparse._SubParsersAction[argparse.ArgumentParser]'
@@ -29,6 +33,13 @@
 
 _ENTRY: Final = 'NUTMEGSTEP_ENTRY'
 _HELP_COLUMNS: Final = 78
+_TLS_HELP_BY_NAME: Final = MappingProxyType(
+    {
+        'tls_certificate': 'certificate of the operator',
+        'tls_key': 'key of that certificate',
+        'tls_authorities': 'authorities that sign the certificates of VMs',
+    },
+)
 
 
 def add_command(
@@ -94,6 +105,7 @@
             f'this order [env: {env_name}, separated by commas]'
         ),
     )
+    _add_tls(parser)
 
 
 def add_paths(parser: argparse.ArgumentParser) -> None:
@@ -136,12 +148,62 @@
     return host.strip('[]'), int(port)
 
 
-def platform_client(arguments: argparse.Namespace) -> ObjectClient:
+def platform_client(
+    arguments: argparse.Namespace,
+    timeout: timedelta = CALL_TIMEOUT,
+) -> ObjectClient:
     """Return the client for `--platform`."""
     host, port = arguments.platform
-    return ObjectClient(host, port)
+    return ObjectClient(host, port, timeout=timeout)
+
+
+def tls_files(arguments: argparse.Namespace) -> TlsFiles | None:
+    """Return the certificate files, or None for plaintext."""
+    if arguments.tls_certificate is None:
+        return None
+    return TlsFiles(
+        arguments.tls_certificate,
+        arguments.tls_key,
+        arguments.tls_authorities,
+    )
 
 
 def operator_name(arguments: argparse.Namespace) -> str:
     """Return `--operator` or the name of the login."""
     return arguments.operator or getpass.getuser()
+
+
+def _add_tls(parser: argparse.ArgumentParser) -> None:
+    """Add the certificate files, all or none of which are needed."""
+    for name, text in _TLS_HELP_BY_NAME.items():
+        env_name = f'NUTMEGSTEP_{name.upper()}'
+        parser.add_argument(
+            '--{0}'.format(name.replace('_', '-')),
+            metavar='FILE',
+            type=_readable_file,
+            default=os.environ.get(env_name) or None,
+            help=(
+                f'PEM file: {text}; without the three files entry VMs are '
+                f'called in plaintext on loopback addresses [env: {env_name}]'
+            ),
+        )
+    parser.set_defaults(check=lambda found: _check_tls(parser, found))
+
+
+def _readable_file(text: str) -> Path:
+    path = Path(text)
+    try:
+        path.read_bytes()
+    except OSError as error:
+        raise argparse.ArgumentTypeError(str(error)) from error
+    return path
+
+
+def _check_tls(
+    parser: argparse.ArgumentParser,
+    arguments: argparse.Namespace,
+) -> None:
+    given = {getattr(arguments, name) is None for name in _TLS_HELP_BY_NAME}
+    if len(given) > 1:
+        flags = ', '.join(_TLS_HELP_BY_NAME).replace('_', '-')
+        parser.error(f'give all or none of {flags}')
--- /dev/null
+++ b/nutmegstep/cli/peer_calls.py
@@ -0,0 +1,188 @@
+"""Operator interface of entry VMs over gRPC."""
+
+from collections.abc import Awaitable, Callable
+from types import MappingProxyType
+from typing import Final, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from nutmegstep.cli.explaining import explanation_lines
+from nutmegstep.cli.operators import Explanation, PeerFailure
+from nutmegstep.declarations import (
+    ControlChange,
+    ControlDocument,
+    decode_control,
+)
+from nutmegstep.peers import (
+    EntryStatus,
+    PeerClient,
+    PeerError,
+    TlsFiles,
+    Traffic,
+    decode_status,
+)
+
+__all__ = ['CALL_SECONDS', 'PeerInterface']
+
+# Longest call to an entry VM, connecting included. A VM that is gone delays
+# a command by this much before the next one is asked.
+CALL_SECONDS: Final = 1
+_FLAGS: Final = '--tls-certificate, --tls-key and --tls-authorities'
+_NOT_CONNECTED: Final = 'failed to connect'
+_REFUSED: Final = frozenset(('INVALID_ARGUMENT', 'UNIMPLEMENTED'))
+# Texts of gRPC's connection errors; it has no status of its own for them.
+_CAUSE_BY_TEXT: Final = MappingProxyType(
+    {
+        'CERTIFICATE_VERIFY_FAILED': (
+            'the certificate of the entry VM is not signed by an authority '
+            'of --tls-authorities'
+        ),
+        'WRONG_VERSION_NUMBER': 'the entry VM does not use TLS',
+        'Failed to create security handshaker': (
+            f'{_FLAGS} are not valid PEM files that belong together'
+        ),
+        'Connection refused': 'nothing listens there',
+    },
+)
+_CLOSED: Final = 'Socket closed'
+
+_Value = TypeVar('_Value')
+
+
+class PeerInterface:
+    """Calls one entry VM at a time; implements `OperatorInterface`.
+
+    Parameters
+    ----------
+    files : TlsFiles or None
+        Certificates; None means plaintext to loopback addresses.
+    """
+
+    def __init__(self, files: TlsFiles | None) -> None:
+        self._files = files
+        self._client = PeerClient(Traffic(), files, CALL_SECONDS)
+
+    async def apply_through_peer(
+        self,
+        address: str,
+        change: ControlChange,
+    ) -> Result[None, PeerFailure]:
+        """Apply a withdrawal or drain; a relay stores it later."""
+        called = await self._call(
+            self._client.apply_control(address, change),
+            is_write=True,
+        )
+        return called.map(lambda _: None)
+
+    async def read_status(
+        self,
+        address: str,
+    ) -> Result[EntryStatus, PeerFailure]:
+        """Read the state of the entry VM."""
+        called = await self._call(self._client.status(address))
+        return called.bind(_decoder(decode_status))
+
+    async def read_control(
+        self,
+        address: str,
+    ) -> Result[ControlDocument, PeerFailure]:
+        """Read the withdrawals and drains that the entry VM knows."""
+        called = await self._call(self._client.read_control(address))
+        return called.bind(_decoder(decode_control))
+
+    async def explain(
+        self,
+        address: str,
+        request_id: str,
+    ) -> Result[Explanation, PeerFailure]:
+        """Ask about a request that the entry VM handled."""
+        called = await self._call(self._client.explain(address, request_id))
+        lines = called.bind(_decoder(explanation_lines))
+        return lines.bind(
+            lambda found: (
+                Success(Explanation(request_id, found))
+                if found
+                else Failure(_no_record(request_id))
+            ),
+        )
+
+    async def forget_vm(
+        self,
+        address: str,
+        vm: str,
+    ) -> Result[None, PeerFailure]:
+        """Drop a VM that is gone for good from the roster."""
+        called = await self._call(
+            self._client.forget(address, vm, spread=True),
+            is_write=True,
+        )
+        return called.bind(
+            lambda known: (
+                Success(None)
+                if known
+                else Failure(PeerFailure(f'no VM {vm} is known'))
+            ),
+        )
+
+    async def close(self) -> None:
+        """Close all channels."""
+        await self._client.close()
+
+    async def _call(
+        self,
+        call: Awaitable[_Value],
+        *,
+        is_write: bool = False,
+    ) -> Result[_Value, PeerFailure]:
+        try:
+            return Success(await call)
+        except PeerError as error:
+            sent = is_write and _may_have_arrived(error)
+            return Failure(PeerFailure(self._describe(error), sent))
+        except OSError as error:
+            return Failure(PeerFailure(f'certificates: {error}'))
+        except ValueError as error:
+            return Failure(PeerFailure(self._describe_address(error)))
+
+    def _describe(self, error: PeerError) -> str:
+        text = str(error)
+        if _NOT_CONNECTED not in text:
+            return text
+        for part, cause in _CAUSE_BY_TEXT.items():
+            if part in text:
+                return f'{cause} ({text})'
+        if _CLOSED not in text:
+            return text
+        if self._files is None:
+            return f'the entry VM asks for certificates, see {_FLAGS} ({text})'
+        return f'the entry VM refuses --tls-certificate ({text})'
+
+    def _describe_address(self, error: ValueError) -> str:
+        if self._files is None:
+            return f'{error}; without {_FLAGS} give a loopback IP number'
+        return str(error)
+
+
+def _may_have_arrived(error: PeerError) -> bool:
+    if error.status in _REFUSED:
+        return False
+    return _NOT_CONNECTED not in str(error)
+
+
+def _decoder(
+    decode: Callable[[bytes], _Value],
+) -> Callable[[bytes], Result[_Value, PeerFailure]]:
+    def decode_reply(document: bytes) -> Result[_Value, PeerFailure]:
+        try:
+            return Success(decode(document))
+        except ValueError as error:
+            return Failure(PeerFailure(f'malformed reply: {error}'))
+
+    return decode_reply
+
+
+def _no_record(request_id: str) -> PeerFailure:
+    return PeerFailure(
+        f'no record of {request_id}: the answer was whole and in time, '
+        'another VM handled it, or the record is too old',
+    )
--- a/nutmegstep/cli/publish.py
+++ b/nutmegstep/cli/publish.py
@@ -10,9 +10,9 @@
 from returns.result import Failure, Result, Success
 
 from nutmegstep.cli.collecting import collect_paths
+from nutmegstep.cli.connecting import operator_interface
 from nutmegstep.cli.exit_codes import CommandFailure, ExitCode
 from nutmegstep.cli.generations import highest_generation
-from nutmegstep.cli.operators import operator_interface
 from nutmegstep.cli.options import (
     Commands,
     add_command,
@@ -67,7 +67,10 @@
         metavar='N',
         type=int,
         default=0,
-        help='use a generation above N, after a restore of the platform',
+        help=(
+            'use a generation above N, after a restore of the platform or '
+            'to end a conflict of two configurations'
+        ),
     )
     parser.add_argument(
         '--dry-run',
@@ -111,15 +114,17 @@
             f'{base.published.published_by} is stored, not {expected}'
         )
         return Failure(CommandFailure(ExitCode.CONFLICT, detail))
-    highest = await highest_generation(
-        client,
-        operator_interface(),
-        entry_addresses(arguments),
-    )
+    async with operator_interface(arguments) as interface:
+        highest = await highest_generation(
+            client,
+            interface,
+            entry_addresses(arguments),
+        )
     if highest is None:
         print(_NOBODY_ASKED, file=sys.stderr)
-    above = max(highest or 0, arguments.above)
-    return Success(make_plan(base, fleet, operator_name(arguments), above))
+    operator = operator_name(arguments)
+    above = arguments.above
+    return Success(make_plan(base, fleet, operator, highest or 0, above))
 
 
 async def _commit(
--- a/nutmegstep/cli/publishing.py
+++ b/nutmegstep/cli/publishing.py
@@ -105,6 +105,7 @@
     fleet: Fleet,
     operator: str,
     highest_generation: int,
+    above: int = 0,
 ) -> Plan:
     """Choose the generation of a publication.
 
@@ -120,13 +121,16 @@
         Highest generation known from entry VMs. It is above the stored one
         after the platform was restored to an older state; nodes ignore a
         publication that does not exceed it.
+    above : int
+        The new generation exceeds this one even when nothing else changes,
+        which ends a conflict of two configurations with one generation.
     """
     stored = base.published.generation
     same = base.published.digest == fleet_digest(fleet)
-    if same and stored >= highest_generation:
+    if same and stored >= highest_generation and stored > above:
         generation = stored
     else:
-        generation = max(stored, highest_generation) + 1
+        generation = max(stored, highest_generation, above) + 1
     return Plan(base, replace(fleet, generation=generation), operator)
 
 
--- a/nutmegstep/cli/status.py
+++ b/nutmegstep/cli/status.py
@@ -7,8 +7,8 @@
 from returns.pipeline import is_successful
 
 from nutmegstep.cli.asking import ask_in_turn
+from nutmegstep.cli.connecting import operator_interface
 from nutmegstep.cli.exit_codes import ExitCode
-from nutmegstep.cli.operators import operator_interface
 from nutmegstep.cli.options import (
     Commands,
     add_command,
@@ -35,14 +35,22 @@
 
 async def execute(arguments: argparse.Namespace) -> int:
     """Ask an entry VM; return the exit code."""
-    interface = operator_interface()
-    asked = await ask_in_turn(
-        entry_addresses(arguments),
-        interface.read_status,
-    )
+    async with operator_interface(arguments) as interface:
+        asked = await ask_in_turn(
+            entry_addresses(arguments),
+            interface.read_status,
+        )
     if not is_successful(asked):
         return print_failure(arguments, asked.failure())
     document = asdict(asked.unwrap())
-    lines = [f'{name}: {found}' for name, found in document.items()]
+    lines = [f'{name}: {_text(found)}' for name, found in document.items()]
     print_outcome(arguments, document, lines)
     return ExitCode.OK
+
+
+def _text(found: object) -> str:
+    if isinstance(found, tuple):
+        return '; '.join(map(str, found)) or 'none'
+    if isinstance(found, dict):
+        return ', '.join(f'{name} {count}' for name, count in found.items())
+    return str(found)
--- /dev/null
+++ b/tests/cli/test_entry_vms.py
@@ -0,0 +1,266 @@
+"""Tests of commands against control planes and the platform over sockets."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import orjson
+import pytest
+
+from nutmegstep.cli import explain, forget, publish, status
+from nutmegstep.cli.control_command import execute as change
+from nutmegstep.cli.controlling import CONTROL_OBJECT
+from nutmegstep.cli.core import build_parser, main
+from nutmegstep.cli.exit_codes import ExitCode
+from nutmegstep.control import registers_digest
+from nutmegstep.declarations import (
+    Register,
+    decode_control,
+    decode_fleet,
+    encode_fleet,
+)
+from nutmegstep.engine.events import ControlChanged
+from nutmegstep.model import Fleet
+from nutmegstep.peers import TlsFiles
+from nutmegstep.platform_api import ObjectClient, VmRecord
+from nutmegstep.standins.platform import Outage
+
+_EXAMPLE = str(Path(__file__).parents[2] / 'examples' / 'lothian')
+_FLEET = 'config/fleet'
+_NINE = encode_fleet(Fleet(9, {}, {}, 2, {'d1': 2, 'd2': 2}), 'ilze')
+
+
+@pytest.fixture(autouse=True)
+def _environment(platform, monkeypatch) -> None:
+    monkeypatch.setenv('NUTMEGSTEP_PLATFORM', platform.address)
+    monkeypatch.setenv('NUTMEGSTEP_OPERATOR', 'ilze')
+
+
+def _parse(*argv: str):  # type: ignore[no-untyped-def]
+    return build_parser().parse_args(argv)
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(30):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+async def _status(capsys, *argv: str) -> dict[str, object]:
+    capsys.readouterr()
+    assert await status.execute(_parse('status', '--json', *argv)) == 0
+    found: dict[str, object] = orjson.loads(capsys.readouterr().out)
+    return found
+
+
+async def _stored(platform):  # type: ignore[no-untyped-def]
+    stored = await platform.client.get(CONTROL_OBJECT)
+    return decode_control(stored.unwrap().document)
+
+
+async def test_publish_exceeds_generations_of_vms(
+    platform, start_vm, capsys
+) -> None:
+    """Guards against a publication that VMs ignore after a restore."""
+    await platform.client.put(_FLEET, _NINE)
+    first = await start_vm('vm-1')
+    second = await start_vm('vm-2', (first.address,))
+    await platform.client.delete(_FLEET)
+    published = _parse('publish', '--entry', second.address, _EXAMPLE)
+    assert await publish.execute(published) == ExitCode.OK
+    await _until(lambda: second.plane.state.fleet.generation == 10)
+    found = await _status(capsys, '--entry', first.address)
+    assert (found['generation'], found['highest_generation']) == (10, 10)
+    assert 'the catalogue of index' in str(found['alarms'])
+
+
+@pytest.mark.parametrize('outage', [Outage.ERRORS, Outage.SILENT])
+async def test_withdraw_in_an_outage(platform, start_vm, outage) -> None:
+    """Guards against a withdrawal that is lost or loses its operator."""
+    await platform.client.put(_FLEET, _NINE)
+    first = await start_vm('vm-1')
+    second = await start_vm('vm-2', (first.address,))
+    await _until(lambda: 'vm-2' in first.plane.state.membership.members_by_name)
+    platform.standin.faults.outage = outage
+    withdraw = _parse('withdraw', 'd2', '--entry', first.address)
+    assert await change(withdraw) == ExitCode.OK
+    withdrawn = ControlChanged(frozenset(('d2',)), frozenset())
+    await _until(lambda: withdrawn in second.events)
+    platform.standin.faults.outage = Outage.NONE
+    state = first.plane.state
+    digest = registers_digest(state.control)
+    await _until(lambda: state.stored_registers == digest)
+    expected = {'d2': Register(1, True, 'ilze')}
+    assert (await _stored(platform)).failure_domains_by_name == expected
+
+
+async def test_relays_write_back_at_once(platform, start_vm) -> None:
+    """Guards against a write-back that drops what another relay stored."""
+    await platform.client.put(_FLEET, _NINE)
+    apart = [await start_vm('vm-1'), await start_vm('vm-2')]
+    both_write = asyncio.Barrier(2)
+    platform.standin.faults.outage = Outage.ERRORS
+    for relay in apart:
+        relay.objects.before_put = both_write.wait
+    commands = [
+        (0, ['withdraw', 'd2', '--operator', 'ilze']),
+        (0, ['withdraw', 'd1', '--operator', 'ilze']),
+        (1, ['withdraw', 'd1', '--operator', 'aidan']),
+        (1, ['restore', 'd1', '--operator', 'aidan']),
+        (1, ['drain', 't', '--operator', 'aidan']),
+    ]
+    for number, argv in commands:
+        entry = ('--entry', apart[number].address)
+        assert await change(_parse(*argv, *entry)) == ExitCode.OK
+    platform.standin.faults.outage = Outage.NONE
+    expected = {
+        'd1': Register(2, False, 'aidan'),
+        'd2': Register(1, True, 'ilze'),
+    }
+    states = [vm.plane.state for vm in apart]
+    await _until(
+        lambda: all(
+            state.control.withdrawals_by_domain == expected
+            and state.stored_registers == registers_digest(state.control)
+            for state in states
+        )
+    )
+    stored = await _stored(platform)
+    assert stored.failure_domains_by_name == expected
+    assert stored.targets_by_name == {'t': Register(1, True, 'aidan')}
+
+
+async def test_operators_in_conflict(
+    platform, start_vm, monkeypatch, capsys
+) -> None:
+    """Guards against overwriting a change that the operator has not seen."""
+    await platform.client.put(_FLEET, _NINE)
+    vm = await start_vm('vm-1')
+    put = ObjectClient.put
+
+    async def put_late(client, name, document, version=None):  # type: ignore[no-untyped-def]
+        monkeypatch.setattr(ObjectClient, 'put', put)
+        for command in ('withdraw', 'restore'):
+            other = _parse(command, 'd2', '--operator', 'aidan')
+            assert await change(other) == ExitCode.OK
+        return await put(client, name, document, version)
+
+    monkeypatch.setattr(ObjectClient, 'put', put_late)
+    withdraw = _parse('withdraw', 'd2', '--entry', vm.address)
+    assert await change(withdraw) == ExitCode.CONFLICT
+    assert 'aidan set d2 in service meanwhile' in capsys.readouterr().err
+    assert await change(withdraw) == ExitCode.OK
+    await _until(lambda: bool(vm.plane.state.control.withdrawals_by_domain))
+
+
+async def test_status_explain_and_forget(platform, start_vm, capsys) -> None:
+    """Guards against a status that hides what blocks a failure domain."""
+    first = await start_vm('vm-1')
+    listed = [
+        VmRecord('vm-1', first.address, 'd1'),
+        VmRecord('vm-9', '127.0.0.1:1', 'd1'),
+    ]
+    platform.standin.set_vms(listed)
+    second = await start_vm('vm-2', (first.address,))
+    entry = ('--entry', '127.0.0.1:1', '--entry', second.address)
+    before = await _status(capsys, *entry)
+    assert not before['ready']
+    assert 'no configuration is in force' in str(before['alarms'])
+    await platform.client.put(_FLEET, _NINE)
+    members = second.plane.state.membership.members_by_name
+    await _until(lambda: second.plane.state.fleet.generation == 9)
+    await _until(lambda: 'vm-9' in members)
+    found = await _status(capsys, *entry)
+    assert found['ready']
+    assert found['roster'] == ['vm-1', 'vm-2', 'vm-9']
+    assert found['view'] == ['vm-1', 'vm-2']
+    assert 'vm-9 is on the roster of d1 and silent' in str(found['alarms'])
+    gone = _parse('forget', 'vm-9', '--entry', first.address)
+    assert await forget.execute(gone) == ExitCode.OK
+    await _until(lambda: members['vm-9'].forgotten)
+    assert not (await _status(capsys, *entry))['alarms']
+    unknown = _parse('forget', 'vm-8', '--entry', first.address)
+    assert await forget.execute(unknown) == ExitCode.UNAVAILABLE
+    capsys.readouterr()
+    asked = _parse('explain', 'refused-1', *entry)
+    assert await explain.execute(asked) == ExitCode.OK
+    assert 'draining, verdict not_run' in capsys.readouterr().out
+    missing = _parse('explain', 'other', *entry)
+    assert await explain.execute(missing) == ExitCode.UNAVAILABLE
+    assert 'no record of other' in capsys.readouterr().err
+
+
+async def test_configuration_conflict(
+    platform, start_vm, capsys, caplog
+) -> None:
+    """Guards against two configurations of one generation in silence."""
+    await platform.client.put(_FLEET, _NINE)
+    vm = await start_vm('vm-1')
+    await platform.client.delete(_FLEET)
+    other = encode_fleet(decode_fleet(_NINE), 'aidan')
+    await platform.client.put(_FLEET, other)
+    await _until(lambda: bool(vm.plane.state.conflicts_by_source))
+    assert 'configuration conflict: the platform has' in caplog.text
+    found = await _status(capsys, '--entry', vm.address)
+    assert 'run nutmegstep publish --above 9' in str(found['alarms'])
+    above = _parse('publish', '--above', '9', _EXAMPLE)
+    assert await publish.execute(above) == ExitCode.OK
+    await _until(lambda: vm.plane.state.fleet.generation == 10)
+    found = await _status(capsys, '--entry', vm.address)
+    assert 'conflict' not in str(found['alarms'])
+
+
+async def test_mutual_tls(
+    start_vm,
+    capsys,
+    tmp_path: Path,
+    write_files: Callable[[Path], TlsFiles],
+) -> None:
+    """Guards against strangers, and against a restart for certificates."""
+    files = write_files(tmp_path / 'own')
+    stranger = write_files(tmp_path / 'stranger')
+    half = TlsFiles(stranger.certificate, stranger.key, files.authorities)
+    first = await start_vm('vm-1', files=files)
+    second = await start_vm('vm-2', (first.address,), files)
+    entry = ('--entry', first.address)
+    refusals = [
+        (_flags(stranger), 'is not signed by an authority of --tls-auth'),
+        (_flags(half), 'the entry VM refuses --tls-certificate'),
+        ((), 'the entry VM asks for certificates, see --tls-certificate'),
+    ]
+    for flags, text in refusals:
+        refused = _parse('status', *entry, *flags)
+        assert await status.execute(refused) == ExitCode.UNAVAILABLE
+        assert text in capsys.readouterr().err
+    members = first.plane.state.membership.members_by_name
+    await _until(lambda: 'vm-2' in members)
+    write_files(tmp_path / 'own')
+    renewed = first.plane.state.sequence
+    found = await _status(capsys, *entry, *_flags(files))
+    assert found['vm'] == 'vm-1'
+    await _until(lambda: first.plane.state.sequence > renewed + 8)
+    found = await _status(capsys, '--entry', second.address, *_flags(files))
+    assert found['view'] == ['vm-1', 'vm-2']
+
+
+def _flags(files: TlsFiles) -> tuple[str, ...]:
+    return (
+        f'--tls-certificate={files.certificate}',
+        f'--tls-key={files.key}',
+        f'--tls-authorities={files.authorities}',
+    )
+
+
+@pytest.mark.parametrize(
+    ('flags', 'text'),
+    [
+        (['--tls-key', __file__], 'give all or none of tls-certificate'),
+        (['--tls-key', '/absent'], "No such file or directory: '/absent'"),
+    ],
+)
+def test_wrong_certificate_flags(flags: list[str], text: str, capsys) -> None:
+    """Guards against plaintext because a file was forgotten."""
+    with pytest.raises(SystemExit) as stopped:
+        main(['status', '--entry', '127.0.0.1:1', *flags])
+    assert stopped.value.code == ExitCode.USAGE
+    assert text in capsys.readouterr().err
--- a/tests/peers/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Certificates for tests."""
+"""Certificates for tests over mutual TLS."""
 
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
