--- a/tests/cli/conftest.py
+++ b/tests/cli/conftest.py
@@ -121,7 +121,7 @@
 
 
 def _explain(request_id: str) -> bytes:
-    if request_id != 'refused-1':
+    if request_id != 'request-1':
         return b'[]'
     refusal = refuse(Verdict.NOT_RUN, Reason.DRAINING, 'the VM leaves')
     found = Explanation((request_id,), 'desk', 'refused', 0, refusal=refusal)
--- a/tests/cli/test_entry_vms.py
+++ b/tests/cli/test_entry_vms.py
@@ -182,7 +182,7 @@
     unknown = _parse('forget', 'vm-8', '--entry', first.address)
     assert await forget.execute(unknown) == ExitCode.UNAVAILABLE
     capsys.readouterr()
-    asked = _parse('explain', 'refused-1', *entry)
+    asked = _parse('explain', 'request-1', *entry)
     assert await explain.execute(asked) == ExitCode.OK
     assert 'draining, verdict not_run' in capsys.readouterr().out
     missing = _parse('explain', 'other', *entry)
