Print each alarm on its own line and ask a silent platform once

Alarms contain semicolons, so a joined line could not be read. A test counts the platform calls of a withdrawal in a silent outage (one, before the entry VMs are asked), and one restores a name after the platform lost control/state.

--- a/nutmegstep/cli/status.py
+++ b/nutmegstep/cli/status.py
@@ -2,7 +2,9 @@
 
 import argparse
 import asyncio
+from collections.abc import Iterator, Mapping
 from dataclasses import asdict
+from typing import Final
 
 from returns.pipeline import is_successful
 
@@ -19,6 +21,8 @@
 
 __all__ = ['add_parser', 'execute']
 
+_ALARMS: Final = 'alarms'
+
 
 def add_parser(commands: Commands) -> None:
     """Add the command to the parser."""
@@ -43,14 +47,23 @@
     if not is_successful(asked):
         return print_failure(arguments, asked.failure())
     document = asdict(asked.unwrap())
-    lines = [f'{name}: {_text(found)}' for name, found in document.items()]
-    print_outcome(arguments, document, lines)
+    print_outcome(arguments, document, _lines(document))
     return ExitCode.OK
 
 
+def _lines(document: Mapping[str, object]) -> Iterator[str]:
+    """Return one line a field, and one line an alarm at the end."""
+    for name, found in document.items():
+        if name != _ALARMS:
+            yield f'{name}: {_text(found)}'
+    alarms = document[_ALARMS]
+    if isinstance(alarms, tuple):
+        yield from (f'alarm: {alarm}' for alarm in alarms or ('none',))
+
+
 def _text(found: object) -> str:
     if isinstance(found, tuple):
-        return '; '.join(map(str, found)) or 'none'
+        return ', '.join(map(str, found)) or 'none'
     if isinstance(found, dict):
         return ', '.join(f'{name} {count}' for name, count in found.items())
     return str(found)
--- a/tests/cli/test_entry_vms.py
+++ b/tests/cli/test_entry_vms.py
@@ -153,6 +153,19 @@
     await _until(lambda: bool(vm.plane.state.control.withdrawals_by_domain))
 
 
+async def test_counter_exceeds_that_of_vms(platform, start_vm) -> None:
+    """Guards against a restore that VMs ignore after the platform lost data."""
+    await platform.client.put(_FLEET, _NINE)
+    vm = await start_vm('vm-1')
+    assert await change(_parse('withdraw', 'd2')) == ExitCode.OK
+    await _until(lambda: 'd2' in vm.plane.state.control.withdrawals_by_domain)
+    await platform.client.delete(CONTROL_OBJECT)
+    restore = _parse('restore', 'd2', '--entry', vm.address)
+    assert await change(restore) == ExitCode.OK
+    expected = {'d2': Register(2, False, 'ilze')}
+    assert (await _stored(platform)).failure_domains_by_name == expected
+
+
 async def test_status_explain_and_forget(platform, start_vm, capsys) -> None:
     """Guards against a status that hides what blocks a failure domain."""
     first = await start_vm('vm-1')
@@ -181,7 +194,8 @@
     assert not (await _status(capsys, *entry))['alarms']
     unknown = _parse('forget', 'vm-8', '--entry', first.address)
     assert await forget.execute(unknown) == ExitCode.UNAVAILABLE
-    capsys.readouterr()
+    assert await status.execute(_parse('status', *entry)) == ExitCode.OK
+    assert 'alarm: none' in capsys.readouterr().out
     asked = _parse('explain', 'request-1', *entry)
     assert await explain.execute(asked) == ExitCode.OK
     assert 'draining, verdict not_run' in capsys.readouterr().out
@@ -264,3 +278,11 @@
         main(['status', '--entry', '127.0.0.1:1', *flags])
     assert stopped.value.code == ExitCode.USAGE
     assert text in capsys.readouterr().err
+
+
+async def test_silent_platform_is_asked_once(platform) -> None:
+    """Guards against a withdrawal that waits for one timeout after another."""
+    platform.standin.faults.outage = Outage.SILENT
+    withdraw = _parse('withdraw', 'd2', '--entry', '127.0.0.1:1')
+    assert await change(withdraw) == ExitCode.UNAVAILABLE
+    assert sum(platform.standin.calls_by_kind.values()) == 1
