Bound names at the commands and keep gRPC's notes off standard error

A name or operator of more than 256 characters in control/state is refused by every peer, so no change of withdrawals would have spread any more. The commands now refuse it with code 2.

gRPC wrote a plain line to standard error for each refused handshake, in commands before the error and in serve between JSON log lines. Its level is now ERROR unless GRPC_VERBOSITY is set.

--- a/nutmegstep/cli/control_command.py
+++ b/nutmegstep/cli/control_command.py
@@ -24,6 +24,7 @@
     add_entry,
     add_operator,
     add_platform,
+    bounded_name,
     entry_addresses,
     operator_name,
     platform_client,
@@ -67,7 +68,11 @@
         command.description,
     )
     subject = command.subject.value
-    parser.add_argument('name', help=f'name of the {subject.replace("_", " ")}')
+    parser.add_argument(
+        'name',
+        type=bounded_name,
+        help=f'name of the {subject.replace("_", " ")}',
+    )
     parser.add_argument(
         '--force',
         action='store_true',
--- a/nutmegstep/cli/explain.py
+++ b/nutmegstep/cli/explain.py
@@ -13,6 +13,7 @@
     Commands,
     add_command,
     add_entry,
+    bounded_name,
     entry_addresses,
 )
 from nutmegstep.cli.output import print_failure, print_outcome
@@ -31,6 +32,7 @@
     add_entry(parser, required=True)
     parser.add_argument(
         'request_id',
+        type=bounded_name,
         help='X-Request-Id of the answer or refusal',
     )
     parser.set_defaults(run=lambda found: asyncio.run(execute(found)))
--- a/nutmegstep/cli/forget.py
+++ b/nutmegstep/cli/forget.py
@@ -12,6 +12,7 @@
     Commands,
     add_command,
     add_entry,
+    bounded_name,
     entry_addresses,
 )
 from nutmegstep.cli.output import print_failure, print_outcome
@@ -30,7 +31,7 @@
         ' could otherwise send to the same cold target.',
     )
     add_entry(parser, required=True)
-    parser.add_argument('vm', help='name of the VM')
+    parser.add_argument('vm', type=bounded_name, help='name of the VM')
     parser.set_defaults(run=lambda found: asyncio.run(execute(found)))
 
 
--- a/nutmegstep/cli/options.py
+++ b/nutmegstep/cli/options.py
@@ -11,7 +11,8 @@
 
 from nutmegstep.cli.exit_codes import describe_exit_codes
 from nutmegstep.declarations import FILE_PATTERN
-from nutmegstep.peers import TlsFiles
+from nutmegstep.peers import MessageError, TlsFiles
+from nutmegstep.peers.bounds import check_name
 from nutmegstep.platform_api import CALL_TIMEOUT, ObjectClient
 
 __all__ = [
@@ -22,6 +23,7 @@
     'add_paths',
     'add_platform',
     'address',
+    'bounded_name',
     'entry_addresses',
     'operator_name',
     'platform_client',
@@ -84,7 +86,8 @@
     parser.add_argument(
         '--operator',
         metavar='NAME',
-        default=os.environ.get(env_name),
+        type=bounded_name,
+        default=os.environ.get(env_name) or None,
         help=(
             'name that other operators see beside this change; '
             f'the name of the login by default [env: {env_name}]'
@@ -148,6 +151,25 @@
     return host.strip('[]'), int(port)
 
 
+def bounded_name(text: str) -> str:
+    """Return a name that entry VMs accept.
+
+    Notes
+    -----
+    A longer one in `control/state` would be refused by every peer, and no
+    change of withdrawals would spread any more.
+
+    Examples
+    --------
+    >>> bounded_name('domain-1')
+    'domain-1'
+    """
+    try:
+        return check_name('it', text)
+    except MessageError as error:
+        raise argparse.ArgumentTypeError(str(error)) from error
+
+
 def platform_client(
     arguments: argparse.Namespace,
     timeout: timedelta = CALL_TIMEOUT,
--- a/nutmegstep/peers/__init__.py
+++ b/nutmegstep/peers/__init__.py
@@ -1,5 +1,6 @@
 """gRPC messages, server and client between entry processes."""
 
+from nutmegstep.peers.verbosity import GRPC_VERBOSITY
 from nutmegstep.peers.client import PeerClient
 from nutmegstep.peers.core import (
     ClaimReport,
@@ -25,6 +26,7 @@
 from nutmegstep.peers.traffic import Traffic
 
 __all__ = [
+    'GRPC_VERBOSITY',
     'ClaimReport',
     'ClaimState',
     'ControlDocument',
--- a/tests/cli/test_entry_vms.py
+++ b/tests/cli/test_entry_vms.py
@@ -270,12 +270,13 @@
     [
         (['--tls-key', __file__], 'give all or none of tls-certificate'),
         (['--tls-key', '/absent'], "No such file or directory: '/absent'"),
+        (['--operator', 'i' * 257], 'it has 257 characters, not 1 to 256'),
     ],
 )
-def test_wrong_certificate_flags(flags: list[str], text: str, capsys) -> None:
-    """Guards against plaintext because a file was forgotten."""
+def test_wrong_flags(flags: list[str], text: str, capsys) -> None:
+    """Guards against plaintext by mistake, and names that no VM accepts."""
     with pytest.raises(SystemExit) as stopped:
-        main(['status', '--entry', '127.0.0.1:1', *flags])
+        main(['withdraw', 'd2', '--entry', '127.0.0.1:1', *flags])
     assert stopped.value.code == ExitCode.USAGE
     assert text in capsys.readouterr().err
 
--- a/tests/cli/test_publishing.py
+++ b/tests/cli/test_publishing.py
@@ -64,3 +64,5 @@
     assert not restored.unchanged
     stored = (await commit_plan(platform.client, restored)).unwrap()
     assert stored.published.generation == 10
+    same = make_plan(stored, stored.published.fleet, 'ilze', 10, above=10)
+    assert (same.unchanged, same.fleet.generation) == (False, 11)
