Report an unreadable certificate file as a failed call

PeerClient opened a channel while a file was being replaced and raised FileNotFoundError, which PeerLinks does not catch: the exchange at a stop would have ended the stop. It is a PeerError now, and the next call reads the files again. Channels that are open stay in use meanwhile.

--- a/nutmegstep/cli/peer_calls.py
+++ b/nutmegstep/cli/peer_calls.py
@@ -29,7 +29,8 @@
 CALL_SECONDS: Final = 1
 _FLAGS: Final = '--tls-certificate, --tls-key and --tls-authorities'
 _NOT_CONNECTED: Final = 'failed to connect'
-_REFUSED: Final = frozenset(('INVALID_ARGUMENT', 'UNIMPLEMENTED'))
+# The empty status is that of a call for which no channel could be opened.
+_NOT_APPLIED: Final = frozenset(('', 'INVALID_ARGUMENT', 'UNIMPLEMENTED'))
 # Texts of gRPC's connection errors; it has no status of its own for them.
 _CAUSE_BY_TEXT: Final = MappingProxyType(
     {
@@ -139,8 +140,6 @@
         except PeerError as error:
             sent = is_write and _may_have_arrived(error)
             return Failure(PeerFailure(self._describe(error), sent))
-        except OSError as error:
-            return Failure(PeerFailure(f'certificates: {error}'))
         except ValueError as error:
             return Failure(PeerFailure(self._describe_address(error)))
 
@@ -164,7 +163,7 @@
 
 
 def _may_have_arrived(error: PeerError) -> bool:
-    if error.status in _REFUSED:
+    if error.status in _NOT_APPLIED:
         return False
     return _NOT_CONNECTED not in str(error)
 
--- a/nutmegstep/peers/client.py
+++ b/nutmegstep/peers/client.py
@@ -144,7 +144,11 @@
         request: Message,
     ) -> Any:
         await self._reload()
-        channel = self._channel(address)
+        try:
+            channel = self._channel(address)
+        except OSError as error:
+            # A file is being replaced; the next call reads it again.
+            raise PeerError(f'{call} at {address}: {error}') from error
         stub = getattr(peers_pb2_grpc, f'{service}Stub')(channel)
         self._traffic.count(call, request)
         try:
--- a/nutmegstep/peers/core.py
+++ b/nutmegstep/peers/core.py
@@ -37,7 +37,7 @@
     text : str
         Address, call and cause.
     status : str
-        Name of the gRPC status.
+        Name of the gRPC status; empty when no channel could be opened.
     """
 
     def __init__(self, text: str, status: str = '') -> None:
--- a/tests/peers/test_server.py
+++ b/tests/peers/test_server.py
@@ -127,6 +127,10 @@
     write_files(tmp_path / 'own')
     assert await client.status(address) == b'{}'
     assert await PeerClient(Traffic(), files, 10).status(address) == b'{}'
+    files.key.unlink()
+    assert await client.status(address) == b'{}'
+    with pytest.raises(PeerError, match='Status at 127.0.0.1:.*No such file'):
+        await PeerClient(Traffic(), files, 10).status(address)
     await client.close()
     await stranger.close()
     await server.stop(0)
