Log an operator's change that an entry VM takes

The line names the operator, the name, its new state and the counter, so that a withdrawal through a VM can be traced when the platform was away.

--- a/nutmegstep/node/handlers.py
+++ b/nutmegstep/node/handlers.py
@@ -1,5 +1,6 @@
 """Functions that answer the calls of peers and operators."""
 
+import logging
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 
@@ -17,6 +18,8 @@
 
 __all__ = ['apply_command', 'entry_status', 'forget_vm', 'mark_leaving']
 
+_log = logging.getLogger(__name__)
+
 
 def apply_command(state: NodeState, change: ControlChange) -> Register:
     """Set a register as an operator asks and return it."""
@@ -28,7 +31,15 @@
         if is_target
         else changed.failure_domains_by_name
     )
-    return registers.get(change.name, Register(0, withdrawn=False))
+    register = registers.get(change.name, Register(0, withdrawn=False))
+    _log.info(
+        '%s set %s %s, counter %d',
+        change.changed_by,
+        change.name,
+        'out of service' if change.withdrawn else 'in service',
+        register.counter,
+    )
+    return register
 
 
 def forget_vm(
