--- a/nutmegstep/cli/explain.py
+++ b/nutmegstep/cli/explain.py
@@ -7,12 +7,13 @@
 from returns.pipeline import is_successful
 
 from nutmegstep.cli.asking import ask_in_turn
+from nutmegstep.cli.connecting import operator_interface
 from nutmegstep.cli.exit_codes import ExitCode
-from nutmegstep.cli.operators import operator_interface
 from nutmegstep.cli.options import (
     Commands,
     add_command,
     add_entry,
+    bounded_name,
     entry_addresses,
 )
 from nutmegstep.cli.output import print_failure, print_outcome
@@ -31,6 +32,7 @@
     add_entry(parser, required=True)
     parser.add_argument(
         'request_id',
+        type=bounded_name,
         help='X-Request-Id of the answer or refusal',
     )
     parser.set_defaults(run=lambda found: asyncio.run(execute(found)))
@@ -38,11 +40,11 @@
 
 async def execute(arguments: argparse.Namespace) -> int:
     """Ask an entry VM; return the exit code."""
-    interface = operator_interface()
-    asked = await ask_in_turn(
-        entry_addresses(arguments),
-        lambda entry: interface.explain(entry, arguments.request_id),
-    )
+    async with operator_interface(arguments) as interface:
+        asked = await ask_in_turn(
+            entry_addresses(arguments),
+            lambda entry: interface.explain(entry, arguments.request_id),
+        )
     if not is_successful(asked):
         return print_failure(arguments, asked.failure())
     explanation = asked.unwrap()
--- a/nutmegstep/cli/status.py
+++ b/nutmegstep/cli/status.py
@@ -2,13 +2,15 @@
 
 import argparse
 import asyncio
+from collections.abc import Iterator, Mapping
 from dataclasses import asdict
+from typing import Final
 
 from returns.pipeline import is_successful
 
 from nutmegstep.cli.asking import ask_in_turn
+from nutmegstep.cli.connecting import operator_interface
 from nutmegstep.cli.exit_codes import ExitCode
-from nutmegstep.cli.operators import operator_interface
 from nutmegstep.cli.options import (
     Commands,
     add_command,
@@ -19,6 +21,8 @@
 
 __all__ = ['add_parser', 'execute']
 
+_ALARMS: Final = 'alarms'
+
 
 def add_parser(commands: Commands) -> None:
     """Add the command to the parser."""
@@ -35,14 +39,31 @@
 
 async def execute(arguments: argparse.Namespace) -> int:
     """Ask an entry VM; return the exit code."""
-    interface = operator_interface()
-    asked = await ask_in_turn(
-        entry_addresses(arguments),
-        interface.read_status,
-    )
+    async with operator_interface(arguments) as interface:
+        asked = await ask_in_turn(
+            entry_addresses(arguments),
+            interface.read_status,
+        )
     if not is_successful(asked):
         return print_failure(arguments, asked.failure())
     document = asdict(asked.unwrap())
-    lines = [f'{name}: {found}' for name, found in document.items()]
-    print_outcome(arguments, document, lines)
+    print_outcome(arguments, document, _lines(document))
     return ExitCode.OK
+
+
+def _lines(document: Mapping[str, object]) -> Iterator[str]:
+    """Return one line a field, and one line an alarm at the end."""
+    for name, found in document.items():
+        if name != _ALARMS:
+            yield f'{name}: {_text(found)}'
+    alarms = document[_ALARMS]
+    if isinstance(alarms, tuple):
+        yield from (f'alarm: {alarm}' for alarm in alarms or ('none',))
+
+
+def _text(found: object) -> str:
+    if isinstance(found, tuple):
+        return ', '.join(map(str, found)) or 'none'
+    if isinstance(found, dict):
+        return ', '.join(f'{name} {count}' for name, count in found.items())
+    return str(found)
--- a/nutmegstep/node/core.py
+++ b/nutmegstep/node/core.py
@@ -9,7 +9,7 @@
 
 from nutmegstep.allowance import AllowanceState, drop_expired, release_all
 from nutmegstep.clock import Clock
-from nutmegstep.control import Register
+from nutmegstep.declarations import ControlChange, Register
 from nutmegstep.engine.events import Event
 from nutmegstep.membership import (
     Identity,
@@ -19,12 +19,12 @@
     record_tick,
 )
 from nutmegstep.node import exchange, handlers, loops, relay
+from nutmegstep.node.documents import encode_registers
 from nutmegstep.node.links import PeerLinks
 from nutmegstep.node.ports import ControlPlatform
 from nutmegstep.node.state import NodeState, update_allowance
 from nutmegstep.peers import (
     ClaimReport,
-    ControlCommand,
     ControlDocument,
     Heartbeat,
     HeartbeatReply,
@@ -36,6 +36,7 @@
     TlsFiles,
     Traffic,
     WarmReport,
+    encode_status,
 )
 
 __all__ = ['ControlPlane', 'NodeCallbacks', 'NodeSettings']
@@ -85,11 +86,14 @@
         Answers peers that ask for the state of a claim by its key.
     explain : Callable
         Returns the JSON document that explains a request.
+    ready : Callable, optional
+        Tells whether ``/ready`` succeeds.
     """
 
     emit: Callable[[Event], None]
     claim_status: Callable[[bytes], Awaitable[ClaimReport]]
     explain: Callable[[str], bytes]
+    ready: Callable[[], bool] = lambda: True
 
 
 class ControlPlane:
@@ -182,12 +186,16 @@
             self._on_exchange,
             self._on_fetch,
             callbacks.claim_status,
-            lambda: handlers.status_document(
-                self.state,
-                self.traffic,
-                self._clock.monotonic(),
+            lambda: encode_status(
+                handlers.entry_status(
+                    self.state,
+                    self.traffic,
+                    self._clock.monotonic(),
+                    is_ready=callbacks.ready(),
+                ),
             ),
             callbacks.explain,
+            lambda: encode_registers(self.state.control),
             self._on_command,
             self._on_forget,
         )
@@ -204,8 +212,8 @@
         now = self._clock.monotonic()
         return exchange.answer_fetch(self.state, known, now)
 
-    def _on_command(self, command: ControlCommand) -> Register:
-        register = handlers.apply_command(self.state, command)
+    def _on_command(self, change: ControlChange) -> Register:
+        register = handlers.apply_command(self.state, change)
         self._links.push()
         return register
 
@@ -219,13 +227,9 @@
         except loops.PLATFORM_ERRORS as error:
             _log.warning('no platform at the start: %s', error)
         else:
-            self.state.source = 'platform'
             return
-        fetched = [
-            await self._links.fetch(address) for address in self._settings.seeds
-        ]
-        if any(fetched):
-            self.state.source = 'peers'
+        for address in self._settings.seeds:
+            await self._links.fetch(address)
 
     async def _beat(self) -> None:
         while True:
--- a/nutmegstep/peers/__init__.py
+++ b/nutmegstep/peers/__init__.py
@@ -1,12 +1,11 @@
 """gRPC messages, server and client between entry processes."""
 
+from nutmegstep.peers.verbosity import GRPC_VERBOSITY
 from nutmegstep.peers.client import PeerClient
 from nutmegstep.peers.core import (
     ClaimReport,
     ClaimState,
-    ControlCommand,
     ControlDocument,
-    ControlKind,
     ControlVersions,
     Heartbeat,
     HeartbeatReply,
@@ -18,16 +17,21 @@
     WarmReport,
 )
 from nutmegstep.peers.server import PeerServer
+from nutmegstep.peers.status import (
+    EntryStatus,
+    decode_status,
+    encode_status,
+)
 from nutmegstep.peers.tls import TlsFiles
 from nutmegstep.peers.traffic import Traffic
 
 __all__ = [
+    'GRPC_VERBOSITY',
     'ClaimReport',
     'ClaimState',
-    'ControlCommand',
     'ControlDocument',
-    'ControlKind',
     'ControlVersions',
+    'EntryStatus',
     'Heartbeat',
     'HeartbeatReply',
     'KnownVersions',
@@ -40,4 +44,6 @@
     'TlsFiles',
     'Traffic',
     'WarmReport',
+    'decode_status',
+    'encode_status',
 ]
