--- a/nutmegstep/entry/core.py
+++ b/nutmegstep/entry/core.py
@@ -79,6 +79,7 @@
                 self.runtime.dispatch,
                 self._claim_status,
                 self._explain,
+                lambda: self._is_ready() and not self.gate.draining,
             ),
             _system_random(),
         )
