Measure slopes of the control side and of claim journals

The line of the configuration's size mixed plain and compressed values (160,837 B at 1,000 targets, 51,667 B at 5,000), so it stated 5.5 B per target.

--- a/nutmegstep/measure/costs.py
+++ b/nutmegstep/measure/costs.py
@@ -30,12 +30,14 @@
 from nutmegstep.model import IdempotentQuery
 
 __all__ = [
+    'allocated_bytes',
     'catalogue_bytes',
     'catalogue_decode',
     'catalogue_encode',
     'fleet_bytes',
     'fleet_decode',
     'fleet_encode',
+    'least_microseconds',
     'query_memory',
     'query_time_by_shards',
     'query_time_by_targets',
@@ -70,7 +72,8 @@
                 reduce(state, answer, 0)
 
 
-def _least_microseconds(action: Callable[[], object]) -> float:
+def least_microseconds(action: Callable[[], object]) -> float:
+    """Return the least processor time of several runs in microseconds."""
     # The least of several runs is the one that others disturbed least.
     spent = []
     for _ in range(_REPEATS):
@@ -80,7 +83,8 @@
     return min(spent) * _MICROSECONDS
 
 
-def _allocated_bytes(build: Callable[[], object]) -> float:
+def allocated_bytes(build: Callable[[], object]) -> float:
+    """Return the memory of what a function builds."""
     gc.collect()
     tracemalloc.start()
     kept = build()
@@ -94,13 +98,13 @@
 def query_time_by_shards(shards: int) -> float:
     """Return the reducer time of a query in microseconds."""
     state = _loaded_state(shards, shards * REPLICAS)
-    return _least_microseconds(lambda: _run_queries(state)) / _QUERIES
+    return least_microseconds(lambda: _run_queries(state)) / _QUERIES
 
 
 def query_time_by_targets(targets: int) -> float:
     """Return the reducer time of a query over 25 shards."""
     state = _loaded_state(_SMALL_SHARDS, targets)
-    return _least_microseconds(lambda: _run_queries(state)) / _QUERIES
+    return least_microseconds(lambda: _run_queries(state)) / _QUERIES
 
 
 def query_memory(shards: int) -> float:
@@ -111,12 +115,12 @@
         for query_id in range(_QUERIES):
             reduce(state, _query(query_id), 0)
 
-    return _allocated_bytes(start_queries) / _QUERIES
+    return allocated_bytes(start_queries) / _QUERIES
 
 
 def state_memory(targets: int) -> float:
     """Return the bytes of a state with configuration and catalogue."""
-    return _allocated_bytes(
+    return allocated_bytes(
         lambda: _loaded_state(targets // REPLICAS, targets),
     )
 
@@ -129,13 +133,13 @@
 def fleet_encode(targets: int) -> float:
     """Return the microseconds to encode a configuration."""
     fleet = sized_fleet(targets)
-    return _least_microseconds(lambda: encode_fleet(fleet))
+    return least_microseconds(lambda: encode_fleet(fleet))
 
 
 def fleet_decode(targets: int) -> float:
     """Return the microseconds to decode a configuration."""
     document = encode_fleet(sized_fleet(targets))
-    return _least_microseconds(lambda: decode_fleet(document))
+    return least_microseconds(lambda: decode_fleet(document))
 
 
 def catalogue_bytes(shards: int) -> float:
@@ -146,10 +150,10 @@
 def catalogue_encode(shards: int) -> float:
     """Return the microseconds to encode a catalogue."""
     versions = (sized_version(shards),)
-    return _least_microseconds(lambda: encode_catalogue(versions))
+    return least_microseconds(lambda: encode_catalogue(versions))
 
 
 def catalogue_decode(shards: int) -> float:
     """Return the microseconds to decode a catalogue."""
     document = encode_catalogue((sized_version(shards),))
-    return _least_microseconds(lambda: decode_catalogue(document))
+    return least_microseconds(lambda: decode_catalogue(document))
--- a/nutmegstep/measure/slopes.py
+++ b/nutmegstep/measure/slopes.py
@@ -11,12 +11,20 @@
 from types import MappingProxyType
 from typing import Final
 
-from nutmegstep.measure import costs
+from nutmegstep.measure import costs, slopes_control
 
 __all__ = ['SUBJECTS_BY_NAME', 'Point', 'Slope', 'main', 'measure_slope']
 
 _SHARD_COUNTS: Final = (25, 120, 480)
 _TARGET_COUNTS: Final = (1000, 5000, 23000)
+# Values above 256 KiB are compressed, so a line through both forms of a
+# configuration would say nothing; these sizes are all compressed.
+_PACKED_TARGET_COUNTS: Final = (5000, 11000, 23000)
+_VM_COUNTS: Final = (6, 60, 600, 4600)
+_CLAIM_COUNTS: Final = (1000, 5000, 18000)
+_ASKED_COUNTS: Final = (0, 8, 64)
+_TIME: Final = 'us'
+_SIZE: Final = 'B'
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,21 +106,42 @@
     return Subject(unit, 'target', _TARGET_COUNTS, measure)
 
 
+def _by_vms(unit: str, measure: Callable[[int], float]) -> Subject:
+    return Subject(unit, 'VM', _VM_COUNTS, measure)
+
+
+def _by_claims(unit: str, measure: Callable[[int], float]) -> Subject:
+    return Subject(unit, 'claim', _CLAIM_COUNTS, measure)
+
+
 #: What can be measured; parts that come later add their own lines.
 SUBJECTS_BY_NAME: Final[Mapping[str, Subject]] = MappingProxyType(
     {
-        'reducer time of a query': _by_shards('us', costs.query_time_by_shards),
+        'reducer time of a query': _by_shards(
+            _TIME, costs.query_time_by_shards
+        ),
         'reducer time, 25 shards': _by_targets(
-            'us', costs.query_time_by_targets
+            _TIME, costs.query_time_by_targets
+        ),
+        'memory of a query in flight': _by_shards(_SIZE, costs.query_memory),
+        'memory of the state': _by_targets(_SIZE, costs.state_memory),
+        'configuration size': Subject(
+            _SIZE, 'target', _PACKED_TARGET_COUNTS, costs.fleet_bytes
+        ),
+        'configuration encode': _by_targets(_TIME, costs.fleet_encode),
+        'configuration decode': _by_targets(_TIME, costs.fleet_decode),
+        'catalogue size': _by_shards(_SIZE, costs.catalogue_bytes),
+        'catalogue encode': _by_shards(_TIME, costs.catalogue_encode),
+        'catalogue decode': _by_shards(_TIME, costs.catalogue_decode),
+        'versions of a message': _by_vms(_TIME, slopes_control.versions_time),
+        'exchange without gRPC': _by_vms(_TIME, slopes_control.exchange_time),
+        'VM list in a fetch': _by_vms(_SIZE, slopes_control.list_bytes),
+        'memory of the membership': _by_vms(_SIZE, slopes_control.list_memory),
+        'heartbeat size': Subject(
+            _SIZE, 'target', _ASKED_COUNTS, slopes_control.heartbeat_bytes
         ),
-        'memory of a query in flight': _by_shards('B', costs.query_memory),
-        'memory of the state': _by_targets('B', costs.state_memory),
-        'configuration size': _by_targets('B', costs.fleet_bytes),
-        'configuration encode': _by_targets('us', costs.fleet_encode),
-        'configuration decode': _by_targets('us', costs.fleet_decode),
-        'catalogue size': _by_shards('B', costs.catalogue_bytes),
-        'catalogue encode': _by_shards('us', costs.catalogue_encode),
-        'catalogue decode': _by_shards('us', costs.catalogue_decode),
+        'claim journal size': _by_claims(_SIZE, slopes_control.journal_bytes),
+        'claim journal rewrite': _by_claims(_TIME, slopes_control.journal_time),
     },
 )
 
