Derive the capacity tables from measured slopes

Cause: the page of the design size has to follow from slopes that a reader can measure again and from inputs that a reader can change.

--- a/Makefile
+++ b/Makefile
@@ -49,5 +49,9 @@
 proto: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc --proto_path=nutmegstep/peers/generated=nutmegstep/peers --python_out=. --pyi_out=. --grpc_python_out=. nutmegstep/peers/peers.proto
 
+# Prints the tables of docs/CAPACITY.md from slopes measured now.
+capacity: $(STAMP)
+	$(BIN)/python -m nutmegstep.measure.capacity_tables
+
 binary: $(STAMP)
 	bash packaging/build.sh $(BIN)/python
--- a/nutmegstep/measure/capacity_vms.py
+++ b/nutmegstep/measure/capacity_vms.py
@@ -1,7 +1,6 @@
 """VMs of one failure domain as state machines with a delivery loop.
 
-The loop drives `nutmegstep.membership` and `nutmegstep.allowance` with a
-manual clock. It exists to add up what all VMs may send to a cold target.
+The loop drives `nutmegstep.membership` and `nutmegstep.allowance`.
 """
 
 import heapq
@@ -84,8 +83,6 @@
     ----------
     rules : Rules
         What the declaration says.
-    random : random.Random
-        Draws losses, delays and incarnations.
     is_cut : Callable
         Whether messages between two VMs are lost.
     peak_senders : int
@@ -95,8 +92,7 @@
     lost_holders : int
         VMs that went without closing their connections to targets.
     peak_holders : int
-        Most VMs, lost ones included, whose connections a target that
-        notices no loss keeps open at once.
+        Most VMs whose connections a target that notices no loss has open.
     """
 
     rules: Rules
