--- a/nutmegstep/measure/slopes.py
+++ b/nutmegstep/measure/slopes.py
@@ -141,6 +141,9 @@
             _SIZE, 'target', _ASKED_COUNTS, slopes_control.heartbeat_bytes
         ),
         'claim journal size': _by_claims(_SIZE, slopes_control.journal_bytes),
+        'claim journal in memory': _by_claims(
+            _SIZE, slopes_control.journal_memory
+        ),
         'claim journal rewrite': _by_claims(_TIME, slopes_control.journal_time),
     },
 )
--- a/nutmegstep/measure/slopes_control.py
+++ b/nutmegstep/measure/slopes_control.py
@@ -38,6 +38,7 @@
     'exchange_time',
     'heartbeat_bytes',
     'journal_bytes',
+    'journal_memory',
     'journal_time',
     'list_bytes',
     'list_memory',
@@ -98,6 +99,12 @@
     return len(encode_journal(_records(claims)))
 
 
+def journal_memory(claims: int) -> float:
+    """Return the bytes of a journal that a VM keeps."""
+    document = encode_journal(_records(claims))
+    return allocated_bytes(lambda: decode_journal(document).unwrap())
+
+
 def journal_time(claims: int) -> float:
     """Return the microseconds to read a journal and to write it back."""
     document = encode_journal(_records(claims))
