--- a/nutmegstep/measure/control_platform.py
+++ b/nutmegstep/measure/control_platform.py
@@ -1,23 +1,12 @@
-"""Private adapter from the platform client to the control side's port."""
-
-from datetime import timedelta
-from typing import TypeVar
-
-from returns.pipeline import is_successful
-from returns.result import Failure, Result
+"""Objects of the platform behind a switch that cuts the connection."""
 
 from nutmegstep.membership import ListedVm
+from nutmegstep.node.platform import PlatformObjects
 from nutmegstep.node.ports import StoredObject, WatchReply
-from nutmegstep.platform_api import (
-    ObjectClient,
-    PlatformFailure,
-    PlatformFailureKind,
-)
+from nutmegstep.platform_api import ObjectClient
 
 __all__ = ['MeasuredPlatform']
 
-_Value = TypeVar('_Value')
-
 
 class MeasuredPlatform:
     """`ControlPlatform` over an object client, with a switch for a cut.
@@ -30,27 +19,19 @@
 
     def __init__(self, client: ObjectClient) -> None:
         self.cut_off = False
-        self._client = client
+        self._stored = PlatformObjects(client)
 
     async def get(self, name: str) -> StoredObject | None:
         """Return an object, or None when it does not exist."""
         self._check()
-        called = await self._client.get(name)
-        if _failed_with(called, PlatformFailureKind.NOT_FOUND):
-            return None
-        stored = self._value_of(called)
-        version = stored.version
-        number = int(version.strip('"'))
-        return StoredObject(name, version, number, stored.document)
+        found = await self._stored.get(name)
+        self._check()
+        return found
 
     async def put(self, name: str, document: bytes, tag: str | None) -> bool:
         """Write if the tag matches; False on a mismatch."""
         self._check()
-        called = await self._client.put(name, document, tag)
-        if _failed_with(called, PlatformFailureKind.CONFLICT):
-            return False
-        self._value_of(called)
-        return True
+        return await self._stored.put(name, document, tag)
 
     async def watch(
         self,
@@ -60,34 +41,15 @@
     ) -> WatchReply:
         """Wait for changes and read the objects that changed."""
         self._check()
-        poll = timedelta(seconds=timeout)
-        reply = self._value_of(await self._client.watch(names, since, poll))
-        found = [await self.get(changed.name) for changed in reply.changed]
-        stored = tuple(one for one in found if one is not None)
-        return WatchReply(reply.revision, stored)
+        reply = await self._stored.watch(names, since, timeout)
+        self._check()
+        return reply
 
     async def list_vms(self) -> tuple[ListedVm, ...]:
         """Return the live and leaving VMs."""
         self._check()
-        records = self._value_of(await self._client.vms())
-        return tuple(
-            ListedVm(vm.name, vm.failure_domain, vm.address, vm.leaving)
-            for vm in records
-        )
+        return await self._stored.list_vms()
 
     def _check(self) -> None:
         if self.cut_off:
             raise OSError('the platform is cut off')
-
-    def _value_of(self, called: Result[_Value, PlatformFailure]) -> _Value:
-        self._check()
-        if is_successful(called):
-            return called.unwrap()
-        raise OSError(called.failure().detail)
-
-
-def _failed_with(
-    called: Result[_Value, PlatformFailure],
-    kind: PlatformFailureKind,
-) -> bool:
-    return isinstance(called, Failure) and called.failure().kind is kind
--- a/nutmegstep/measure/control_times.py
+++ b/nutmegstep/measure/control_times.py
@@ -8,8 +8,13 @@
 from types import MappingProxyType
 from typing import Final
 
-from nutmegstep.control import ControlState, Register
-from nutmegstep.declarations import encode_fleet
+from nutmegstep.control import ControlState
+from nutmegstep.declarations import (
+    ControlChange,
+    ControlSubject,
+    Register,
+    encode_fleet,
+)
 from nutmegstep.measure.control_nodes import Bench, measured_fleet, until
 from nutmegstep.node import StoredObject
 from nutmegstep.node.documents import (
@@ -18,12 +23,7 @@
     encode_registers,
 )
 from nutmegstep.node.relay import take_object
-from nutmegstep.peers import (
-    ControlCommand,
-    ControlKind,
-    PeerClient,
-    Traffic,
-)
+from nutmegstep.peers import PeerClient, Traffic
 from nutmegstep.standins.platform import Outage
 
 __all__ = ['TIMES_BY_NAME', 'Times', 'measure_times']
@@ -118,7 +118,12 @@
 async def _withdraw_through_vm(bench: Bench, run: int) -> float:
     domain = f'through-vm-{run}'
     client = PeerClient(Traffic())
-    command = ControlCommand(ControlKind.WITHDRAWAL, domain, active=True)
+    command = ControlChange(
+        ControlSubject.FAILURE_DOMAIN,
+        domain,
+        withdrawn=True,
+        changed_by='measure',
+    )
     async with _outage(bench):
         await client.apply_control(bench.nodes[0].address, command)
         returned = bench.clock.monotonic()
@@ -161,7 +166,7 @@
     plane = bench.nodes[0].plane
     known = plane.state.control
     withdrawals = dict(known.withdrawals_by_domain)
-    withdrawals[domain] = Register(1, active=True)
+    withdrawals[domain] = Register(1, withdrawn=True)
     state = ControlState(withdrawals_by_domain=withdrawals)
     tag = before.version if before else None
     written = await bench.client.put(CONTROL_NAME, encode_registers(state), tag)
--- a/nutmegstep/measure/slopes_control.py
+++ b/nutmegstep/measure/slopes_control.py
@@ -159,7 +159,8 @@
 def _records(claims: int) -> list[ClaimRecord]:
     random = Random(1)
     draw: Callable[[int], bytes] = random.randbytes
+    bits = random.getrandbits
     return [
-        ClaimRecord(draw(16), random.getrandbits(64), draw(16), draw(8))
+        ClaimRecord(draw(16), bits(64), bits(64), draw(8))
         for _ in range(claims)
     ]
--- a/tests/cli/conftest.py
+++ b/tests/cli/conftest.py
@@ -7,21 +7,18 @@
 
 import orjson
 import pytest
-from returns.pipeline import is_successful
 
 from nutmegstep.clock import SystemClock
 from nutmegstep.engine.events import Event
 from nutmegstep.engine.explaining import Explanation
-from nutmegstep.membership import ListedVm
 from nutmegstep.node import (
     ControlPlane,
     NodeCallbacks,
     NodeSettings,
-    StoredObject,
-    WatchReply,
 )
+from nutmegstep.node.platform import PlatformObjects
 from nutmegstep.peers import ClaimReport, ClaimState, TlsFiles
-from nutmegstep.platform_api import ObjectClient, PlatformFailureKind
+from nutmegstep.platform_api import ObjectClient
 from nutmegstep.standins.platform import PlatformStandIn
 from nutmegstep.verdict import Reason, Verdict, refuse
 from nutmegstep.web import HttpLimits, serve_http
@@ -52,59 +49,24 @@
     server.close()
 
 
-class Objects:
-    """Objects of the stand-in as a control plane reads them.
+class Objects(PlatformObjects):
+    """Objects of the platform with a hook.
 
     `before_put` is awaited once, before the next write.
     """
 
     def __init__(self, client: ObjectClient) -> None:
+        super().__init__(client)
         self.client = client
         self.before_put: Callable[[], Awaitable[object]] | None = None
 
-    async def get(self, name: str) -> StoredObject | None:
-        """Return an object; the entity tag holds the number of its write."""
-        called = await self.client.get(name)
-        if not is_successful(called):
-            self._raise_unless(called, PlatformFailureKind.NOT_FOUND)
-            return None
-        tag = called.unwrap().version
-        number = int(tag.strip('"'))
-        return StoredObject(name, tag, number, called.unwrap().document)
-
     async def put(self, name: str, document: bytes, tag: str | None) -> bool:
         """Write when the tag matches."""
         before = self.before_put
         self.before_put = None
         if before is not None:
             await before()
-        called = await self.client.put(name, document, tag)
-        if not is_successful(called):
-            self._raise_unless(called, PlatformFailureKind.CONFLICT)
-        return is_successful(called)
-
-    async def watch(
-        self, names: tuple[str, ...], since: int, timeout: float
-    ) -> WatchReply:
-        """Wait for a change."""
-        called = await self.client.watch(names, since)
-        self._raise_unless(called, None)
-        reply = called.unwrap()
-        found = [await self.get(one.name) for one in reply.changed]
-        return WatchReply(reply.revision, tuple(filter(None, found)))
-
-    async def list_vms(self) -> tuple[ListedVm, ...]:
-        """Return the list."""
-        called = await self.client.vms()
-        self._raise_unless(called, None)
-        return tuple(
-            ListedVm(vm.name, vm.failure_domain, vm.address, vm.leaving)
-            for vm in called.unwrap()
-        )
-
-    def _raise_unless(self, called, accepted) -> None:
-        if not is_successful(called) and called.failure().kind != accepted:
-            raise ConnectionError(called.failure().detail)
+        return await super().put(name, document, tag)
 
 
 @dataclass(frozen=True)
