Keep one attempt of a key per VM and end every claim with one event

- Two repeats at one VM that found the same abandoned claim both took it over.
- A VM that had forgotten a claim (over 100,000 newer ones) reported a later undecided attempt as abandoned, and a peer took over a claim that had run.
- The claimer itself replayed its stored answer for a key that came back with another body; only other VMs compared the fingerprint.
A request without an event keeps a drain from ending.

--- a/nutmegstep/claims/commit.py
+++ b/nutmegstep/claims/commit.py
@@ -52,7 +52,7 @@
     if delay:
         yield WakeAt(now + delay)
         return
-    yield from _write(state, journal)
+    yield from _write(state, journal, now)
 
 
 def adopt_records(
@@ -141,17 +141,32 @@
     if now >= pending.deadline:
         _abandon(state, pending, now)
         return refuse_expired(pending, Verdict.MAY_HAVE_RUN)
-    if record is None or record.nonce == pending.replaces:
-        return None
-    _abandon(state, pending, now)
+    return _compare(state, pending, record, now) if record else None
+
+
+def _compare(
+    state: ClaimState,
+    pending: PendingClaim,
+    record: ClaimRecord,
+    now: float,
+) -> ClaimEffect | None:
+    """Return None when the attempt may replace the record."""
     if record.fingerprint != pending.fingerprint:
+        _abandon(state, pending, now)
         return refuse_reused(pending)
+    if record.nonce == pending.replaces:
+        return None
+    _abandon(state, pending, now)
     pending.replaces = record.nonce
     state.asking_by_query[pending.query_id] = pending
     return AskClaimer(pending.query_id, record.claimer, pending.key)
 
 
-def _write(state: ClaimState, journal: JournalState) -> Iterator[ClaimEffect]:
+def _write(
+    state: ClaimState,
+    journal: JournalState,
+    now: float,
+) -> Iterator[ClaimEffect]:
     journal.batch = list(journal.pending_by_query.values())
     journal.pending_by_query = {}
     records = journal.records_by_key | {
@@ -161,7 +176,9 @@
     if len(document) > MAX_BYTES:
         full = journal.batch
         journal.batch = []
-        yield from map(refuse_full, full)
+        for pending in full:
+            _abandon(state, pending, now)
+            yield refuse_full(pending)
         return
     journal.busy = True
     yield WriteJournal(journal.name, journal.version or '', document)
@@ -177,6 +194,7 @@
 
 
 def _won(state: ClaimState, pending: PendingClaim, now: float) -> Notify:
+    state.own.confirm(pending.key.bytes)
     if now >= pending.deadline:
         _abandon(state, pending, now)
         return refuse_expired(pending, Verdict.NOT_RUN)
--- a/nutmegstep/claims/core.py
+++ b/nutmegstep/claims/core.py
@@ -32,6 +32,7 @@
 from nutmegstep.claims.replies import (
     claimed_before,
     refuse_expired,
+    refuse_reused,
     reply_finished,
 )
 from nutmegstep.claims.state import ClaimState, PendingClaim, journal_state
@@ -42,6 +43,9 @@
 
 _NONCE_BITS: Final = 64
 _ASK_AGAIN_SECONDS: Final = 0.05
+# Timers run on another clock than the reducer and may fire a little early; a
+# request that is passed over then would never be asked about again.
+_EARLY_SECONDS: Final = 0.001
 
 _ReduceFunction = Callable[[ClaimState, Any, float], Iterable[ClaimEffect]]
 
@@ -102,6 +106,9 @@
         pending.replaces = state.own.nonce(key.bytes)
         yield from _enqueue(state, pending, now)
         return
+    if state.own.fingerprint(key.bytes) != pending.fingerprint:
+        yield refuse_reused(pending)
+        return
     state.asking_by_query[pending.query_id] = pending
     yield AskClaimer(pending.query_id, state.incarnation, key)
 
@@ -111,7 +118,12 @@
     pending: PendingClaim,
     now: float,
 ) -> Iterator[ClaimEffect]:
-    state.own.start(pending.key.bytes, pending.nonce, now)
+    state.own.start(
+        pending.key.bytes,
+        pending.nonce,
+        pending.fingerprint,
+        now,
+    )
     journal = journal_state(state, pending.journal)
     journal.pending_by_query[pending.query_id] = pending
     yield from advance(state, journal, now)
@@ -201,12 +213,16 @@
     """Claim an abandoned key, if the request is newer than the abandonment.
 
     An older request must not run any more: the caller may have been told
-    already that its request did not run.
+    already that its request did not run. While another request of this VM
+    takes the key over, this one waits: with two attempts of one VM in a
+    journal write both would be won.
     """
-    if now - pending.arrived < status.abandoned_age:
-        yield from _enqueue(state, pending, now)
-    else:
+    if now - pending.arrived >= status.abandoned_age:
         yield claimed_before(pending, ClaimPhase.ABANDONED)
+    elif state.own.status(pending.key.bytes, now).phase is ClaimPhase.RUNNING:
+        yield from _ask_later(state, pending, now)
+    else:
+        yield from _enqueue(state, pending, now)
 
 
 def _on_settled(
@@ -238,7 +254,7 @@
     due = [
         query_id
         for query_id, at in state.ask_again_by_query.items()
-        if at <= now
+        if at <= now + _EARLY_SECONDS
     ]
     for query_id in due:
         state.ask_again_by_query.pop(query_id)
--- a/nutmegstep/claims/memory.py
+++ b/nutmegstep/claims/memory.py
@@ -46,12 +46,30 @@
 
 @dataclass(slots=True)
 class OwnClaim:
-    """One claim of this VM."""
+    """One claim of this VM.
+
+    Parameters
+    ----------
+    nonce : bytes
+        Identifies the attempt.
+    phase : ClaimPhase
+        How far the claim has got.
+    since : float
+        Monotonic instant of the phase in seconds.
+    fingerprint : int
+        Hash of the request's content.
+    answer : Answer or None
+        Stored answer.
+    doubtful : bool
+        Whether the journal may hold a forgotten claim of this VM instead.
+    """
 
     nonce: bytes
     phase: ClaimPhase
     since: float
+    fingerprint: int
     answer: Answer | None = None
+    doubtful: bool = False
 
 
 class OwnClaims:
@@ -60,24 +78,47 @@
     Notes
     -----
     A forgotten claim is reported as unknown, which callers see as
-    "may have run"; the journal still prevents a second run.
+    "may have run"; the journal still prevents a second run. The same holds
+    for an abandoned attempt whose key may have a forgotten claim: peers ask
+    about the claim in the journal, and that one may have run.
     """
 
     def __init__(self) -> None:
+        self._has_forgotten = False
         self._by_key: OrderedDict[bytes, OwnClaim] = OrderedDict()
         self._answers: OrderedDict[bytes, int] = OrderedDict()
         self._answer_bytes = 0
 
-    def start(self, key: bytes, nonce: bytes, now: float) -> None:
+    def start(
+        self,
+        key: bytes,
+        nonce: bytes,
+        fingerprint: int,
+        now: float,
+    ) -> None:
         """Record that an attempt is under way."""
         self._drop_answer(key)
-        self._by_key.pop(key, None)
-        self._by_key[key] = OwnClaim(nonce, ClaimPhase.RUNNING, now)
+        former = self._by_key.pop(key, None)
+        doubtful = former.doubtful if former else self._has_forgotten
+        self._by_key[key] = OwnClaim(
+            nonce,
+            ClaimPhase.RUNNING,
+            now,
+            fingerprint,
+            doubtful=doubtful,
+        )
         while len(self._by_key) > _MAX_CLAIMS:
+            self._has_forgotten = True
             oldest = next(iter(self._by_key))
             self._drop_answer(oldest)
             self._by_key.pop(oldest)
 
+    def confirm(self, key: bytes) -> None:
+        """Record that the journal holds the latest attempt of a key."""
+        claim = self._by_key.get(key)
+        if claim is not None:
+            claim.doubtful = False
+
     def settle(
         self,
         key: bytes,
@@ -102,6 +143,11 @@
         claim = self._by_key.get(key)
         return claim.nonce if claim else None
 
+    def fingerprint(self, key: bytes) -> int | None:
+        """Return the fingerprint of the latest attempt of a key."""
+        claim = self._by_key.get(key)
+        return claim.fingerprint if claim else None
+
     def status(self, key: bytes, now: float) -> ClaimStatus:
         """Return what became of the claim of a key."""
         self._evict(now)
@@ -109,6 +155,8 @@
         if claim is None:
             return ClaimStatus(ClaimPhase.UNKNOWN)
         abandoned = claim.phase is ClaimPhase.ABANDONED
+        if abandoned and claim.doubtful:
+            return ClaimStatus(ClaimPhase.UNKNOWN)
         return ClaimStatus(
             claim.phase,
             claim.answer,
--- a/nutmegstep/claims/service.py
+++ b/nutmegstep/claims/service.py
@@ -1,6 +1,7 @@
 """Performs the effects of the claim reducer."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable, Coroutine
 from types import MappingProxyType
 from typing import Any, Final, Protocol
@@ -33,6 +34,8 @@
 
 __all__ = ['AskFunction', 'ClaimCoordinator', 'JournalStore']
 
+_log = logging.getLogger(__name__)
+
 AskFunction = Callable[[int, UUID], Awaitable[ClaimStatus | None]]
 """Asks a claimer by its incarnation; None when it does not answer."""
 
@@ -113,16 +116,39 @@
         for effect in reduce_claims(self._state, event, now):
             _PERFORM_BY_EFFECT[type(effect)](self, effect)
 
-    def _start(self, call: Coroutine[Any, Any, ClaimEvent]) -> None:
-        task = asyncio.get_running_loop().create_task(self._finish(call))
+    def _start(
+        self,
+        call: Coroutine[Any, Any, ClaimEvent],
+        failure: ClaimEvent,
+    ) -> None:
+        finishing = self._finish(call, failure)
+        task = asyncio.get_running_loop().create_task(finishing)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _finish(self, call: Coroutine[Any, Any, ClaimEvent]) -> None:
-        self._dispatch(await call)
+    async def _finish(
+        self,
+        call: Coroutine[Any, Any, ClaimEvent],
+        failure: ClaimEvent,
+    ) -> None:
+        """Dispatch the outcome of a call; one that raises has failed.
+
+        Without an event the journal would stay busy for good, and a drain
+        would wait for the claims in it.
+        """
+        try:
+            event = await call
+        except Exception as error:
+            # The message of the error may hold a key or a body.
+            _log.error('claim call raised %s', type(error).__name__)
+            event = failure
+        self._dispatch(event)
 
     def _perform_read(self, effect: ReadJournal) -> None:
-        self._start(self._store.read(effect.name))
+        self._start(
+            self._store.read(effect.name),
+            JournalReadFailed(effect.name),
+        )
 
     def _perform_write(self, effect: WriteJournal) -> None:
         self._start(
@@ -131,10 +157,14 @@
                 effect.expected_version,
                 effect.document,
             ),
+            JournalWriteUnknown(effect.name),
         )
 
     def _perform_ask(self, effect: AskClaimer) -> None:
-        self._start(self._ask_claimer(effect))
+        self._start(
+            self._ask_claimer(effect),
+            ClaimerReplied(effect.query_id, None),
+        )
 
     async def _ask_claimer(self, effect: AskClaimer) -> ClaimerReplied:
         if effect.claimer == self._state.incarnation:
--- a/tests/claims/test_core.py
+++ b/tests/claims/test_core.py
@@ -6,6 +6,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from nutmegstep.claims import ClaimPhase
 from nutmegstep.claims.messages import ClaimSettled
 from nutmegstep.model import Answer
 from nutmegstep.verdict import Reason, Verdict
@@ -112,6 +113,43 @@
     assert cluster.refused[0].refusal.reason is Reason.KEY_REUSED
 
 
+def test_key_with_another_body_is_refused_by_its_claimer(
+    cluster: Cluster,
+) -> None:
+    """Guards against replaying the stored answer of a different request."""
+    vm = cluster.start_vm()
+    key = make_key(cluster.clock, cluster.random)
+    cluster.request(vm, key, 1)
+    cluster.run()
+    answer = Answer('desk', 1, ('s',), (), {'s': b'{}'})
+    cluster.settle(vm, ClaimSettled(key, answer, may_have_run=True))
+    cluster.request(vm, key, 2, body=b'[]')
+    cluster.run()
+    assert not cluster.replayed
+    assert cluster.refused[0].refusal.reason is Reason.KEY_REUSED
+
+
+@pytest.mark.parametrize('number', range(200))
+def test_each_request_gets_exactly_one_event(number: int) -> None:
+    """Guards against requests without an event, or with two, under faults."""
+    random = Random(number)
+    cluster = Cluster(random)
+    vms = [cluster.start_vm() for _ in range(3)]
+    keys = [make_key(cluster.clock, random) for _ in range(2)]
+    for query_id in range(12):
+        cluster.request(random.choice(vms), random.choice(keys), query_id)
+        for _ in range(random.randrange(4)):
+            cluster.platform_down = not random.randrange(5)
+            cluster.lost_answers = random.randrange(2)
+            if cluster.calls:
+                cluster.step(random.randrange(len(cluster.calls)))
+    cluster.platform_down = False
+    cluster.run()
+    told = [event for _, event in cluster.won]
+    asked = [event.query_id for event in (*told, *cluster.refused)]
+    assert sorted(asked) == list(range(12))
+
+
 def test_claims_that_wait_for_a_journal_share_one_write(
     cluster: Cluster,
 ) -> None:
@@ -125,6 +163,63 @@
     assert cluster.revision <= 32
 
 
+def test_two_repeats_on_one_vm_take_an_abandoned_claim_over_once(
+    cluster: Cluster,
+) -> None:
+    """Guards against two permits, or a claim in use that looks abandoned."""
+    vms = [cluster.start_vm() for _ in range(3)]
+    key = make_key(cluster.clock, cluster.random)
+    cluster.request(vms[0], key, 1)
+    cluster.run()
+    cluster.settle(vms[0], ClaimSettled(key, None, may_have_run=False))
+    cluster.clock.advance(0.1)
+    cluster.request(vms[1], key, 2)
+    cluster.step(0)
+    cluster.request(vms[1], key, 3)
+    cluster.run()
+    cluster.clock.advance(0.1)
+    cluster.request(vms[2], key, 4)
+    cluster.run()
+    assert [vm for vm, _ in cluster.won] == vms[:2]
+
+
+def test_forgotten_claim_is_never_reported_as_abandoned(
+    cluster: Cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a second run after a VM has forgotten its claim."""
+    monkeypatch.setattr('nutmegstep.claims.memory._MAX_CLAIMS', 1)
+    first, second = cluster.start_vm(), cluster.start_vm()
+    key = make_key(cluster.clock, cluster.random)
+    for query_id, claimed in enumerate(
+        (key, make_key(cluster.clock, cluster.random)),
+    ):
+        cluster.request(first, claimed, query_id)
+        cluster.run()
+        cluster.settle(first, ClaimSettled(claimed, None, may_have_run=True))
+    cluster.request(first, key, 2)
+    cluster.run()
+    cluster.clock.advance(0.1)
+    cluster.request(second, key, 3)
+    cluster.run()
+    assert len(cluster.won) == 2
+    verdicts = {event.refusal.verdict for event in cluster.refused}
+    assert verdicts == {Verdict.MAY_HAVE_RUN}
+
+
+def test_claim_for_a_full_journal_is_abandoned(
+    cluster: Cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against repeats that wait for a claim that was never written."""
+    vm = cluster.start_vm()
+    key = make_key(cluster.clock, cluster.random)
+    monkeypatch.setattr('nutmegstep.claims.commit.MAX_BYTES', 0)
+    cluster.request(vm, key, 1)
+    cluster.run()
+    assert cluster.refused[0].refusal.reason is Reason.CLAIM_UNAVAILABLE
+    status = cluster.vms_by_name[vm].own.status(key.bytes, 0)
+    assert status.phase is ClaimPhase.ABANDONED
+
+
 @seed(20261204)
 @settings(max_examples=300, deadline=None, database=None)
 @given(st.data())
