Return stored answers byte for byte between entry processes

The claim status carried the shard results as embedded JSON. A result that is not UTF-8 or holds a large number failed to decode or changed on the way, so a repeat at another VM got another answer than the first request. The bytes now travel unchanged.

tests/entry runs two compositions over gRPC against one platform and target: repeats elsewhere, a claimer that is gone or does not know, an abandoned claim, and deadlines and drain while the platform is silent.

--- a/nutmegstep/entry/claims.py
+++ b/nutmegstep/entry/claims.py
@@ -20,6 +20,9 @@
 __all__ = ['ask_claimer', 'delete_expired', 'report_of']
 
 _RAN_WITHOUT_ANSWER: Final = b''
+# One character for each byte: a repeat gets exactly the bytes of the target,
+# whose numbers another encoder could change.
+_BYTES: Final = 'latin-1'
 
 _STATE_BY_PHASE: Final = MappingProxyType(
     {
@@ -114,7 +117,7 @@
             'covered': answer.covered,
             'lacking': [[lack.name, lack.reason] for lack in answer.lacking],
             'results': {
-                shard: orjson.Fragment(found)
+                shard: found.decode(_BYTES)
                 for shard, found in answer.results_by_shard.items()
             },
         }
@@ -129,7 +132,7 @@
         tuple(fields['covered']),
         tuple(LackingShard(*lack) for lack in fields['lacking']),
         {
-            shard: orjson.dumps(found)
+            shard: found.encode(_BYTES)
             for shard, found in fields['results'].items()
         },
     )
