Leave development tools out of the binary and check more of its process

The plugins of pydantic and returns brought mypy, hypothesis and setuptools into the binary.

packaging/check.sh failed on the composed entry process: its two processes were not peers, so that no cold target was ever warmed and the demonstration client gave up after 45 s. They are peers now. The check also covers io_uring, shared memory and the exit code after SIGTERM.

--- a/packaging/build.sh
+++ b/packaging/build.sh
@@ -7,12 +7,15 @@
 rm -rf "$work"
 mkdir -p "$work" dist
 export PYINSTALLER_CONFIG_DIR=$PWD/$work/config
-# Tools for development and measurement stay out of the binary.
+# Tools for development and measurement stay out of the binary. pydantic and
+# returns have plugins for mypy and hypothesis, which would bring both along.
 "$python" -m PyInstaller --onedir --strip --noconfirm --log-level WARN \
     --name nutmegstep --distpath "$work/dist" --workpath "$work/work" \
     --specpath "$work" --collect-submodules nutmegstep.cli \
     --exclude-module hdrh --exclude-module grpc_tools \
     --exclude-module pytest --exclude-module tkinter \
+    --exclude-module mypy --exclude-module hypothesis \
+    --exclude-module setuptools --exclude-module ast_serialize \
     nutmegstep/__main__.py
 flags=(-std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra -Werror)
 archive=$work/archive
--- a/packaging/check.sh
+++ b/packaging/check.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs dist/nutmegstep as an entry process and prints start time, sizes and
 # memory. Fails when the process has a child or another number than the one
-# that was started, when it does not answer a query, or when the launcher
+# that was started, when it uses io_uring or shared memory, when it does not
+# answer a query or stop on SIGTERM with exit code 0, or when the launcher
 # accepts a damaged archive or a directory that others can write.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -24,18 +25,27 @@
 
 milliseconds() { echo $(( $(date +%s%N) / 1000000 )); }
 
-"$python" -m nutmegstep.standins --deployment vidzeme --directory "$directory" &
+"$python" -m nutmegstep.standins --deployment vidzeme --directory "$directory" \
+    --entry-vms 1 &
 started+=($!)
 wait_for "$directory/platform.port"
 platform=127.0.0.1:$(cat "$directory/platform.port")
+# Peers of each other: a target is warmed by a VM that all others give way to.
+seeds=
+domain=0
 for run in first second; do
+    domain=$(( domain + 1 ))
     begin=$(milliseconds)
-    dist/nutmegstep serve --platform "$platform" --failure-domain domain-1 \
+    dist/nutmegstep serve --platform "$platform" \
+        --failure-domain "domain-$domain" --vm-name "vm-$domain" \
+        --seeds "$seeds" --log-level warning \
+        --peer-port-file "$directory/peer-$run.port" \
         --port-file "$directory/entry-$run.port" &
     pid=$!
     started+=("$pid")
     wait_for "$directory/entry-$run.port"
     echo "$run start: $(( $(milliseconds) - begin )) ms until it listens"
+    seeds=$(cat "$directory/peer-$run.port")
 done
 "$python" -m nutmegstep.demo --directory "$directory"
 children=$(cat /proc/"$pid"/task/*/children)
@@ -48,7 +58,24 @@
     *) echo "process $pid does not run the unpacked program" >&2; exit 1 ;;
 esac
 echo "children of process $pid: none"
+if readlink /proc/"$pid"/fd/* | grep io_uring; then
+    echo "process $pid has an io_uring descriptor" >&2
+    exit 1
+fi
+if grep -E ' .w.s |/dev/shm|/SYSV|/memfd:|io_uring' "/proc/$pid/maps"; then
+    echo "process $pid has a mapping of shared memory" >&2
+    exit 1
+fi
+echo 'io_uring and shared memory: none'
 grep -E 'VmHWM|VmRSS|Threads' "/proc/$pid/status"
+code=0
+kill -TERM "$pid"
+wait "$pid" || code=$?
+if [ "$code" -ne 0 ]; then
+    echo "process $pid exited with $code after SIGTERM" >&2
+    exit 1
+fi
+echo 'exit code after SIGTERM: 0'
 
 # refused MESSAGE BINARY: the launcher must exit 127 with the message.
 refused() {
