Keep a load on the other VM while a paused one returns

The check passed on a scratch copy that sends to cold targets without any promise: the load of the other VM had ended before the paused one returned, so two requests at one target never met. With a load of one request at each target the same copy fails with a peak of 2 at the first targets. The tree passed twice.

--- a/tests/processes/test_processes.py
+++ b/tests/processes/test_processes.py
@@ -272,7 +272,9 @@
         burst = await _take_over(deployment, paused, other)
     finally:
         paused.signal(signal.SIGCONT)
-    await asyncio.gather(*burst)
+    while not all(task.done() for task in burst):
+        # A load of one request at each target; a second one would show.
+        await send(other.address, f'{RECORDS}/query', b'{}')
     targets = await deployment.targets(1)
     assert any(target['cold'] for target in targets.values())
     overloaded = {
