Take a target whose connections were lost as unconfirmed

A VM learned of a restart only from the boot identifier of the first answer.

A restart closes all connections. The pool now reports when the target's side closed the last one or refused a connect, before the outcomes of the requests in flight, and refuses the requests that wait for a connection. The engine then uses the target like a cold one. An answer to a later request with the same boot identifier makes it warm again and is reported; a report counts from 1 s after the loss, in the engine and in the node. After this VM closed its last connection the next request goes alone.

In the scenario runner a restart cuts the requests in flight and tells each VM that has a connection.

--- a/nutmegstep/engine/events.py
+++ b/nutmegstep/engine/events.py
@@ -29,6 +29,8 @@
     'OneShotArrived',
     'QueryArrived',
     'TargetAnswered',
+    'TargetConnectionsClosed',
+    'TargetConnectionsLost',
     'TargetFailed',
     'TargetWarm',
     'TimerFired',
@@ -178,6 +180,24 @@
     boot_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class TargetConnectionsLost:
+    """The target's side may have restarted.
+
+    It closed or reset the last open connection of this VM, or it refused a
+    connect.
+    """
+
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class TargetConnectionsClosed:
+    """This VM closed its last open connection to a target."""
+
+    target: str
+
+
 @dataclass(frozen=True, slots=True)
 class ClaimWon:
     """The claim of a one-shot request belongs to this VM."""
@@ -212,6 +232,8 @@
     | OneShotArrived
     | CallerGone
     | TargetAnswered
+    | TargetConnectionsClosed
+    | TargetConnectionsLost
     | TargetFailed
     | TimerFired
     | FleetChanged
--- a/nutmegstep/engine/hedges.py
+++ b/nutmegstep/engine/hedges.py
@@ -13,7 +13,7 @@
 )
 from nutmegstep.engine.state import EngineState, QueryState
 from nutmegstep.hedging import silence_bound
-from nutmegstep.model import Shard
+from nutmegstep.model import Shard, Target
 from nutmegstep.routing import PROBE_SHARE, is_slow
 
 __all__ = [
@@ -81,8 +81,9 @@
     )
     for target in others:
         stats = stats_by_name[target.name]
-        slow = is_slow(stats, fastest) and state.warmup.is_warm(target.name)
-        if slow and stats.free and state.hedges.spend():
+        if not is_slow(stats, fastest) or not stats.free:
+            continue
+        if _takes_probe(state, target, now) and state.hedges.spend():
             query.hedged.add(shard.name)
             send_attempt(state, query, shard, target.name, now, effects)
             return
@@ -116,6 +117,14 @@
         give_up_attempt(state, attempt_id, now, effects)
 
 
+def _takes_probe(state: EngineState, target: Target, now: float) -> bool:
+    in_flight = state.targets.stats_by_name[target.name].in_flight
+    warmup = state.warmup
+    return warmup.is_warm(target.name) and warmup.may_send(
+        target, in_flight, now
+    )
+
+
 def _hedge(
     state: EngineState,
     query: QueryState,
--- a/nutmegstep/engine/warming.py
+++ b/nutmegstep/engine/warming.py
@@ -7,12 +7,21 @@
     AllowanceChanged,
     FailureKind,
     TargetAnswered,
+    TargetConnectionsClosed,
+    TargetConnectionsLost,
     TargetFailed,
     TargetWarm,
 )
 from nutmegstep.engine.state import AttemptState, EngineState
 
-__all__ = ['measure_answer', 'note_failure', 'on_allowance', 'on_target_warm']
+__all__ = [
+    'measure_answer',
+    'note_failure',
+    'on_allowance',
+    'on_connections_closed',
+    'on_connections_lost',
+    'on_target_warm',
+]
 
 # A target that said that it is leaving gets no new work for this long; one
 # that comes back under the same name has restarted by then.
@@ -47,10 +56,34 @@
     effects: list[Effect],
 ) -> None:
     """Believe a peer that a target is warm."""
-    state.warmup.set_warm(event.target, event.boot_id)
+    state.warmup.set_warm(event.target, event.boot_id, now)
     state.recheck_waiting = True
 
 
+def on_connections_lost(
+    state: EngineState,
+    event: TargetConnectionsLost,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Take a target that may have restarted like a cold one."""
+    if event.target in state.fleet.targets_by_name:
+        state.warmup.lose(event.target, now)
+        # Waiting shards may have lost the last replica that they may use.
+        state.recheck_waiting = True
+
+
+def on_connections_closed(
+    state: EngineState,
+    event: TargetConnectionsClosed,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    """Let the next request to a target go alone."""
+    if event.target in state.fleet.targets_by_name:
+        state.warmup.disconnect(event.target)
+
+
 def measure_answer(
     state: EngineState,
     attempt: AttemptState,
@@ -64,7 +97,10 @@
         return
     seconds = now - attempt.started
     state.targets.stats_by_name[target.name].answered(seconds)
-    if state.warmup.answered(target, event.boot_id, seconds, now):
+    warmup = state.warmup
+    confirmed = warmup.confirm(target.name, event.boot_id, attempt.started)
+    ramped = warmup.answered(target, event.boot_id, seconds, now)
+    if confirmed or ramped:
         effects.append(ReportWarm(target.name, event.boot_id))
         state.recheck_waiting = True
 
--- a/nutmegstep/node/core.py
+++ b/nutmegstep/node/core.py
@@ -25,10 +25,8 @@
 from nutmegstep.peers import (
     ClaimReport,
     ControlCommand,
-    ControlDocument,
     Heartbeat,
     HeartbeatReply,
-    KnownVersions,
     PeerClient,
     PeerHandlers,
     PeerServer,
@@ -170,8 +168,12 @@
 
     def report_warm(self, target: str, boot_id: str) -> None:
         """Tell all peers that a target is warm under a boot identifier."""
-        reports = (WarmReport(target, boot_id),)
-        exchange.learn_warm(self.state, reports, self._clock.monotonic())
+        report = WarmReport(target, boot_id)
+        exchange.record_warm(self.state, report, self._clock.monotonic())
+
+    def forget_warm(self, target: str) -> None:
+        """Forget that a target is warm, when its connections were lost."""
+        exchange.forget_warm(self.state, target, self._clock.monotonic())
 
     async def claim_status(self, incarnation: int, key: bytes) -> ClaimReport:
         """Ask the claimer; an unknown or silent one gives `UNKNOWN`."""
@@ -180,7 +182,11 @@
     def _handlers(self, callbacks: NodeCallbacks) -> PeerHandlers:
         return PeerHandlers(
             self._on_exchange,
-            self._on_fetch,
+            lambda known: exchange.answer_fetch(
+                self.state,
+                known,
+                self._clock.monotonic(),
+            ),
             callbacks.claim_status,
             lambda: handlers.status_document(
                 self.state,
@@ -200,10 +206,6 @@
             self._links.fetch_newer(address, heartbeat.versions)
         return reply
 
-    def _on_fetch(self, known: KnownVersions) -> ControlDocument:
-        now = self._clock.monotonic()
-        return exchange.answer_fetch(self.state, known, now)
-
     def _on_command(self, command: ControlCommand) -> Register:
         register = handlers.apply_command(self.state, command)
         self._links.push()
--- a/nutmegstep/node/exchange.py
+++ b/nutmegstep/node/exchange.py
@@ -34,14 +34,17 @@
     Process,
     WarmReport,
 )
+from nutmegstep.warmup import EARLY_REPORT_SECONDS
 
 __all__ = [
     'answer_fetch',
     'answer_heartbeat',
     'build_heartbeat',
+    'forget_warm',
     'learn_document',
     'learn_reply',
     'learn_warm',
+    'record_warm',
     'should_fetch',
 ]
 
@@ -131,12 +134,35 @@
     reports: tuple[WarmReport, ...],
     now: float,
 ) -> None:
-    """Take warm reports; each new one becomes an engine event."""
+    """Take warm reports of a peer; each new one becomes an engine event."""
     for report in reports:
-        if state.boot_by_target.get(report.target) != report.boot_id:
-            state.boot_by_target[report.target] = report.boot_id
-            state.learned_by_target[report.target] = now
-            state.emit(TargetWarm(report.target, report.boot_id))
+        forgotten = state.forgotten_by_target.get(report.target)
+        # One that is ignored here is repeated by the peer.
+        if forgotten is None or now - forgotten >= EARLY_REPORT_SECONDS:
+            record_warm(state, report, now)
+
+
+def record_warm(state: NodeState, report: WarmReport, now: float) -> None:
+    """Keep a warm report, pass it on and emit an event when it is new."""
+    if state.boot_by_target.get(report.target) == report.boot_id:
+        return
+    state.forgotten_by_target.pop(report.target, None)
+    state.boot_by_target[report.target] = report.boot_id
+    state.learned_by_target[report.target] = now
+    state.emit(TargetWarm(report.target, report.boot_id))
+
+
+def forget_warm(state: NodeState, target: str, now: float) -> None:
+    """Forget a warm target whose connections were lost.
+
+    Notes
+    -----
+    Reports of peers count again after a second: earlier ones may have been
+    sent before the restart that closed the connections.
+    """
+    state.boot_by_target.pop(target, None)
+    state.learned_by_target.pop(target, None)
+    state.forgotten_by_target[target] = now
 
 
 def should_fetch(
--- a/nutmegstep/node/state.py
+++ b/nutmegstep/node/state.py
@@ -35,6 +35,8 @@
         Takes engine events.
     wanted_targets : frozenset of str
         Cold targets to which this VM would send.
+    forgotten_by_target : dict
+        When the connections to a target were lost, in monotonic seconds.
     stored_registers : int or None
         Digest of the registers last read from the platform.
     """
@@ -49,6 +51,7 @@
     until_by_target: dict[str, float] = field(default_factory=dict)
     boot_by_target: dict[str, str] = field(default_factory=dict)
     learned_by_target: dict[str, float] = field(default_factory=dict)
+    forgotten_by_target: dict[str, float] = field(default_factory=dict)
     sequence: int = 0
     stored_registers: int | None = None
     source: str = 'none'
--- a/nutmegstep/targets/connection.py
+++ b/nutmegstep/targets/connection.py
@@ -46,6 +46,9 @@
         Value of the ``Host`` header.
     on_idle : Callable
         Called when the connection may be used again.
+    on_lost : Callable
+        Called when the target's side closed or reset the connection, before
+        the outcome of the request in flight is reported.
     on_closed : Callable
         Called once when the connection is gone.
 
@@ -65,6 +68,7 @@
         self,
         host_header: bytes,
         on_idle: _ConnectionCallback,
+        on_lost: _ConnectionCallback,
         on_closed: _ConnectionCallback,
     ) -> None:
         self.opened_at = float(0)
@@ -73,10 +77,12 @@
         self.answers = 0
         self._host = host_header
         self._on_idle = on_idle
+        self._on_lost = on_lost
         self._on_closed = on_closed
         self._http = h11.Connection(h11.CLIENT)
         self._exchange: _Exchange | None = None
         self._transport: asyncio.Transport | None = None
+        self._is_aborted = False
 
     @property
     def is_open(self) -> bool:
@@ -140,6 +146,7 @@
         self._exchange = None
         self.silent_since = None
         may_have_run = exchange is not None and self._was_handed_over(exchange)
+        self._is_aborted = True
         if self._transport is not None:
             self._transport.abort()
         if exchange is not None:
@@ -158,11 +165,14 @@
 
     def eof_received(self) -> None:
         """Complete a response that ends with the connection."""
+        self._on_lost(self)
         if self._exchange is not None:
             self._parse(b'')
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Report the loss to the request in flight and to the pool."""
+        """Report the loss to the pool and to the request in flight."""
+        if not self._is_aborted:
+            self._on_lost(self)
         self.fail(FailureKind.RESET)
         self._on_closed(self)
 
@@ -217,8 +227,8 @@
         if self._is_reusable() and not _is_invalid(outcome):
             self._http.start_next_cycle()
             self._on_idle(self)
-        elif self._transport is not None:
-            self._transport.abort()
+        else:
+            self.fail(FailureKind.RESET)
         exchange.on_outcome(outcome)
 
     def _is_reusable(self) -> bool:
--- a/nutmegstep/targets/core.py
+++ b/nutmegstep/targets/core.py
@@ -1,15 +1,22 @@
 """Pool of connections with a bound for each target."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from nutmegstep.clock import Clock
 from nutmegstep.engine.effects import SendToTarget
-from nutmegstep.engine.events import FailureKind, TargetFailed
+from nutmegstep.engine.events import (
+    FailureKind,
+    TargetConnectionsClosed,
+    TargetConnectionsLost,
+    TargetFailed,
+)
 from nutmegstep.model import Target
 from nutmegstep.targets.connection import OutcomeCallback, TargetConnection
 from nutmegstep.targets.group import (
+    ConnectionsCallback,
+    ConnectionsEvent,
     TargetGroup,
     WaitingRequest,
     same_address,
@@ -42,6 +49,12 @@
         Shortest silence after which a connection may be declared silent.
     waiting_max : int, optional
         Most requests that wait for a connection to one target.
+
+    Attributes
+    ----------
+    on_connections : ConnectionsCallback
+        Takes the news that the last open connection to a target is gone, or
+        that a connect was refused; does nothing by default.
     """
 
     def __init__(
@@ -51,6 +64,7 @@
         silence_limit: SilenceLimit | None = None,
         waiting_max: int = _WAITING_MAX,
     ) -> None:
+        self.on_connections: ConnectionsCallback = _ignore
         self._clock = clock
         self._check = check or _allow_all
         self._silence_limit = silence_limit or _shortest_silence
@@ -114,29 +128,33 @@
         for task in tuple(self._tasks):
             task.cancel()
         for group in tuple(self._group_by_target.values()):
-            self._drop_waiting(group)
+            waiting = tuple(group.waiting.values())
+            self._fail_waiting(group, waiting, FailureKind.CANCELLED)
             group.close()
 
     def _find_group(self, target: Target, limit: int) -> TargetGroup:
         group = self._group_by_target.get(target.name)
         if group is not None and not same_address(group.target, target):
             # Waiting requests must not reach the old address.
-            self._drop_waiting(group)
+            moved = tuple(group.waiting.values())
+            self._fail_waiting(group, moved, FailureKind.CANCELLED)
             group.retire()
             group = None
         if group is None:
-            group = TargetGroup(target, self._clock, self._advance)
+            group = TargetGroup(
+                target,
+                self._clock,
+                self._advance,
+                self._report_connections,
+            )
             self._group_by_target[target.name] = group
         group.limit = limit
         return group
 
-    def _drop_waiting(self, group: TargetGroup) -> None:
-        for attempt_id in tuple(group.waiting):
-            self.cancel(attempt_id)
-
     def _send_fresh(self, group: TargetGroup, waiting: WaitingRequest) -> None:
         if group.open_count >= group.limit and group.idle:
-            group.members.discard(group.idle.close_oldest())
+            oldest = group.idle.close_oldest()
+            group.note_gone(TargetConnectionsClosed, oldest)
         if group.open_count >= group.limit:
             _fail_unsent(waiting, FailureKind.NO_CONNECTION)
             return
@@ -169,7 +187,7 @@
         if group.waiting.pop(attempt_id, None) is not None:
             self._group_by_waiting.pop(attempt_id)
         now = self._clock.monotonic()
-        denial = self._denial(effect, now)
+        denial = _denial(self._check, effect, now)
         if denial is not None:
             group.put_idle(connection)
             _fail_unsent(waiting, denial)
@@ -186,11 +204,6 @@
 
         connection.send(effect, now, report)
 
-    def _denial(self, effect: SendToTarget, now: float) -> FailureKind | None:
-        if now >= effect.deadline:
-            return FailureKind.TIMEOUT
-        return self._check(effect, now)
-
     def _open(self, group: TargetGroup, attempt_id: int | None) -> None:
         group.start_opening(attempt_id)
         task = asyncio.get_running_loop().create_task(
@@ -206,9 +219,10 @@
     ) -> None:
         try:
             connection = await group.connect()
-        except OSError:
+        except OSError as error:
             group.end_opening(attempt_id)
-            self._on_connect_failed(group, attempt_id)
+            refused = isinstance(error, ConnectionError)
+            self._on_connect_failed(group, attempt_id, refused=refused)
             return
         group.end_opening(attempt_id)
         own = None if attempt_id is None else group.waiting.get(attempt_id)
@@ -222,19 +236,57 @@
         self,
         group: TargetGroup,
         attempt_id: int | None,
+        *,
+        refused: bool,
     ) -> None:
-        for waiting in group.without_connection(attempt_id):
-            # The report of an earlier one may have cancelled this one.
-            if group.waiting.pop(waiting.effect.attempt_id, None):
-                del self._group_by_waiting[waiting.effect.attempt_id]
-                _fail_unsent(waiting, FailureKind.CONNECT)
+        failed = group.without_connection(attempt_id)
+        others = tuple(group.waiting.values()) if refused else ()
+        if refused:
+            self.on_connections(TargetConnectionsLost(group.target.name))
+        self._fail_waiting(group, failed, FailureKind.CONNECT)
+        self._fail_waiting(group, others, FailureKind.NO_CONNECTION)
         self._advance(group)
 
+    def _report_connections(self, event: ConnectionsEvent) -> None:
+        group = self._group_by_target[event.target]
+        # The engine chose the target for these when it was known as warm.
+        waiting = tuple(group.waiting.values())
+        self.on_connections(event)
+        if isinstance(event, TargetConnectionsLost):
+            self._fail_waiting(group, waiting, FailureKind.NO_CONNECTION)
+
+    def _fail_waiting(
+        self,
+        group: TargetGroup,
+        failed: Iterable[WaitingRequest],
+        kind: FailureKind,
+    ) -> None:
+        for waiting in failed:
+            # The report of an earlier one may have cancelled this one.
+            attempt_id = waiting.effect.attempt_id
+            if group.waiting.pop(attempt_id, None):
+                self._group_by_waiting.pop(attempt_id)
+                _fail_unsent(waiting, kind)
+
+
+def _denial(
+    check: SendCheck,
+    effect: SendToTarget,
+    now: float,
+) -> FailureKind | None:
+    if now >= effect.deadline:
+        return FailureKind.TIMEOUT
+    return check(effect, now)
+
 
 def _allow_all(effect: SendToTarget, now: float) -> None:
     """Permit every send."""
 
 
+def _ignore(event: ConnectionsEvent) -> None:
+    """Take no notice of lost connections."""
+
+
 def _shortest_silence(target: str) -> float:
     return _SILENCE_MIN
 
--- a/nutmegstep/targets/group.py
+++ b/nutmegstep/targets/group.py
@@ -3,16 +3,31 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from nutmegstep.clock import Clock
 from nutmegstep.engine.effects import SendToTarget
-from nutmegstep.engine.events import FailureKind
+from nutmegstep.engine.events import (
+    FailureKind,
+    TargetConnectionsClosed,
+    TargetConnectionsLost,
+)
 from nutmegstep.model import Target
 from nutmegstep.targets.connection import OutcomeCallback, TargetConnection
 from nutmegstep.targets.idle import IdleConnections
 
-__all__ = ['TargetGroup', 'WaitingRequest', 'same_address']
+__all__ = [
+    'ConnectionsCallback',
+    'ConnectionsEvent',
+    'TargetGroup',
+    'WaitingRequest',
+    'same_address',
+]
+
+ConnectionsEvent = TargetConnectionsClosed | TargetConnectionsLost
+ConnectionsCallback = Callable[[ConnectionsEvent], None]
+"""Takes the news that no connection to a target is open any more."""
 
 _CONNECT_TIMEOUT: Final = 1.0  # seconds; the same as TCP_USER_TIMEOUT
 
@@ -41,6 +56,8 @@
         Gives the age of connections.
     on_change : Callable
         Called when a connection became idle or was closed.
+    on_connections : Callable
+        Called when the last open connection is gone.
 
     Attributes
     ----------
@@ -59,6 +76,7 @@
         target: Target,
         clock: Clock,
         on_change: Callable[['TargetGroup'], None],
+        on_connections: ConnectionsCallback,
     ) -> None:
         self.target = target
         self.limit = 1
@@ -68,6 +86,7 @@
         self.waiting: dict[int, WaitingRequest] = {}
         self._clock = clock
         self._on_change = on_change
+        self._on_connections = on_connections
         self._opening_shared = 0
         self._opening_fresh: set[int] = set()
         self._retired = False
@@ -129,7 +148,8 @@
                 lambda: TargetConnection(
                     '{0}:{1}'.format(*address).encode(),
                     self._on_idle,
-                    self._on_closed,
+                    partial(self.note_gone, TargetConnectionsLost),
+                    partial(self.note_gone, TargetConnectionsClosed),
                 ),
                 *address,
             )
@@ -193,12 +213,28 @@
         for connection in tuple(self.members):
             connection.fail(FailureKind.CANCELLED)
 
-    def _on_idle(self, connection: TargetConnection) -> None:
-        self.put_idle(connection)
-        self._on_change(self)
+    def note_gone(
+        self,
+        event: type[ConnectionsEvent],
+        connection: TargetConnection,
+    ) -> None:
+        """Forget a connection and report when it was the last one.
 
-    def _on_closed(self, connection: TargetConnection) -> None:
-        self.members.discard(connection)
+        Parameters
+        ----------
+        event : type
+            Which side closed the connection.
+        connection : TargetConnection
+            The connection; one that was forgotten before is ignored.
+        """
         self.busy.discard(connection)
         self.idle.discard(connection)
+        if connection in self.members:
+            self.members.discard(connection)
+            if not self.members and not self._retired:
+                self._on_connections(event(self.target.name))
+        self._on_change(self)
+
+    def _on_idle(self, connection: TargetConnection) -> None:
+        self.put_idle(connection)
         self._on_change(self)
--- a/nutmegstep/warmup/__init__.py
+++ b/nutmegstep/warmup/__init__.py
@@ -1,5 +1,9 @@
 """Cold detection and the ramp of cold targets."""
 
-from nutmegstep.warmup.core import COLD_REQUEST_SECONDS, Warmup
+from nutmegstep.warmup.core import (
+    COLD_REQUEST_SECONDS,
+    EARLY_REPORT_SECONDS,
+    Warmup,
+)
 
-__all__ = ['COLD_REQUEST_SECONDS', 'Warmup']
+__all__ = ['COLD_REQUEST_SECONDS', 'EARLY_REPORT_SECONDS', 'Warmup']
--- a/nutmegstep/warmup/core.py
+++ b/nutmegstep/warmup/core.py
@@ -1,12 +1,13 @@
 """Decides whether a target is warm and how much a cold one may receive."""
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
 from nutmegstep.model import Target
 
-__all__ = ['COLD_REQUEST_SECONDS', 'Warmup']
+__all__ = ['COLD_REQUEST_SECONDS', 'EARLY_REPORT_SECONDS', 'Warmup']
 
 # A VM that gave a promise waits this much longer than the promise before it
 # grants the target again; no request to a cold target may outlast that.
@@ -25,6 +26,10 @@
 # Late reports about earlier processes of a target must not make it warm.
 _KEPT_BOOT_IDS: Final = 4
 
+# Two heartbeats. A report that arrives earlier after the loss of all
+# connections may have been sent before the restart that closed them.
+EARLY_REPORT_SECONDS: Final = 1
+
 
 @dataclass(slots=True)
 class _TargetWarmth:
@@ -36,6 +41,9 @@
     answers: int = 0
     allowed: int = 0
     next_step: float = 0
+    unconfirmed_boot_id: str = ''
+    lost_at: float = -math.inf
+    unseen: bool = False
 
     def note(self, *, bad: bool) -> bool:
         """Shift in an outcome; return whether too many were bad."""
@@ -68,9 +76,12 @@
     >>> warmup = Warmup()
     >>> warmup.may_send(target, 0, now=0)
     False
-    >>> warmup.set_warm('a', 'boot-1')
+    >>> warmup.set_warm('a', 'boot-1', now=0)
     >>> warmup.may_send(target, 3, now=0)
     True
+    >>> warmup.lose('a', now=1)
+    >>> warmup.may_send(target, 3, now=1)
+    False
     """
 
     until_by_target: Mapping[str, float] = field(default_factory=dict)
@@ -101,7 +112,8 @@
         """
         known = self.by_target.get(target.name)
         if known is not None and known.warm_boot_id:
-            return True
+            # A restart without an open connection shows only in an answer.
+            return not (known.unseen and in_flight)
         if self.until_by_target.get(target.name, 0) <= now:
             return False
         allowed = known.allowed if known else 0
@@ -119,15 +131,76 @@
                 known.allowed = 0
         self.until_by_target = until_by_target
 
-    def set_warm(self, target: str, boot_id: str) -> None:
-        """Record that a target is warm, unless a newer process answered."""
+    def set_warm(self, target: str, boot_id: str, now: float) -> None:
+        """Record that a target is warm, unless the report may be too old.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        boot_id : str
+            Boot identifier of the process that is warm.
+        now : float
+            Monotonic instant at which the report arrived, in seconds.
+        """
         known = self._of(target)
         if boot_id in known.past_boot_ids:
             return
+        early = now - known.lost_at < EARLY_REPORT_SECONDS
+        if early and known.boot_id in {'', boot_id}:
+            return
         if known.boot_id != boot_id:
             _restart(known, boot_id)
-        known.warm_boot_id = boot_id
-        known.recent = 0
+        _make_warm(known)
+
+    def lose(self, target: str, now: float) -> None:
+        """Take the warmth of a target as unconfirmed.
+
+        Notes
+        -----
+        A restart closes all connections. Until the boot identifier is
+        confirmed the target is used like a cold one.
+        """
+        known = self._of(target)
+        known.lost_at = now
+        boot_id = known.warm_boot_id or known.unconfirmed_boot_id
+        _set_cold(known)
+        known.unconfirmed_boot_id = boot_id
+
+    def disconnect(self, target: str) -> None:
+        """Record that this VM closed its last connection to a target.
+
+        The next request goes alone, because a restart is not seen until an
+        answer shows the boot identifier.
+        """
+        self._of(target).unseen = True
+
+    def confirm(self, target: str, boot_id: str, sent: float) -> bool:
+        """Compare an answer with the boot identifier before the loss.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        boot_id : str
+            Boot identifier in the answer.
+        sent : float
+            Monotonic instant of the request. One that was sent before the
+            loss may have been answered before the restart.
+
+        Returns
+        -------
+        bool
+            Whether the target is warm again and must be reported.
+        """
+        known = self._of(target)
+        known.unseen = False
+        if not known.unconfirmed_boot_id or sent < known.lost_at:
+            return False
+        if known.unconfirmed_boot_id != boot_id:
+            return False
+        _make_warm(known)
+        return True
 
     def answered(
         self,
@@ -189,8 +262,7 @@
         if now < known.next_step:
             return False
         if known.allowed >= target.slots:
-            known.warm_boot_id = known.boot_id
-            known.recent = 0
+            _make_warm(known)
             return True
         known.allowed = min(target.slots, known.allowed * 2)
         known.next_step = now + step
@@ -207,7 +279,14 @@
     known.answers = 0
 
 
+def _make_warm(known: _TargetWarmth) -> None:
+    known.warm_boot_id = known.boot_id
+    known.unconfirmed_boot_id = ''
+    known.recent = 0
+
+
 def _set_cold(known: _TargetWarmth) -> None:
     known.warm_boot_id = ''
+    known.unconfirmed_boot_id = ''
     known.recent = 0
     known.allowed = 0
--- a/tests/engine/test_warming.py
+++ b/tests/engine/test_warming.py
@@ -40,3 +40,37 @@
         engine.apply(answer, second)
         reports += engine.of(fx.ReportWarm)
     assert [report.boot_id for report in reports] == ['b9']
+
+
+def test_answer_after_a_loss_confirms_and_is_reported(build) -> None:
+    """Guards against VMs that never confirm, and against a late answer."""
+    engine = build()
+    engine.query(1, record_key='k')
+    late = engine.sole(fx.SendToTarget)
+    target = late.target
+    for copy in range(3):
+        lost = ev.TargetConnectionsLost(f'{target[0]}-{copy}')
+        engine.apply(lost, 1)
+    engine.apply(ev.TargetAnswered(late.attempt_id, 1, 'b', b'1'), 1)
+    assert not engine.state.warmup.is_warm(target)
+    engine.apply(ev.AllowanceChanged({target: 9.0}), 1)
+    engine.query(2, now=2, record_key='k')
+    send = engine.sole(fx.SendToTarget)
+    engine.apply(ev.TargetAnswered(send.attempt_id, 1, 'b', b'1'), 2)
+    assert engine.sole(fx.ReportWarm).boot_id == 'b'
+    assert engine.state.warmup.is_warm(target)
+
+
+def test_shards_wait_for_the_first_answer_after_idleness(build) -> None:
+    """Guards against a burst to a target that may have restarted unseen."""
+    engine = build()
+    for name in ('a-0', 'a-1', 'a-2', 'b-0', 'b-1', 'b-2'):
+        engine.apply(ev.TargetConnectionsClosed(name))
+    sends = []
+    for query_id in range(8):
+        engine.query(query_id, record_key='k')
+        sends += engine.of(fx.SendToTarget)
+    assert len({send.target for send in sends}) == len(sends) == 3
+    first = sends[0].attempt_id
+    engine.apply(ev.TargetAnswered(first, 1, 'b', b'1'), 0.1)
+    assert len(engine.of(fx.SendToTarget)) == 4
--- /dev/null
+++ b/tests/node/test_exchange.py
@@ -0,0 +1,33 @@
+"""Tests of warm reports after a loss of connections (G3)."""
+
+from nutmegstep.allowance import AllowanceState
+from nutmegstep.engine.events import Event, TargetWarm
+from nutmegstep.membership import Identity, ListedVm, MembershipState
+from nutmegstep.node.exchange import forget_warm, learn_warm, record_warm
+from nutmegstep.node.state import NodeState
+from nutmegstep.peers import Process, WarmReport
+
+REPORT = WarmReport('t', 'boot-1')
+
+
+def test_forgotten_report_is_new_again() -> None:
+    """Guards against an early repeat that hides the confirmation."""
+    events: list[Event] = []
+    identity = Identity('vm', 1)
+    state = NodeState(
+        Process(ListedVm('vm', 'd', 'a'), 1),
+        MembershipState(identity, 'd', 0),
+        AllowanceState(identity, 0),
+        events.append,
+    )
+    for now in (0, 1):
+        learn_warm(state, (REPORT,), now)
+    assert events == [TargetWarm('t', 'boot-1')]
+    forget_warm(state, 't', 2)
+    learn_warm(state, (REPORT,), 2.9)
+    assert not state.boot_by_target
+    learn_warm(state, (REPORT,), 3)
+    assert len(events) == 2
+    forget_warm(state, 't', 4)
+    record_warm(state, REPORT, 4.1)
+    assert len(events) == 3
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -109,6 +109,8 @@
     catalogue: dict[int, int] | None = None
     allow: dict[str, dict[str, float]] | None = None
     warm: dict[str, list[str]] | None = None
+    close_idle: dict[str, list[str]] | None = None
+    lose_connections: dict[str, list[str]] | None = None
     expect: Expectation | None = None
     most_sends: int | None = None
 
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -89,7 +89,6 @@
 def _change_targets(world: World, change: TargetStep) -> None:
     for name in change.names:
         target = world.targets_by_name[name]
-        target.boots += change.restart
         if change.behaviour is not None:
             target.behaviour = change.behaviour
         if change.latency_ms is not None:
@@ -99,6 +98,8 @@
         if change.cold is not None:
             target.cold = change.cold
             target.most_cold_load = 0
+        if change.restart:
+            world.restart(name)
 
 
 def _platform(world: World, mode: str) -> None:
@@ -171,6 +172,21 @@
             world.dispatch(vm, TargetWarm(name, boot_id))
 
 
+def _close_idle(world: World, targets_by_vm: dict[str, list[str]]) -> None:
+    for vm, targets in targets_by_vm.items():
+        for name in targets:
+            world.close_idle(vm, name)
+
+
+def _lose_connections(
+    world: World,
+    targets_by_vm: dict[str, list[str]],
+) -> None:
+    for vm, targets in targets_by_vm.items():
+        for name in targets:
+            world.lose_connections(vm, name)
+
+
 def _drain_vm(world: World, vm: str) -> None:
     world.dispatch(vm, DrainStarted())
 
@@ -237,6 +253,8 @@
         'catalogue': _catalogue,
         'allow': _allow,
         'warm': _warm,
+        'close_idle': _close_idle,
+        'lose_connections': _lose_connections,
         'expect': _expect,
         'most_sends': _most_sends,
     }
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -31,8 +31,12 @@
 )
 from nutmegstep.engine.events import (
     Event,
+    FailureKind,
     OneShotArrived,
     QueryArrived,
+    TargetConnectionsClosed,
+    TargetConnectionsLost,
+    TargetFailed,
     TimerFired,
     TimerKey,
 )
@@ -129,6 +133,7 @@
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = count()
         self._cancelled: set[tuple[str, int]] = set()
+        self._unconnected: set[tuple[str, str]] = set()
         self._target_by_attempt: dict[tuple[str, int], str] = {}
         self._timers: dict[tuple[str, TimerKey], int] = {}
         self._last_query_id = 0
@@ -299,6 +304,32 @@
         for asked in self.asked_by_name.values():
             asked.gone = asked.gone or asked.vm == vm_name
 
+    def restart(self, name: str) -> None:
+        """Restart a target: its connections close, in every VM at once."""
+        target = self.targets_by_name[name]
+        target.boots += 1
+        cut = sorted(target.in_flight)
+        target.in_flight.clear()
+        self._cancelled.update(cut)
+        for vm in tuple(self.vms_by_name):
+            self.lose_connections(vm, name)
+        for vm, attempt_id in cut:
+            self.note(f'{name} -> {vm}: reset #{attempt_id}')
+            reset = TargetFailed(attempt_id, FailureKind.RESET, True)
+            self.dispatch(vm, reset)
+
+    def lose_connections(self, vm: str, target: str) -> None:
+        """Close the connections of a VM from the target's side."""
+        if (vm, target) not in self._unconnected:
+            self._unconnected.add((vm, target))
+            self.note(f'{target} -> {vm}: connections lost')
+            self.dispatch(vm, TargetConnectionsLost(target))
+
+    def close_idle(self, vm: str, target: str) -> None:
+        """Let a VM close its last idle connection to a target."""
+        self._unconnected.add((vm, target))
+        self.dispatch(vm, TargetConnectionsClosed(target))
+
     def _make_vm(self, number: int) -> Vm:
         engine = EngineState(f'domain-{number % 2}', Random(number))
         return Vm(f'vm{number}', engine, self.cluster.start_vm())
@@ -358,6 +389,8 @@
         )
         attempt = (vm.name, effect.attempt_id)
         target = self.targets_by_name[effect.target]
+        if target.behaviour != 'connect':
+            self._unconnected.discard((vm.name, target.name))
         self._target_by_attempt[attempt] = target.name
         outcome = target.receive(vm.name, effect)
         if outcome is not None:
@@ -380,6 +413,8 @@
         if attempt in self._cancelled and not crossed:
             return
         kind = type(outcome).__name__
+        if _is_refused_connect(outcome):
+            self.dispatch(vm_name, TargetConnectionsLost(target))
         self.note(f'{target} -> {vm_name}: {kind} #{attempt_id}')
         self.dispatch(vm_name, outcome)
 
@@ -442,6 +477,13 @@
         self._take_calls()
 
 
+def _is_refused_connect(outcome: Event) -> bool:
+    return (
+        isinstance(outcome, TargetFailed)
+        and outcome.kind is FailureKind.CONNECT
+    )
+
+
 def _make_targets(layout: Layout) -> list[FakeTarget]:
     return [
         FakeTarget(
--- a/tests/targets/test_core.py
+++ b/tests/targets/test_core.py
@@ -8,7 +8,13 @@
 
 from nutmegstep.clock import ManualClock
 from nutmegstep.engine.effects import SendToTarget
-from nutmegstep.engine.events import FailureKind, TargetAnswered, TargetFailed
+from nutmegstep.engine.events import (
+    FailureKind,
+    TargetAnswered,
+    TargetConnectionsClosed,
+    TargetConnectionsLost,
+    TargetFailed,
+)
 from nutmegstep.model import Target
 from nutmegstep.targets import TargetPool
 
@@ -21,6 +27,7 @@
     def __init__(self) -> None:
         self.requests: list[tuple[int, bytes]] = []
         self.closed = 0
+        self.closes = False
         self.script: Callable[[bytes], bytes] = _answer
         self._connections = 0
 
@@ -30,6 +37,8 @@
         while head := await _read_head(reader):
             self.requests.append((number, head))
             writer.write(self.script(head))
+            if self.closes:
+                break
         self.closed += 1
         writer.close()
 
@@ -63,6 +72,8 @@
             waiting_max=2,
         )
         self.outcomes: list[TargetAnswered | TargetFailed] = []
+        self.events: list[object] = []
+        self.pool.on_connections = self.events.append
 
     def send(self, attempt_id: int, limit: int = 1, **changes) -> None:
         effect = replace(_SEND, attempt_id=attempt_id, **changes)
@@ -175,6 +186,45 @@
     ]
 
 
+async def test_refused_connect_is_reported(fixture: _Fixture) -> None:
+    """Guards against a restart that is not noticed without a connection."""
+    fixture.target = replace(fixture.target, port=1)
+    fixture.send(1)
+    await fixture.until(1)
+    assert fixture.events == [TargetConnectionsLost('t')]
+
+
+async def test_loss_is_reported_before_outcomes(fixture: _Fixture) -> None:
+    """Guards against retries and queued work on a target that restarted."""
+    fixture.server.script = lambda head: b''
+    fixture.server.closes = True
+    fixture.pool.on_connections = fixture.outcomes.append
+    fixture.send(1)
+    fixture.send(2)
+    outcomes = await fixture.until(3)
+    assert outcomes[0] == TargetConnectionsLost('t')
+    assert _failures(outcomes[1:]) == [
+        (2, FailureKind.NO_CONNECTION, False),
+        (1, FailureKind.INVALID, True),
+    ]
+
+
+async def test_own_close_is_no_loss(fixture: _Fixture) -> None:
+    """Guards against cold use of a target because this VM was idle."""
+    for attempt_id in (1, 2):
+        fixture.send(attempt_id, limit=2)
+    await fixture.until(2)
+    fixture.server.script = lambda head: b''
+    fixture.send(3, limit=2)
+    fixture.pool.cancel(3)
+    await asyncio.sleep(0)
+    assert not fixture.events
+    fixture.send(4, limit=2)
+    fixture.pool.cancel(4)
+    await asyncio.sleep(0)
+    assert fixture.events == [TargetConnectionsClosed('t')]
+
+
 async def test_check_happens_at_the_write(fixture: _Fixture) -> None:
     """Guards against sending queued work after a withdrawal (G4, G8)."""
     fixture.send(1)
--- a/tests/warmup/test_core.py
+++ b/tests/warmup/test_core.py
@@ -8,7 +8,7 @@
 
 def _warm(answers: int = 40) -> Warmup:
     warmup = Warmup()
-    warmup.set_warm('a', 'b1')
+    warmup.set_warm('a', 'b1', now=0)
     for _ in range(answers):
         warmup.answered(TARGET, 'b1', 0.01, now=0)
     assert warmup.is_warm('a')
@@ -20,9 +20,9 @@
     warmup = _warm()
     warmup.answered(TARGET, 'b2', 0.01, now=0)
     assert not warmup.is_warm('a')
-    warmup.set_warm('a', 'b1')
+    warmup.set_warm('a', 'b1', now=0)
     assert not warmup.is_warm('a')
-    warmup.set_warm('a', 'b3')
+    warmup.set_warm('a', 'b3', now=0)
     assert warmup.is_warm('a')
 
 
