Derive the shard maps of services once per version

Each request rebuilt the shards of its service, sorted the versions and, for look-ups and one-shot requests, the shard names. They are now kept per service and version until catalogue or configuration change, as are the replicas that are neither withdrawn nor draining; whether a version is held everywhere is kept until a holder changes. The replica choice reads the statistics of a candidate once.

--- a/nutmegstep/engine/admitting.py
+++ b/nutmegstep/engine/admitting.py
@@ -9,11 +9,14 @@
 from nutmegstep.engine.explaining import explain_refusal
 from nutmegstep.engine.finishing import refuse_query
 from nutmegstep.engine.restarting import refuse_snapshot, start_version
+from nutmegstep.engine.sending import (
+    newest_version,
+    service_versions,
+    usable_targets,
+)
 from nutmegstep.engine.state import EngineState, QueryState
 from nutmegstep.hedging import LatencyWindow
 from nutmegstep.model import IdempotentQuery, Service
-from nutmegstep.routing import usable_replicas
-from nutmegstep.snapshot import choose_version, service_shards
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
 __all__ = ['admit_queued', 'on_query', 'refusal_at_head']
@@ -93,6 +96,8 @@
 ) -> None:
     """Start waiting queries for which there is room again."""
     state.has_room = False
+    if not state.admission.queued:
+        return
 
     def limit_of(service: str) -> int:
         declared = state.fleet.services_by_name.get(service)
@@ -182,11 +187,9 @@
     effects: list[Effect],
 ) -> None:
     state.restarts.earn()
-    index = query.service.index
-    versions = state.versions_by_index.get(index, ())
-    version = choose_version(versions, query.service, state.held, now)
+    version = newest_version(state, query.service, now)
     if version is None:
-        detail = f'no version of index {index} can be served'
+        detail = f'no version of index {query.service.index} can be served'
         refuse_snapshot(state, query, detail, now, effects)
         return
     start_version(state, query, version, now, effects)
@@ -229,8 +232,8 @@
 def _cost(state: EngineState, query: IdempotentQuery, service: Service) -> int:
     if query.record_key is not None:
         return 1
-    versions = state.versions_by_index.get(service.index, ())
-    return len(service_shards(service, versions[-1])) if versions else 1
+    versions = service_versions(state, service)
+    return len(versions[0].names) if versions else 1
 
 
 def _limit(state: EngineState, service: Service, now: float) -> int:
@@ -242,17 +245,12 @@
 
 
 def _computed_limit(state: EngineState, service: Service) -> int:
-    versions = state.versions_by_index.get(service.index, ())
-    shards = service_shards(service, versions[-1]) if versions else {}
+    versions = service_versions(state, service)
+    shards = versions[0].shards_by_name if versions else {}
     slots_by_shard = [
         sum(
             int(state.targets.stats_by_name[target.name].limit)
-            for target in usable_replicas(
-                shard,
-                state.fleet.targets_by_name,
-                state.withdrawn_domains,
-                state.draining_targets,
-            )
+            for target in usable_targets(state, shard)
         )
         for shard in shards.values()
     ]
--- a/nutmegstep/engine/control.py
+++ b/nutmegstep/engine/control.py
@@ -101,5 +101,7 @@
 
 def _reconsider(state: EngineState) -> None:
     state.limit_by_service.clear()
+    state.shard_maps.clear()
+    state.usable_by_replicas.clear()
     state.recheck_waiting = True
     state.has_room = True
--- a/nutmegstep/engine/permits.py
+++ b/nutmegstep/engine/permits.py
@@ -13,6 +13,7 @@
 from nutmegstep.engine.sending import (
     candidates_of,
     choose_free,
+    newest_version,
     open_attempt,
     request_deadline,
     requested_shard,
@@ -23,8 +24,8 @@
     OneShotSent,
     OneShotState,
 )
-from nutmegstep.model import Answer, IndexVersion, Shard, Target
-from nutmegstep.snapshot import choose_version, service_shards
+from nutmegstep.model import Answer, Shard, Target
+from nutmegstep.snapshot import ServiceShards
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
 __all__ = [
@@ -38,7 +39,7 @@
     'settle',
 ]
 
-Pinned = tuple[IndexVersion, Shard, Target]
+Pinned = tuple[ServiceShards, Shard, Target]
 
 
 def send_once(
@@ -203,14 +204,10 @@
     service = state.fleet.services_by_name.get(ready.request.service)
     if service is None:
         return None
-    versions = state.versions_by_index.get(service.index, ())
-    version = choose_version(versions, service, state.held, now)
-    if version is None:
+    version = newest_version(state, service, now)
+    if version is None or not version.names:
         return None
-    shards = service_shards(service, version)
-    if not shards:
-        return None
-    shard = requested_shard(ready.request.record_key, shards)
+    shard = requested_shard(ready.request.record_key, version)
     candidates = candidates_of(state, shard, ready.tried, now)
     target = choose_free(state, candidates, now)
     return None if target is None else (version, shard, target)
--- a/nutmegstep/engine/restarting.py
+++ b/nutmegstep/engine/restarting.py
@@ -9,10 +9,14 @@
     sent_verdict,
 )
 from nutmegstep.engine.hedges import arm_hedges, probe_slow_replica
-from nutmegstep.engine.sending import requested_shard, send_shard
+from nutmegstep.engine.sending import (
+    newest_version,
+    requested_shard,
+    send_shard,
+)
 from nutmegstep.engine.state import EngineState, QueryState
-from nutmegstep.model import IndexVersion, Shard
-from nutmegstep.snapshot import MAX_RESTARTS, choose_version, service_shards
+from nutmegstep.model import Shard
+from nutmegstep.snapshot import MAX_RESTARTS, ServiceShards
 from nutmegstep.verdict import Reason, refuse
 
 __all__ = ['refuse_snapshot', 'restart_or_finish', 'start_version']
@@ -21,19 +25,18 @@
 def start_version(
     state: EngineState,
     query: QueryState,
-    version: IndexVersion,
+    version: ServiceShards,
     now: float,
     effects: list[Effect],
 ) -> None:
     """Send every shard of a query at a version; earlier results are dropped."""
-    shards = service_shards(query.service, version)
-    if not shards:
+    if not version.names:
         detail = f'version {version.number} has no shard of the service'
         refuse_snapshot(state, query, detail, now, effects)
         return
     query.version = version.number
     query.tried_versions.add(version.number)
-    query.shards_by_name = _requested(query.request.record_key, shards)
+    query.shards_by_name = _requested(query.request.record_key, version)
     query.pending = dict.fromkeys(query.shards_by_name)
     query.waiting = set()
     query.hedged = set()
@@ -83,10 +86,10 @@
 
 def _requested(
     record_key: str | None,
-    shards: dict[str, Shard],
+    shards: ServiceShards,
 ) -> dict[str, Shard]:
     if record_key is None:
-        return shards
+        return shards.shards_by_name
     shard = requested_shard(record_key, shards)
     return {shard.name: shard}
 
@@ -108,18 +111,12 @@
     state: EngineState,
     query: QueryState,
     now: float,
-) -> IndexVersion | None:
+) -> ServiceShards | None:
     if len(query.tried_versions) > MAX_RESTARTS:
         return None
     if now >= query.deadline:
         return None
-    version = choose_version(
-        state.versions_by_index.get(query.service.index, ()),
-        query.service,
-        state.held,
-        now,
-        query.tried_versions,
-    )
+    version = newest_version(state, query.service, now, query.tried_versions)
     if version is None or not state.restarts.spend():
         return None
     return version
--- a/nutmegstep/engine/sending.py
+++ b/nutmegstep/engine/sending.py
@@ -1,13 +1,15 @@
 """Sends target requests; withdrawals and drains are checked in the same step."""
 
+from collections.abc import Collection
 from typing import Final
 
 import xxhash
 
 from nutmegstep.engine.effects import CancelAttempt, Effect, SendToTarget
 from nutmegstep.engine.state import AttemptState, EngineState, QueryState
-from nutmegstep.model import Shard, Target
+from nutmegstep.model import Service, Shard, Target
 from nutmegstep.routing import choose_replica, usable_replicas
+from nutmegstep.snapshot import ServiceShards, choose_version
 from nutmegstep.warmup import COLD_REQUEST_SECONDS
 
 __all__ = [
@@ -16,11 +18,14 @@
     'close_attempt',
     'open_attempt',
     'give_up_attempt',
+    'newest_version',
     'request_deadline',
     'requested_shard',
     'send_attempt',
     'send_shard',
+    'service_versions',
     'untried_holders',
+    'usable_targets',
 ]
 
 _NONE_TRIED: Final[frozenset[str]] = frozenset()
@@ -29,7 +34,7 @@
 
 def requested_shard(
     record_key: str,
-    shards_by_name: dict[str, Shard],
+    shards: ServiceShards,
 ) -> Shard:
     """Return the shard that the hash of a record key chooses.
 
@@ -37,12 +42,46 @@
     ----------
     record_key : str
         Key of one record.
-    shards_by_name : dict
+    shards : ServiceShards
         Shards of the service; not empty.
     """
-    names = sorted(shards_by_name)
+    names = shards.names
     position = xxhash.xxh3_64_intdigest(record_key.encode()) % len(names)
-    return shards_by_name[names[position]]
+    return shards.shards_by_name[names[position]]
+
+
+def usable_targets(state: EngineState, shard: Shard) -> list[Target]:
+    """Return the replicas of a shard that are not withdrawn or draining."""
+    usable = state.usable_by_replicas.get(shard.replicas)
+    if usable is None:
+        usable = usable_replicas(
+            shard,
+            state.fleet.targets_by_name,
+            state.withdrawn_domains,
+            state.draining_targets,
+        )
+        state.usable_by_replicas[shard.replicas] = usable
+    return usable
+
+
+def newest_version(
+    state: EngineState,
+    service: Service,
+    now: float,
+    excluded: Collection[int] = (),
+) -> ServiceShards | None:
+    """Return the version that a request of a service is pinned to."""
+    maps = service_versions(state, service)
+    return choose_version(maps, service.index, state.held, now, excluded)
+
+
+def service_versions(
+    state: EngineState,
+    service: Service,
+) -> tuple[ServiceShards, ...]:
+    """Return the shards of a service in each version, newest first."""
+    versions = state.versions_by_index.get(service.index, ())
+    return state.shard_maps.newest_first(service, versions)
 
 
 def candidates_of(
@@ -52,15 +91,9 @@
     now: float,
 ) -> list[Target]:
     """Return the replicas of a shard that this VM has the right to use."""
-    usable = usable_replicas(
-        shard,
-        state.fleet.targets_by_name,
-        state.withdrawn_domains,
-        state.draining_targets,
-    )
     return [
         target
-        for target in usable
+        for target in usable_targets(state, shard)
         if target.name not in tried and _may_receive(state, target, now)
     ]
 
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -21,9 +21,10 @@
     SendPermit,
     Service,
     Shard,
+    Target,
 )
 from nutmegstep.routing import TargetTable
-from nutmegstep.snapshot import HeldVersions
+from nutmegstep.snapshot import HeldVersions, ShardMaps
 from nutmegstep.warmup import Warmup
 
 if TYPE_CHECKING:
@@ -195,6 +196,10 @@
         default_factory=lambda: TokenBudget(HEDGE_SHARE),
     )
     held: HeldVersions = field(default_factory=HeldVersions)
+    shard_maps: ShardMaps = field(default_factory=ShardMaps)
+    usable_by_replicas: dict[tuple[str, ...], list[Target]] = field(
+        default_factory=dict,
+    )
     retries: TokenBudget = field(
         default_factory=lambda: TokenBudget(RETRY_SHARE),
     )
--- a/nutmegstep/routing/core.py
+++ b/nutmegstep/routing/core.py
@@ -16,6 +16,8 @@
 _SLOW_FACTOR: Final = 3
 _SLOW_MARGIN: Final = 0.005
 
+_Measured = tuple[Target, TargetStats]
+
 
 def usable_replicas(
     shard: Shard,
@@ -56,7 +58,7 @@
 
 def is_slow(stats: TargetStats, fastest: float) -> bool:
     """Return whether a target is much slower than the fastest replica."""
-    return stats.latency > fastest * _SLOW_FACTOR + _SLOW_MARGIN
+    return stats.latency > _slow_bound(fastest)
 
 
 def choose_replica(
@@ -84,36 +86,37 @@
         The better of two by expected latency times (in flight + 1). Slow
         replicas are left out as long as a faster one is a candidate.
     """
+    if not candidates:
+        return None
     stats_by_name = table.stats_by_name
-    fastest = min(
-        (stats_by_name[target.name].latency for target in candidates),
-        default=0,
-    )
+    measured = [(target, stats_by_name[target.name]) for target in candidates]
+    # Lists and indices rather than generators and names: this is the most
+    # frequent step of a large query.
+    bound = _slow_bound(min([pair[1].latency for pair in measured]))
     free = [
-        target
-        for target in candidates
-        if stats_by_name[target.name].free
-        and not is_slow(stats_by_name[target.name], fastest)
+        pair for pair in measured if pair[1].free and pair[1].latency <= bound
     ]
-    near = [
-        target for target in free if target.failure_domain == failure_domain
-    ]
-    return _better_of_two(near or free, stats_by_name, random)
+    near = [pair for pair in free if pair[0].failure_domain == failure_domain]
+    return _better_of_two(near or free, random)
 
 
 def _better_of_two(
-    targets: list[Target],
-    stats_by_name: Mapping[str, TargetStats],
+    measured: list[_Measured],
     random: Random,
 ) -> Target | None:
-    if len(targets) < 2:
-        return targets[0] if targets else None
-    first = int(random.random() * len(targets))
-    other = int(random.random() * (len(targets) - 1))
+    if len(measured) < 2:
+        return measured[0][0] if measured else None
+    first = int(random.random() * len(measured))
+    other = int(random.random() * (len(measured) - 1))
     if other >= first:
         other += 1
-    pair = (targets[first], targets[other])
-    return min(pair, key=lambda target: _cost(stats_by_name[target.name]))
+    left, left_stats = measured[first]
+    right, right_stats = measured[other]
+    return left if _cost(left_stats) <= _cost(right_stats) else right
+
+
+def _slow_bound(fastest: float) -> float:
+    return fastest * _SLOW_FACTOR + _SLOW_MARGIN
 
 
 def _cost(stats: TargetStats) -> float:
--- a/nutmegstep/snapshot/__init__.py
+++ b/nutmegstep/snapshot/__init__.py
@@ -4,7 +4,13 @@
     MAX_RESTARTS,
     HeldVersions,
     choose_version,
-    service_shards,
 )
+from nutmegstep.snapshot.shards import ServiceShards, ShardMaps
 
-__all__ = ['MAX_RESTARTS', 'HeldVersions', 'choose_version', 'service_shards']
+__all__ = [
+    'MAX_RESTARTS',
+    'HeldVersions',
+    'ServiceShards',
+    'ShardMaps',
+    'choose_version',
+]
--- a/nutmegstep/snapshot/core.py
+++ b/nutmegstep/snapshot/core.py
@@ -1,13 +1,13 @@
 """Chooses one index version for all shards of a query."""
 
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import Final
 
-from nutmegstep.model import IndexVersion, Service, Shard
+from nutmegstep.snapshot.shards import ServiceShards
 
-__all__ = ['MAX_RESTARTS', 'HeldVersions', 'choose_version', 'service_shards']
+__all__ = ['MAX_RESTARTS', 'HeldVersions', 'choose_version']
 
 MAX_RESTARTS: Final = 2
 
@@ -21,7 +21,13 @@
 
 @dataclass(slots=True)
 class HeldVersions:
-    """Which targets were seen to hold or to lack an index version."""
+    """Which targets were seen to hold or to lack an index version.
+
+    Parameters
+    ----------
+    revision : int
+        Grows with each change of the holders.
+    """
 
     holders_by_version: dict[_VersionKey, set[str]] = field(
         default_factory=dict,
@@ -29,6 +35,7 @@
     lacking_until_by_version: dict[_VersionKey, dict[str, float]] = field(
         default_factory=dict,
     )
+    revision: int = 0
 
     def note_held(self, index: str, number: int, target: str) -> bool:
         """Record that a target holds a version.
@@ -45,6 +52,7 @@
         if target in holders:
             return False
         holders.add(target)
+        self.revision += 1
         self.lacking_until_by_version.get(key, {}).pop(target, None)
         return True
 
@@ -58,6 +66,7 @@
         """Record that a target said that it does not hold a version."""
         key = (index, number)
         self.holders_by_version.get(key, set()).discard(target)
+        self.revision += 1
         lacking = self.lacking_until_by_version.setdefault(key, {})
         lacking[target] = now + _LACKING_SECONDS
 
@@ -72,6 +81,7 @@
 
     def keep_only(self, index: str, numbers: Collection[int]) -> None:
         """Forget versions of an index that left the catalogue."""
+        self.revision += 1
         for by_version in (
             self.holders_by_version,
             self.lacking_until_by_version,
@@ -86,20 +96,20 @@
 
 
 def choose_version(
-    versions: Sequence[IndexVersion],
-    service: Service,
+    newest_first: Sequence[ServiceShards],
+    index: str,
     held: HeldVersions,
     now: float,
     excluded: Collection[int] = (),
-) -> IndexVersion | None:
+) -> ServiceShards | None:
     """Return the version that a new query is pinned to.
 
     Parameters
     ----------
-    versions : Sequence of IndexVersion
-        The catalogue of the index.
-    service : Service
-        Service whose shards must be held.
+    newest_first : Sequence of ServiceShards
+        Shards of the service in each version of the catalogue.
+    index : str
+        Name of the index.
     held : HeldVersions
         What targets said about the versions they hold.
     now : float
@@ -109,62 +119,48 @@
 
     Returns
     -------
-    IndexVersion or None
+    ServiceShards or None
         The newest version of which every shard has a replica that was seen to
         hold it, else the newest one that no replica set is known to lack.
     """
-    newest_first = sorted(
-        (known for known in versions if known.number not in excluded),
-        key=lambda version: version.number,
-        reverse=True,
-    )
     for version in newest_first:
-        if _is_held_everywhere(version, service, held):
+        if version.number in excluded:
+            continue
+        if _is_held_everywhere(version, index, held):
             return version
     for candidate in newest_first:
-        if not _is_lacked_somewhere(candidate, service, held, now):
+        if candidate.number in excluded:
+            continue
+        if not _is_lacked_somewhere(candidate, index, held, now):
             return candidate
     return None
 
 
-def service_shards(
-    service: Service,
-    version: IndexVersion,
-) -> dict[str, Shard]:
-    """Return the shards of a version that a service covers, by name."""
-    return {
-        shard.name: shard
-        for shard in version.shards_by_name.values()
-        if shard.group in service.groups
-    }
-
-
-def _covered(service: Service, version: IndexVersion) -> Iterable[Shard]:
-    return service_shards(service, version).values()
-
-
 def _is_held_everywhere(
-    version: IndexVersion,
-    service: Service,
+    version: ServiceShards,
+    index: str,
     held: HeldVersions,
 ) -> bool:
-    holders = held.holders_by_version.get((service.index, version.number))
-    return holders is not None and all(
-        not holders.isdisjoint(shard.replicas)
-        for shard in _covered(service, version)
-    )
+    if version.held_revision != held.revision:
+        holders = held.holders_by_version.get((index, version.number))
+        version.held_revision = held.revision
+        version.is_held = holders is not None and all(
+            not holders.isdisjoint(shard.replicas)
+            for shard in version.shards_by_name.values()
+        )
+    return version.is_held
 
 
 def _is_lacked_somewhere(
-    version: IndexVersion,
-    service: Service,
+    version: ServiceShards,
+    index: str,
     held: HeldVersions,
     now: float,
 ) -> bool:
     return any(
         all(
-            held.lacks(service.index, version.number, target, now)
+            held.lacks(index, version.number, target, now)
             for target in shard.replicas
         )
-        for shard in _covered(service, version)
+        for shard in version.shards_by_name.values()
     )
--- /dev/null
+++ b/nutmegstep/snapshot/shards.py
@@ -0,0 +1,90 @@
+"""Shard maps of services, derived once per index version."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+from nutmegstep.model import IndexVersion, Service, Shard
+
+__all__ = ['ServiceShards', 'ShardMaps']
+
+_NEVER: Final = -1
+
+
+@dataclass(slots=True)
+class ServiceShards:
+    """Shards of one index version that a service covers.
+
+    Parameters
+    ----------
+    number : int
+        Of the index version.
+    shards_by_name : dict
+        In the order of the shard map.
+    names : tuple of str
+        Sorted, to choose the shard of a record key.
+    held_revision : int
+        State of `HeldVersions` for which `is_held` was computed.
+    is_held : bool
+        Whether every shard has a replica that was seen to hold the version.
+    """
+
+    number: int
+    shards_by_name: dict[str, Shard]
+    names: tuple[str, ...]
+    held_revision: int = _NEVER
+    is_held: bool = False
+
+
+@dataclass(slots=True)
+class ShardMaps:
+    """Shard maps by service; cleared when catalogue or services change.
+
+    Examples
+    --------
+    >>> ShardMaps().by_service
+    {}
+    """
+
+    by_service: dict[str, tuple[ServiceShards, ...]] = field(
+        default_factory=dict,
+    )
+
+    def newest_first(
+        self,
+        service: Service,
+        versions: Sequence[IndexVersion],
+    ) -> tuple[ServiceShards, ...]:
+        """Return the shard map of each version of the catalogue.
+
+        Parameters
+        ----------
+        service : Service
+            Service whose shards are wanted.
+        versions : Sequence of IndexVersion
+            The catalogue of its index.
+        """
+        known = self.by_service.get(service.name)
+        if known is None:
+            descending = sorted(versions, key=_number, reverse=True)
+            known = tuple(_derive(service, version) for version in descending)
+            self.by_service[service.name] = known
+        return known
+
+    def clear(self) -> None:
+        """Forget everything that was derived."""
+        self.by_service.clear()
+
+
+def _number(version: IndexVersion) -> int:
+    return version.number
+
+
+def _derive(service: Service, version: IndexVersion) -> ServiceShards:
+    shards_by_name = {
+        shard.name: shard
+        for shard in version.shards_by_name.values()
+        if shard.group in service.groups
+    }
+    names = tuple(sorted(shards_by_name))
+    return ServiceShards(version.number, shards_by_name, names)
--- a/nutmegstep/warmup/core.py
+++ b/nutmegstep/warmup/core.py
@@ -94,7 +94,8 @@
 
     def has_right(self, target: str, now: float) -> bool:
         """Return whether a target is warm or a promise for it is in force."""
-        if self.is_warm(target):
+        known = self.by_target.get(target)
+        if known is not None and known.warm_boot_id:
             return True
         return self.until_by_target.get(target, 0) > now
 
