Cut the fixed cost of a query

A query created its containers twice at the start, a whole answer was compared with set operations, and each candidate of a shard took a function call for a check that is almost always empty.

--- a/nutmegstep/coverage/core.py
+++ b/nutmegstep/coverage/core.py
@@ -52,6 +52,9 @@
     (('a',), False)
     """
     covered = results_by_shard.keys()
+    if not lacking_by_shard and covered == shards:
+        names = tuple(sorted(covered))
+        return Answer(service, index_version, names, (), results_by_shard)
     listed = lacking_by_shard.keys()
     if covered | listed != shards or not covered.isdisjoint(listed):
         raise CoverageMismatchError(
--- a/nutmegstep/engine/restarting.py
+++ b/nutmegstep/engine/restarting.py
@@ -34,18 +34,14 @@
         detail = f'version {version.number} has no shard of the service'
         refuse_snapshot(state, query, detail, now, effects)
         return
+    if query.tried_versions:
+        _drop_results(query)
     query.version = version.number
     query.tried_versions.add(version.number)
     query.shards_by_name = _requested(query.request.record_key, version)
     query.pending = dict.fromkeys(query.shards_by_name)
-    query.waiting = set()
-    query.hedged = set()
-    query.hedge_rounds = 0
-    query.results_by_shard = {}
-    query.lacking_by_shard = {}
-    query.tried_by_shard = {}
-    state.retries.earn(len(query.shards_by_name))
-    state.hedges.earn(len(query.shards_by_name))
+    for budget in (state.retries, state.hedges):
+        budget.earn(len(query.shards_by_name))
     for shard in query.shards_by_name.values():
         send_shard(state, query, shard, now, effects)
         probe_slow_replica(state, query, shard, now, effects)
@@ -84,6 +80,15 @@
     start_version(state, query, version, now, effects)
 
 
+def _drop_results(query: QueryState) -> None:
+    query.waiting = set()
+    query.hedged = set()
+    query.hedge_rounds = 0
+    query.results_by_shard = {}
+    query.lacking_by_shard = {}
+    query.tried_by_shard = {}
+
+
 def _requested(
     record_key: str | None,
     shards: ServiceShards,
--- a/nutmegstep/engine/sending.py
+++ b/nutmegstep/engine/sending.py
@@ -91,10 +91,14 @@
     now: float,
 ) -> list[Target]:
     """Return the replicas of a shard that this VM has the right to use."""
+    has_right = state.warmup.has_right
+    leaving_until = state.leaving_until_by_target
     return [
         target
         for target in usable_targets(state, shard)
-        if target.name not in tried and _may_receive(state, target, now)
+        if target.name not in tried
+        and has_right(target.name, now)
+        and leaving_until.get(target.name, 0) <= now
     ]
 
 
@@ -105,14 +109,12 @@
 ) -> Target | None:
     """Return the best candidate that has a free slot in this step."""
     stats_by_name = state.targets.stats_by_name
-    warmup = state.warmup
+    may_send = state.warmup.may_send
     return choose_replica(
         [
             target
             for target in candidates
-            if warmup.may_send(
-                target, stats_by_name[target.name].in_flight, now
-            )
+            if may_send(target, stats_by_name[target.name].in_flight, now)
         ],
         state.targets,
         state.failure_domain,
@@ -248,12 +250,6 @@
     ]
 
 
-def _may_receive(state: EngineState, target: Target, now: float) -> bool:
-    if state.leaving_until_by_target.get(target.name, 0) > now:
-        return False
-    return state.warmup.has_right(target.name, now)
-
-
 def request_deadline(
     state: EngineState,
     target: str,
