Let one-shot requests wait for a slot and name cold shards

A one-shot request was refused at once when no slot of a replica was free. It now waits with its claim in the bounded queue of its class until a slot is released, its deadline passes, its caller leaves or no replica is left; nothing is sent meanwhile, so the refusal stays not_run and abandons the claim. It is not dropped for a higher class, because that would cost a claim.

A shard whose replicas are cold is lacking with 'cold' instead of 'no_replica'. wanted_cold_targets names the targets to ask promises for.

--- a/nutmegstep/admission/core.py
+++ b/nutmegstep/admission/core.py
@@ -46,6 +46,10 @@
     return {work_class: {} for work_class in _HIGHEST_FIRST}
 
 
+def _new_sets() -> dict[WorkClass, set[int]]:
+    return {work_class: set() for work_class in _HIGHEST_FIRST}
+
+
 @dataclass(slots=True)
 class Admission:
     """Queries in progress and queries that wait.
@@ -56,6 +60,8 @@
         Shard requests of the queries in progress.
     queued_by_class : dict
         Waiting queries of each class by identifier, oldest first.
+    one_shots_by_class : dict
+        One-shot requests of each class that wait for a slot of a target.
 
     Examples
     --------
@@ -71,15 +77,20 @@
     queued_by_class: dict[WorkClass, dict[int, _Queued]] = field(
         default_factory=_new_queues,
     )
+    one_shots_by_class: dict[WorkClass, set[int]] = field(
+        default_factory=_new_sets,
+    )
 
     @property
     def queued(self) -> int:
-        """Number of waiting queries."""
-        return sum(map(len, self.queued_by_class.values()))
+        """Number of waiting queries and one-shot requests."""
+        queries = sum(map(len, self.queued_by_class.values()))
+        return queries + sum(map(len, self.one_shots_by_class.values()))
 
     def is_full(self, work_class: WorkClass) -> bool:
-        """Return whether a query of a class would find no place to wait."""
+        """Return whether a request of a class would find no place to wait."""
         waiting = len(self.queued_by_class[work_class])
+        waiting += len(self.one_shots_by_class[work_class])
         if waiting >= _MAX_QUEUED_BY_CLASS[work_class]:
             return True
         return self.queued >= _MAX_QUEUED and not self._has_lower(work_class)
@@ -135,12 +146,31 @@
         int or None
             The newest query of the lowest class, when it must make room.
         """
-        dropped = None
-        if self.queued >= _MAX_QUEUED:
-            dropped = self._newest_of_lowest()
+        dropped = self._make_room()
         self.queued_by_class[work_class][query_id] = _Queued(service, cost)
         return dropped
 
+    def hold(self, query_id: int, work_class: WorkClass) -> int | None:
+        """Let a one-shot request wait; the class must not be full.
+
+        Returns
+        -------
+        int or None
+            The newest query of the lowest class, when it must make room. A
+            waiting one-shot request is never dropped, because it holds a
+            claim.
+        """
+        if query_id in self.one_shots_by_class[work_class]:
+            return None
+        dropped = self._make_room()
+        self.one_shots_by_class[work_class].add(query_id)
+        return dropped
+
+    def release(self, query_id: int) -> None:
+        """Forget a one-shot request that waits no longer."""
+        for waiting in self.one_shots_by_class.values():
+            waiting.discard(query_id)
+
     def remove(self, query_id: int, work_class: WorkClass) -> None:
         """Take a query out of its queue."""
         self.queued_by_class[work_class].pop(query_id, None)
@@ -166,6 +196,11 @@
         lower = _HIGHEST_FIRST[position + 1 :]
         return any(self.queued_by_class[other] for other in lower)
 
+    def _make_room(self) -> int | None:
+        if self.queued < _MAX_QUEUED:
+            return None
+        return self._newest_of_lowest()
+
     def _newest_of_lowest(self) -> int:
         lowest = next(
             waiting
--- a/nutmegstep/engine/admitting.py
+++ b/nutmegstep/engine/admitting.py
@@ -7,9 +7,9 @@
 from nutmegstep.engine.effects import Effect, ReplyRefusal, SetTimer
 from nutmegstep.engine.events import QueryArrived, TimerKey, TimerKind
 from nutmegstep.engine.explaining import explain_refusal
-from nutmegstep.engine.finishing import refuse_query
+from nutmegstep.engine.finishing import OVERLOADED, refuse_query
 from nutmegstep.engine.restarting import refuse_snapshot, start_version
-from nutmegstep.engine.sending import (
+from nutmegstep.engine.replicas import (
     newest_version,
     service_versions,
     usable_targets,
@@ -25,11 +25,6 @@
 # query would cost a pass over all replicas.
 _LIMIT_SECONDS: Final = 0.1
 
-_OVERLOADED: Final = refuse(
-    Verdict.NOT_RUN,
-    Reason.OVERLOADED,
-    'the queue of the class is full',
-)
 _TOO_LATE: Final = refuse(
     Verdict.NOT_RUN,
     Reason.DEADLINE_EXCEEDED,
@@ -62,7 +57,7 @@
     if reason is not None:
         return refuse(Verdict.NOT_RUN, reason, 'not accepted')
     work_class = state.fleet.services_by_name[service].work_class
-    return _OVERLOADED if state.admission.is_full(work_class) else None
+    return OVERLOADED if state.admission.is_full(work_class) else None
 
 
 def on_query(
@@ -131,7 +126,7 @@
         _limit(state, service, now),
     )
     if decision is Decision.REFUSE:
-        _refuse(state, event, _OVERLOADED, now, effects)
+        _refuse(state, event, OVERLOADED, now, effects)
         return
     late = now + query.window.expected >= query.deadline
     if decision is Decision.QUEUE and late:
@@ -210,7 +205,7 @@
     )
     if dropped_id is not None:
         dropped = state.queries_by_id[dropped_id]
-        refuse_query(state, dropped, _OVERLOADED, now, effects)
+        refuse_query(state, dropped, OVERLOADED, now, effects)
 
 
 def _add_caller(
--- a/nutmegstep/engine/finishing.py
+++ b/nutmegstep/engine/finishing.py
@@ -18,6 +18,7 @@
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
 __all__ = [
+    'OVERLOADED',
     'cancel_attempts',
     'drain_if_idle',
     'end_query',
@@ -30,6 +31,12 @@
 
 _LATE: Final = 'deadline_exceeded'
 
+OVERLOADED: Final = refuse(
+    Verdict.NOT_RUN,
+    Reason.OVERLOADED,
+    'the queue of the class is full',
+)
+
 
 def sent_verdict(query: QueryState) -> Verdict:
     """Return whether a target may have executed a part of a query.
--- a/nutmegstep/engine/hedges.py
+++ b/nutmegstep/engine/hedges.py
@@ -4,12 +4,14 @@
 
 from nutmegstep.engine.effects import Effect, SetTimer
 from nutmegstep.engine.events import TimerKey, TimerKind
-from nutmegstep.engine.sending import (
+from nutmegstep.engine.replicas import (
     candidates_of,
     choose_free,
+    untried_holders,
+)
+from nutmegstep.engine.sending import (
     give_up_attempt,
     send_attempt,
-    untried_holders,
 )
 from nutmegstep.engine.state import EngineState, QueryState
 from nutmegstep.hedging import silence_bound
--- a/nutmegstep/engine/one_shot.py
+++ b/nutmegstep/engine/one_shot.py
@@ -214,6 +214,12 @@
             state, waiting, Reason.DEADLINE_EXCEEDED, detail, now, effects
         )
         return
+    if isinstance(waiting, OneShotReady):
+        detail = 'no slot became free within the deadline'
+        refuse_ready(
+            state, waiting, Reason.DEADLINE_EXCEEDED, detail, now, effects
+        )
+        return
     _abandon(state, query_id, effects)
     detail = 'the claim was not decided within the deadline'
     refusal = _undecided(Reason.DEADLINE_EXCEEDED, detail)
@@ -230,7 +236,10 @@
     if isinstance(waiting, OneShotSent):
         # The caller will repeat the key: the stored answer serves the repeat.
         return
-    _abandon(state, query_id, effects)
+    if isinstance(waiting, OneShotReady):
+        settle(state, waiting, None, effects, may_have_run=False)
+    else:
+        _abandon(state, query_id, effects)
     drain_if_idle(state, effects)
 
 
--- a/nutmegstep/engine/permits.py
+++ b/nutmegstep/engine/permits.py
@@ -1,5 +1,7 @@
 """Consumes and returns the permits of one-shot requests."""
 
+from dataclasses import dataclass
+
 from nutmegstep.engine.effects import (
     CancelTimer,
     Effect,
@@ -9,14 +11,21 @@
 )
 from nutmegstep.engine.events import TargetFailed, TimerKey, TimerKind
 from nutmegstep.engine.explaining import explain_refusal
-from nutmegstep.engine.finishing import drain_if_idle
-from nutmegstep.engine.sending import (
+from nutmegstep.engine.finishing import (
+    OVERLOADED,
+    drain_if_idle,
+    refuse_query,
+)
+from nutmegstep.engine.replicas import (
     candidates_of,
     choose_free,
     newest_version,
+    requested_shard,
+)
+from nutmegstep.engine.sending import (
     open_attempt,
     request_deadline,
-    requested_shard,
+    wait_for_slot,
 )
 from nutmegstep.engine.state import (
     EngineState,
@@ -24,7 +33,7 @@
     OneShotSent,
     OneShotState,
 )
-from nutmegstep.model import Answer, Shard, Target
+from nutmegstep.model import Answer, Shard, Target, WorkClass
 from nutmegstep.snapshot import ServiceShards
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
@@ -42,6 +51,16 @@
 Pinned = tuple[ServiceShards, Shard, Target]
 
 
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    """Where a one-shot request may go."""
+
+    work_class: WorkClass
+    version: ServiceShards
+    shard: Shard
+    candidates: list[Target]
+
+
 def send_once(
     state: EngineState,
     ready: OneShotReady,
@@ -123,18 +142,27 @@
     now: float,
     effects: list[Effect],
 ) -> None:
-    """Send a request with its permit, or refuse it as not run."""
+    """Send a request with its permit, let it wait, or refuse it as not run.
+
+    While it waits nothing is sent, so a refusal stays `not_run`.
+    """
     if now >= ready.request.deadline:
         detail = 'the deadline passed before the request was sent'
         refuse_ready(
             state, ready, Reason.DEADLINE_EXCEEDED, detail, now, effects
         )
         return
-    pinned = _pin(state, ready, now)
-    if pinned is None:
+    choice = _find_replicas(state, ready, now)
+    if choice is None:
         detail = 'no replica can take the request'
         refuse_ready(state, ready, Reason.TARGET_FAILED, detail, now, effects)
         return
+    target = choose_free(state, choice.candidates, now)
+    if target is None:
+        _wait(state, ready, choice, now, effects)
+        return
+    state.admission.release(ready.query_id)
+    pinned = (choice.version, choice.shard, target)
     effects.append(send_once(state, ready, pinned, now))
 
 
@@ -148,6 +176,7 @@
 ) -> None:
     """Forget a request and tell the claim service how it ended."""
     state.one_shots_by_id.pop(waiting.query_id, None)
+    state.admission.release(waiting.query_id)
     query_id = waiting.query_id
     key = waiting.request.idempotency_key
     effects.append(CancelTimer(TimerKey(TimerKind.DEADLINE, query_id)))
@@ -184,7 +213,7 @@
 
 def reply_refusal(
     state: EngineState,
-    waiting: OneShotState | OneShotReady,
+    waiting: OneShotState,
     refusal: Refusal,
     now: float,
     effects: list[Effect],
@@ -196,11 +225,11 @@
     drain_if_idle(state, effects)
 
 
-def _pin(
+def _find_replicas(
     state: EngineState,
     ready: OneShotReady,
     now: float,
-) -> Pinned | None:
+) -> _Choice | None:
     service = state.fleet.services_by_name.get(ready.request.service)
     if service is None:
         return None
@@ -209,5 +238,27 @@
         return None
     shard = requested_shard(ready.request.record_key, version)
     candidates = candidates_of(state, shard, ready.tried, now)
-    target = choose_free(state, candidates, now)
-    return None if target is None else (version, shard, target)
+    if not candidates:
+        return None
+    return _Choice(service.work_class, version, shard, candidates)
+
+
+def _wait(
+    state: EngineState,
+    ready: OneShotReady,
+    choice: _Choice,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    query_id = ready.query_id
+    is_new = not isinstance(state.one_shots_by_id.get(query_id), OneShotReady)
+    if is_new and state.admission.is_full(choice.work_class):
+        detail = 'the queue of the class is full'
+        refuse_ready(state, ready, Reason.OVERLOADED, detail, now, effects)
+        return
+    state.one_shots_by_id[query_id] = ready
+    dropped_id = state.admission.hold(query_id, choice.work_class)
+    if dropped_id is not None:
+        dropped = state.queries_by_id[dropped_id]
+        refuse_query(state, dropped, OVERLOADED, now, effects)
+    wait_for_slot(state, query_id, choice.shard, choice.candidates)
--- /dev/null
+++ b/nutmegstep/engine/replicas.py
@@ -0,0 +1,151 @@
+"""Finds the version, the shards and the replicas that a request may use."""
+
+from collections.abc import Collection
+from typing import Final
+
+import xxhash
+
+from nutmegstep.engine.state import EngineState, QueryState
+from nutmegstep.model import Service, Shard, Target
+from nutmegstep.routing import choose_replica, usable_replicas
+from nutmegstep.snapshot import ServiceShards, choose_version
+
+__all__ = [
+    'candidates_of',
+    'choose_free',
+    'lacking_reason',
+    'newest_version',
+    'requested_shard',
+    'service_versions',
+    'untried_holders',
+    'usable_targets',
+]
+
+_NONE_TRIED: Final[frozenset[str]] = frozenset()
+
+
+def requested_shard(
+    record_key: str,
+    shards: ServiceShards,
+) -> Shard:
+    """Return the shard that the hash of a record key chooses.
+
+    Parameters
+    ----------
+    record_key : str
+        Key of one record.
+    shards : ServiceShards
+        Shards of the service; not empty.
+    """
+    names = shards.names
+    position = xxhash.xxh3_64_intdigest(record_key.encode()) % len(names)
+    return shards.shards_by_name[names[position]]
+
+
+def usable_targets(state: EngineState, shard: Shard) -> list[Target]:
+    """Return the replicas of a shard that are not withdrawn or draining."""
+    usable = state.usable_by_replicas.get(shard.replicas)
+    if usable is None:
+        usable = usable_replicas(
+            shard,
+            state.fleet.targets_by_name,
+            state.withdrawn_domains,
+            state.draining_targets,
+        )
+        state.usable_by_replicas[shard.replicas] = usable
+    return usable
+
+
+def newest_version(
+    state: EngineState,
+    service: Service,
+    now: float,
+    excluded: Collection[int] = (),
+) -> ServiceShards | None:
+    """Return the version that a request of a service is pinned to."""
+    maps = service_versions(state, service)
+    return choose_version(maps, service.index, state.held, now, excluded)
+
+
+def service_versions(
+    state: EngineState,
+    service: Service,
+) -> tuple[ServiceShards, ...]:
+    """Return the shards of a service in each version, newest first."""
+    versions = state.versions_by_index.get(service.index, ())
+    return state.shard_maps.newest_first(service, versions)
+
+
+def candidates_of(
+    state: EngineState,
+    shard: Shard,
+    tried: frozenset[str] | set[str],
+    now: float,
+) -> list[Target]:
+    """Return the replicas of a shard that this VM has the right to use."""
+    has_right = state.warmup.has_right
+    leaving_until = state.leaving_until_by_target
+    return [
+        target
+        for target in usable_targets(state, shard)
+        if target.name not in tried
+        and has_right(target.name, now)
+        and leaving_until.get(target.name, 0) <= now
+    ]
+
+
+def choose_free(
+    state: EngineState,
+    candidates: list[Target],
+    now: float,
+) -> Target | None:
+    """Return the best candidate that has a free slot in this step."""
+    stats_by_name = state.targets.stats_by_name
+    may_send = state.warmup.may_send
+    return choose_replica(
+        [
+            target
+            for target in candidates
+            if may_send(target, stats_by_name[target.name].in_flight, now)
+        ],
+        state.targets,
+        state.failure_domain,
+        state.random,
+    )
+
+
+def untried_holders(
+    state: EngineState,
+    query: QueryState,
+    shard: Shard,
+    now: float,
+) -> list[Target]:
+    """Return the replicas that may still answer a shard of a query."""
+    tried = query.tried_by_shard.get(shard.name, _NONE_TRIED)
+    candidates = candidates_of(state, shard, tried, now)
+    index = query.service.index
+    lacking = state.held.lacking_of(index, query.version)
+    if not lacking:
+        return candidates
+    return [
+        target for target in candidates if lacking.get(target.name, now) <= now
+    ]
+
+
+def lacking_reason(
+    state: EngineState,
+    query: QueryState,
+    shard: Shard,
+    now: float,
+) -> str:
+    """Return why no replica may answer a shard of a query."""
+    tried = query.tried_by_shard.get(shard.name, _NONE_TRIED)
+    untried = (
+        target.name
+        for target in usable_targets(state, shard)
+        if target.name not in tried
+        and state.leaving_until_by_target.get(target.name, 0) <= now
+    )
+    has_right = state.warmup.has_right
+    cold = any(not has_right(name, now) for name in untried)
+    return 'cold' if cold else 'no_replica'
--- a/nutmegstep/engine/restarting.py
+++ b/nutmegstep/engine/restarting.py
@@ -9,9 +9,11 @@
     sent_verdict,
 )
 from nutmegstep.engine.hedges import arm_hedges, probe_slow_replica
-from nutmegstep.engine.sending import (
+from nutmegstep.engine.replicas import (
     newest_version,
     requested_shard,
+)
+from nutmegstep.engine.sending import (
     send_shard,
 )
 from nutmegstep.engine.state import EngineState, QueryState
--- a/nutmegstep/engine/sending.py
+++ b/nutmegstep/engine/sending.py
@@ -1,125 +1,34 @@
 """Sends target requests; withdrawals and drains are checked in the same step."""
 
-from collections.abc import Collection
 from typing import Final
 
-import xxhash
-
 from nutmegstep.engine.effects import CancelAttempt, Effect, SendToTarget
-from nutmegstep.engine.state import AttemptState, EngineState, QueryState
-from nutmegstep.model import Service, Shard, Target
-from nutmegstep.routing import choose_replica, usable_replicas
-from nutmegstep.snapshot import ServiceShards, choose_version
+from nutmegstep.engine.replicas import (
+    choose_free,
+    lacking_reason,
+    untried_holders,
+)
+from nutmegstep.engine.state import (
+    AttemptState,
+    EngineState,
+    OneShotReady,
+    QueryState,
+)
+from nutmegstep.model import Shard, Target
 from nutmegstep.warmup import COLD_REQUEST_SECONDS
 
 __all__ = [
-    'candidates_of',
-    'choose_free',
     'close_attempt',
-    'open_attempt',
     'give_up_attempt',
-    'newest_version',
+    'open_attempt',
     'request_deadline',
-    'requested_shard',
     'send_attempt',
     'send_shard',
-    'service_versions',
-    'untried_holders',
-    'usable_targets',
+    'wait_for_slot',
 ]
 
-_NONE_TRIED: Final[frozenset[str]] = frozenset()
 _MAX_WAITING_ENTRIES: Final = 1024
-
-
-def requested_shard(
-    record_key: str,
-    shards: ServiceShards,
-) -> Shard:
-    """Return the shard that the hash of a record key chooses.
-
-    Parameters
-    ----------
-    record_key : str
-        Key of one record.
-    shards : ServiceShards
-        Shards of the service; not empty.
-    """
-    names = shards.names
-    position = xxhash.xxh3_64_intdigest(record_key.encode()) % len(names)
-    return shards.shards_by_name[names[position]]
-
-
-def usable_targets(state: EngineState, shard: Shard) -> list[Target]:
-    """Return the replicas of a shard that are not withdrawn or draining."""
-    usable = state.usable_by_replicas.get(shard.replicas)
-    if usable is None:
-        usable = usable_replicas(
-            shard,
-            state.fleet.targets_by_name,
-            state.withdrawn_domains,
-            state.draining_targets,
-        )
-        state.usable_by_replicas[shard.replicas] = usable
-    return usable
-
-
-def newest_version(
-    state: EngineState,
-    service: Service,
-    now: float,
-    excluded: Collection[int] = (),
-) -> ServiceShards | None:
-    """Return the version that a request of a service is pinned to."""
-    maps = service_versions(state, service)
-    return choose_version(maps, service.index, state.held, now, excluded)
-
-
-def service_versions(
-    state: EngineState,
-    service: Service,
-) -> tuple[ServiceShards, ...]:
-    """Return the shards of a service in each version, newest first."""
-    versions = state.versions_by_index.get(service.index, ())
-    return state.shard_maps.newest_first(service, versions)
-
-
-def candidates_of(
-    state: EngineState,
-    shard: Shard,
-    tried: frozenset[str] | set[str],
-    now: float,
-) -> list[Target]:
-    """Return the replicas of a shard that this VM has the right to use."""
-    has_right = state.warmup.has_right
-    leaving_until = state.leaving_until_by_target
-    return [
-        target
-        for target in usable_targets(state, shard)
-        if target.name not in tried
-        and has_right(target.name, now)
-        and leaving_until.get(target.name, 0) <= now
-    ]
-
-
-def choose_free(
-    state: EngineState,
-    candidates: list[Target],
-    now: float,
-) -> Target | None:
-    """Return the best candidate that has a free slot in this step."""
-    stats_by_name = state.targets.stats_by_name
-    may_send = state.warmup.may_send
-    return choose_replica(
-        [
-            target
-            for target in candidates
-            if may_send(target, stats_by_name[target.name].in_flight, now)
-        ],
-        state.targets,
-        state.failure_domain,
-        state.random,
-    )
+_LATE: Final = 'deadline_exceeded'
 
 
 def open_attempt(
@@ -188,13 +97,14 @@
     in_time = now < query.deadline
     candidates = untried_holders(state, query, shard, now) if in_time else []
     if not candidates:
-        reason = 'no_replica' if in_time else 'deadline_exceeded'
+        reason = lacking_reason(state, query, shard, now) if in_time else _LATE
         del query.pending[shard.name]
         query.lacking_by_shard.setdefault(shard.name, reason)
         return
     target = choose_free(state, candidates, now)
     if target is None:
-        _wait_for_slot(state, query, shard, candidates)
+        query.waiting.add(shard.name)
+        wait_for_slot(state, query.query_id, shard, candidates)
         return
     send_attempt(state, query, shard, target.name, now, effects)
 
@@ -232,24 +142,6 @@
     )
 
 
-def untried_holders(
-    state: EngineState,
-    query: QueryState,
-    shard: Shard,
-    now: float,
-) -> list[Target]:
-    """Return the replicas that may still answer a shard of a query."""
-    tried = query.tried_by_shard.get(shard.name, _NONE_TRIED)
-    candidates = candidates_of(state, shard, tried, now)
-    index = query.service.index
-    lacking = state.held.lacking_of(index, query.version)
-    if not lacking:
-        return candidates
-    return [
-        target for target in candidates if lacking.get(target.name, now) <= now
-    ]
-
-
 def request_deadline(
     state: EngineState,
     target: str,
@@ -262,18 +154,18 @@
     return min(deadline, now + COLD_REQUEST_SECONDS)
 
 
-def _wait_for_slot(
+def wait_for_slot(
     state: EngineState,
-    query: QueryState,
+    query_id: int,
     shard: Shard,
     candidates: list[Target],
 ) -> None:
-    query.waiting.add(shard.name)
+    """Let a request wait until one of its replicas has a free slot."""
     for target in candidates:
         waiting = state.waiting_by_target.setdefault(target.name, {})
         if len(waiting) >= _MAX_WAITING_ENTRIES:
             _drop_ended(state, waiting)
-        waiting[(query.query_id, shard.name)] = None
+        waiting[(query_id, shard.name)] = None
 
 
 def _drop_ended(
@@ -285,8 +177,14 @@
     ended = [
         (query_id, shard)
         for query_id, shard in waiting
-        if query_id not in state.queries_by_id
-        or shard not in state.queries_by_id[query_id].waiting
+        if not _is_waiting(state, query_id, shard)
     ]
     for entry in ended:
         del waiting[entry]
+
+
+def _is_waiting(state: EngineState, query_id: int, shard: str) -> bool:
+    query = state.queries_by_id.get(query_id)
+    if query is not None:
+        return shard in query.waiting
+    return isinstance(state.one_shots_by_id.get(query_id), OneShotReady)
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -154,7 +154,7 @@
     spent: OneShotReady
 
 
-OneShotState = OneShotClaiming | OneShotSent
+OneShotState = OneShotClaiming | OneShotReady | OneShotSent
 
 
 @dataclass(slots=True)
--- a/nutmegstep/engine/waiting.py
+++ b/nutmegstep/engine/waiting.py
@@ -1,9 +1,10 @@
-"""Sends shards that wait for a free slot of a target."""
+"""Sends requests that wait for a free slot of a target."""
 
 from nutmegstep.engine.effects import Effect
 from nutmegstep.engine.finishing import finish_when_gathered
+from nutmegstep.engine.permits import send_or_refuse
 from nutmegstep.engine.sending import send_shard
-from nutmegstep.engine.state import EngineState
+from nutmegstep.engine.state import EngineState, OneShotReady
 
 __all__ = ['serve_waiting']
 
@@ -44,9 +45,23 @@
             return
         query_id, shard = next(iter(waiting))
         del waiting[(query_id, shard)]
-        query = state.queries_by_id.get(query_id)
-        if query is None or shard not in query.waiting:
-            continue
-        query.waiting.discard(shard)
-        send_shard(state, query, query.shards_by_name[shard], now, effects)
-        finish_when_gathered(state, query, now, effects)
+        _send_waiting(state, query_id, shard, now, effects)
+
+
+def _send_waiting(
+    state: EngineState,
+    query_id: int,
+    shard: str,
+    now: float,
+    effects: list[Effect],
+) -> None:
+    ready = state.one_shots_by_id.get(query_id)
+    if isinstance(ready, OneShotReady):
+        send_or_refuse(state, ready, now, effects)
+        return
+    query = state.queries_by_id.get(query_id)
+    if query is None or shard not in query.waiting:
+        return
+    query.waiting.discard(shard)
+    send_shard(state, query, query.shards_by_name[shard], now, effects)
+    finish_when_gathered(state, query, now, effects)
--- a/nutmegstep/engine/warming.py
+++ b/nutmegstep/engine/warming.py
@@ -21,6 +21,7 @@
     'on_connections_closed',
     'on_connections_lost',
     'on_target_warm',
+    'wanted_cold_targets',
 ]
 
 # A target that said that it is leaving gets no new work for this long; one
@@ -84,6 +85,35 @@
         state.warmup.disconnect(event.target)
 
 
+def wanted_cold_targets(state: EngineState, now: float) -> frozenset[str]:
+    """Return the cold targets to which this VM would send.
+
+    Parameters
+    ----------
+    state : EngineState
+        Not changed.
+    now : float
+        Monotonic instant in seconds.
+
+    Returns
+    -------
+    frozenset of str
+        Targets in the failure domain of this VM that are not known as warm
+        and neither withdrawn nor draining.
+    """
+    if state.failure_domain in state.withdrawn_domains:
+        return frozenset()
+    leaving_until = state.leaving_until_by_target
+    return frozenset(
+        name
+        for name, target in state.fleet.targets_by_name.items()
+        if target.failure_domain == state.failure_domain
+        and name not in state.draining_targets
+        and leaving_until.get(name, 0) <= now
+        and not state.warmup.is_warm(name)
+    )
+
+
 def measure_answer(
     state: EngineState,
     attempt: AttemptState,
--- a/tests/engine/test_one_shot.py
+++ b/tests/engine/test_one_shot.py
@@ -96,3 +96,55 @@
     args = ('--config-file=', '--strict', '-c', SECOND_SEND)
     report, errors, status = api.run(list(args))
     assert (status, errors) == (0, ''), report
+
+
+def _fill_slots(build):
+    started = build()
+    for query_id in range(1, 14):
+        request = OneShotRequest('r', 'stock', 'k', KEY, b'{}', deadline=1)
+        started.apply(ev.OneShotArrived(query_id, request))
+        started.apply(ev.ClaimWon(query_id, PERMIT))
+    assert not started.effects
+    return started
+
+
+def test_request_waits_for_a_slot(build) -> None:
+    """Guards against a refusal when a slot is free a moment later."""
+    engine = _fill_slots(build)
+    engine.apply(ev.TargetAnswered(1, 1, 'b', b'1'))
+    send = engine.sole(fx.SendToTarget)
+    assert (send.query_id, send.permit) == (13, PERMIT)
+    assert not any(engine.state.admission.one_shots_by_class.values())
+
+
+@pytest.mark.parametrize('ending', ['late', 'gone', 'withdrawn'])
+def test_waiting_request_has_not_run(build, ending: str) -> None:
+    """Guards against a claim that is kept, or a send after the refusal."""
+    engine = _fill_slots(build)
+    timer = ev.TimerKey(ev.TimerKind.DEADLINE, 13)
+    domains = frozenset(f'domain-{number}' for number in range(3))
+    event = {
+        'late': ev.TimerFired(timer),
+        'gone': ev.CallerGone(13),
+        'withdrawn': ev.ControlChanged(domains, frozenset()),
+    }[ending]
+    engine.apply(event, 1 if ending == 'late' else 0)
+    assert not engine.sole(fx.SettleClaim).may_have_run
+    refusals = [reply.refusal for reply in engine.of(fx.ReplyRefusal)]
+    assert len(refusals) == (ending != 'gone')
+    assert all(one.verdict is Verdict.NOT_RUN for one in refusals)
+    assert not any(engine.state.admission.one_shots_by_class.values())
+    engine.apply(ev.TargetAnswered(1, 1, 'b', b'1'))
+    assert not engine.of(fx.SendToTarget)
+
+
+def test_waiting_requests_are_bounded(build) -> None:
+    """Guards against claims that pile up behind slow targets."""
+    engine = _fill_slots(build)
+    for query_id in range(14, 78):
+        request = OneShotRequest('r', 'stock', 'k', KEY, b'{}', deadline=1)
+        engine.apply(ev.OneShotArrived(query_id, request))
+        engine.apply(ev.ClaimWon(query_id, PERMIT))
+    refusal = engine.sole(fx.ReplyRefusal).refusal
+    assert refusal.reason is Reason.OVERLOADED
+    assert refusal.verdict is Verdict.NOT_RUN
--- a/tests/engine/test_warming.py
+++ b/tests/engine/test_warming.py
@@ -1,5 +1,6 @@
 """Tests of cold targets in the reducer (G3)."""
 
+from nutmegstep.engine import wanted_cold_targets
 from nutmegstep.engine import effects as fx
 from nutmegstep.engine import events as ev
 
@@ -9,7 +10,7 @@
     engine = build()
     engine.state.warmup.by_target.clear()
     engine.query(1, record_key='k', deadline=9)
-    assert engine.sole(fx.ReplyRefusal)
+    assert 'cold' in engine.sole(fx.ReplyRefusal).refusal.detail
     held = {f'{shard}-0': 3.0 for shard in 'ab'}
     engine.apply(ev.AllowanceChanged(held))
     engine.query(2, record_key='k', deadline=9)
@@ -74,3 +75,16 @@
     first = sends[0].attempt_id
     engine.apply(ev.TargetAnswered(first, 1, 'b', b'1'), 0.1)
     assert len(engine.of(fx.SendToTarget)) == 4
+
+
+def test_wanted_targets_are_cold_and_in_the_own_domain(build) -> None:
+    """Guards against promises for targets that this VM would not use."""
+    engine = build()
+    assert not wanted_cold_targets(engine.state, 0)
+    engine.apply(ev.TargetConnectionsLost('a-0'))
+    engine.apply(ev.TargetConnectionsLost('a-1'))
+    assert wanted_cold_targets(engine.state, 0) == {'a-0'}
+    engine.apply(ev.ControlChanged(frozenset(), frozenset(('a-0',))))
+    assert not wanted_cold_targets(engine.state, 0)
+    engine.apply(ev.ControlChanged(frozenset(('domain-0',)), frozenset()))
+    assert not wanted_cold_targets(engine.state, 0)
