Check sends and replies of scenarios once, when they are new

Every guarantee was checked over all sends and replies after each delivery, the executions of a body were counted by scanning lists, and a request was found by scanning all of them, so a history of n requests cost n squared. What the checks of a reply or a send read changes later only with another send of the same request, which checks its refusal again. G3, G9 and G10 are checked after each delivery as before.

A VM that was paused during a restart writes to a closed connection until it takes up the loss, so its sends do not reach the new process.

--- a/tests/scenarios/invariants.py
+++ b/tests/scenarios/invariants.py
@@ -5,6 +5,7 @@
 
 import orjson
 
+from nutmegstep.engine.effects import SendToTarget
 from nutmegstep.model import Answer
 from nutmegstep.verdict import Refusal, Verdict
 from tests.scenarios.world import Asked, World
@@ -13,28 +14,27 @@
 
 
 def check_all(world: World) -> None:
-    """Check every guarantee; raise `AssertionError` with its name."""
-    for asked in world.asked_by_name.values():
-        if isinstance(asked.reply, Answer):
-            _check_answer(world, asked, asked.reply)
-        elif isinstance(asked.reply, Refusal):
-            _check_refusal(world, asked, asked.reply)
-        if asked.key is not None:
-            _check_runs_once(world, asked)
+    """Check every guarantee; raise `AssertionError` with its name.
+
+    Replies and sends are checked once, when they are new: what a check of
+    them depends on changes later only with another reply or send.
+    """
+    replies = world.new_replies
+    world.new_replies = []
+    for asked, reply in replies:
+        if isinstance(reply, Answer):
+            _check_answer(world, asked, reply)
+        else:
+            _check_refusal(world, asked, reply)
+    sends = world.new_sends
+    world.new_sends = []
+    for instant, vm, effect in sends:
+        _check_send(world, instant, vm, effect)
     _check_cold_load(world)
-    _check_sends(world)
     _check_generations(world)
     _check_drain(world)
 
 
-def executions(world: World, asked: Asked) -> int:
-    """Return how often targets executed a request, repeats included."""
-    return sum(
-        target.executed_bodies.count(asked.body)
-        for target in world.targets_by_name.values()
-    )
-
-
 def _check_answer(world: World, asked: Asked, answer: Answer) -> None:
     documents_by_shard = {
         shard: orjson.loads(found)
@@ -59,14 +59,11 @@
     if refusal.verdict is not Verdict.NOT_RUN:
         return
     if asked.key is None:
-        sent = [
-            effect
-            for _, vm, effect in world.sends
-            if vm == asked.vm and effect.query_id == world.query_id(asked.name)
-        ]
-        ran = sum(
-            asked.body in world.targets_by_name[effect.target].executed_bodies
-            for effect in sent
+        query = (asked.vm, world.query_id(asked.name))
+        ran = any(
+            asked.body
+            in world.targets_by_name[effect.target].executions_by_body
+            for effect in world.sends_by_query.get(query, ())
         )
         assert not ran, 'G6: refused as not run, but a target executed it'
     else:
@@ -75,7 +72,7 @@
 
 
 def _check_runs_once(world: World, asked: Asked) -> None:
-    assert executions(world, asked) <= 1, 'G7: one-shot request ran twice'
+    assert world.executions(asked.body) <= 1, 'G7: one-shot request ran twice'
 
 
 def _check_cold_load(world: World) -> None:
@@ -86,15 +83,25 @@
         )
 
 
-def _check_sends(world: World) -> None:
-    for instant, vm, effect in world.sends:
-        domain = world.targets_by_name[effect.target].failure_domain
-        withdrawn_at = world.withdrawn_at.get((vm, domain))
-        if withdrawn_at is not None:
-            assert instant <= withdrawn_at, f'G4: work sent to {domain}'
-        draining_at = world.draining_at.get((vm, effect.target))
-        if draining_at is not None:
-            assert instant <= draining_at, f'G8: work sent to {effect.target}'
+def _check_send(
+    world: World,
+    instant: float,
+    vm: str,
+    effect: SendToTarget,
+) -> None:
+    domain = world.targets_by_name[effect.target].failure_domain
+    withdrawn_at = world.withdrawn_at.get((vm, domain))
+    if withdrawn_at is not None:
+        assert instant <= withdrawn_at, f'G4: work sent to {domain}'
+    draining_at = world.draining_at.get((vm, effect.target))
+    if draining_at is not None:
+        assert instant <= draining_at, f'G8: work sent to {effect.target}'
+    asked = world.asked_by(vm, effect.query_id)
+    if asked.key is not None:
+        _check_runs_once(world, asked)
+    # A send after the reply can make an earlier `not run` untrue.
+    if isinstance(asked.reply, Refusal):
+        _check_refusal(world, asked, asked.reply)
 
 
 def _check_generations(world: World) -> None:
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -46,6 +46,7 @@
     vms: int = 2
     coverage: CoverageRule = CoverageRule.WHOLE
     work_class: WorkClass = WorkClass.INTERACTIVE
+    ramp_seconds: float = 1
 
     def to_layout(self) -> Layout:
         """Return the layout for a world."""
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -14,7 +14,7 @@
 )
 from nutmegstep.model import Answer
 from nutmegstep.verdict import Refusal
-from tests.scenarios.invariants import check_all, executions
+from tests.scenarios.invariants import check_all
 from tests.scenarios.language import (
     Ask,
     Expectation,
@@ -212,7 +212,7 @@
         elapsed = (asked.replied - asked.arrived) * 1000
         assert elapsed <= expected.within_ms, f'{asked.name}: {elapsed} ms'
     if expected.runs is not None:
-        assert executions(world, asked) == expected.runs
+        assert world.executions(asked.body) == expected.runs
 
 
 def _expect_answer(expected: Expectation, answer: Answer) -> None:
@@ -234,7 +234,7 @@
 
 
 def _most_sends(world: World, limit: int) -> None:
-    assert len(world.sends) <= limit, f'{len(world.sends)} target requests'
+    assert world.sent <= limit, f'{world.sent} target requests'
 
 
 _ACTION_BY_NAME: MappingProxyType[str, Callable[..., None]] = MappingProxyType(
--- a/tests/scenarios/targets.py
+++ b/tests/scenarios/targets.py
@@ -1,5 +1,6 @@
 """Fake targets at the reducer's interface."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
@@ -31,7 +32,7 @@
     boots: int = 1
     cold: bool = False
     in_flight: set[tuple[str, int]] = field(default_factory=set)
-    executed_bodies: list[bytes] = field(default_factory=list)
+    executions_by_body: Counter[bytes] = field(default_factory=Counter)
     most_cold_load: int = 0
 
     @property
@@ -50,7 +51,7 @@
             return self._fail(effect, FailureKind.VERSION_GONE, ran=False)
         kind = _FAILURE_BY_BEHAVIOUR.get(self.behaviour)
         if self.behaviour == 'reset_after' or kind is None:
-            self.executed_bodies.append(effect.body)
+            self.executions_by_body[effect.body] += 1
         if kind is None:
             return self._answer(effect)
         return self._fail(effect, kind, ran=kind not in _NOT_EXECUTED)
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -54,7 +54,7 @@
 )
 from nutmegstep.verdict import Refusal
 from tests.claims.fakes import ClaimNotice, Cluster, make_key
-from tests.scenarios.targets import FakeTarget
+from tests.scenarios.targets import FakeTarget, Outcome
 
 __all__ = ['Asked', 'Layout', 'Vm', 'World']
 
@@ -73,6 +73,7 @@
     version: int = 41
     coverage: CoverageRule = CoverageRule.WHOLE
     work_class: WorkClass = WorkClass.INTERACTIVE
+    ramp_seconds: float = 1
 
 
 @dataclass
@@ -120,7 +121,10 @@
         self.vms_by_name = {
             vm.name: vm for vm in map(self._make_vm, range(layout.vms))
         }
-        self.sends: list[tuple[float, str, SendToTarget]] = []
+        self.sent = 0
+        self.sends_by_query: dict[tuple[str, int], list[SendToTarget]] = {}
+        self.new_sends: list[tuple[float, str, SendToTarget]] = []
+        self.new_replies: list[tuple[Asked, Answer | Refusal]] = []
         self.shards_by_version: dict[int, set[str]] = {}
         self.withdrawn_by_vm: dict[str, frozenset[str]] = {}
         self.draining_by_vm: dict[str, frozenset[str]] = {}
@@ -129,11 +133,13 @@
         self.generation_by_vm: dict[str, int] = {}
         self.runs_when_refused: dict[str, int] = {}
         self.last_allowed: dict[str, float] = {}
+        self._query_by_name: dict[str, int] = {}
         self._asked_by_query: dict[tuple[str, int], Asked] = {}
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = count()
         self._cancelled: set[tuple[str, int]] = set()
         self._unconnected: set[tuple[str, str]] = set()
+        self._dead: set[tuple[str, str]] = set()
         self._target_by_attempt: dict[tuple[str, int], str] = {}
         self._timers: dict[tuple[str, TimerKey], int] = {}
         self._last_query_id = 0
@@ -163,6 +169,7 @@
                 fake.slots,
                 fake.cold_slots,
                 100,
+                timedelta(seconds=self.layout.ramp_seconds),
             )
             for fake in self.targets_by_name.values()
         }
@@ -240,10 +247,17 @@
 
     def query_id(self, name: str) -> int:
         """Return the identifier of a request in its VM's engine."""
-        return next(
-            query_id
-            for (_, query_id), asked in self._asked_by_query.items()
-            if asked.name == name
+        return self._query_by_name[name]
+
+    def asked_by(self, vm: str, query_id: int) -> Asked:
+        """Return the request that a query of an engine belongs to."""
+        return self._asked_by_query[(vm, query_id)]
+
+    def executions(self, body: bytes) -> int:
+        """Return how often targets executed a request, repeats included."""
+        return sum(
+            target.executions_by_body[body]
+            for target in self.targets_by_name.values()
         )
 
     def note(self, line: str) -> None:
@@ -258,6 +272,8 @@
         if vm.paused:
             vm.held_back.append(event)
             return
+        if isinstance(event, TargetConnectionsLost):
+            self._dead.discard((vm_name, event.target))
         for effect in reduce(vm.engine, event, self.now):
             self._perform(vm, effect)
 
@@ -322,6 +338,8 @@
         """Close the connections of a VM from the target's side."""
         if (vm, target) not in self._unconnected:
             self._unconnected.add((vm, target))
+            # A paused VM may still write to a connection that is closed.
+            self._dead.add((vm, target))
             self.note(f'{target} -> {vm}: connections lost')
             self.dispatch(vm, TargetConnectionsLost(target))
 
@@ -344,6 +362,7 @@
         self._last_query_id += 1
         asked = Asked(name, vm, self.now, body=orjson.dumps({'text': text}))
         self.asked_by_name[name] = asked
+        self._query_by_name[name] = self._last_query_id
         self._asked_by_query[(vm, self._last_query_id)] = asked
         return self._last_query_id
 
@@ -382,7 +401,10 @@
         self._take_calls()
 
     def _send(self, vm: Vm, effect: SendToTarget) -> None:
-        self.sends.append((self.now, vm.name, effect))
+        self.sent += 1
+        self.new_sends.append((self.now, vm.name, effect))
+        query = (vm.name, effect.query_id)
+        self.sends_by_query.setdefault(query, []).append(effect)
         self.note(
             f'{vm.name} -> {effect.target}: {effect.shard} '
             f'version {effect.index_version} #{effect.attempt_id}',
@@ -392,7 +414,7 @@
         if target.behaviour != 'connect':
             self._unconnected.discard((vm.name, target.name))
         self._target_by_attempt[attempt] = target.name
-        outcome = target.receive(vm.name, effect)
+        outcome = self._receive(vm, target, effect)
         if outcome is not None:
             crossed = target.behaviour == 'crossed'
             self.later(
@@ -400,6 +422,16 @@
                 lambda: self._arrive(attempt, outcome, crossed=crossed),
             )
 
+    def _receive(
+        self,
+        vm: Vm,
+        target: FakeTarget,
+        effect: SendToTarget,
+    ) -> Outcome | None:
+        if (vm.name, target.name) in self._dead:
+            return TargetFailed(effect.attempt_id, FailureKind.RESET, True)
+        return target.receive(vm.name, effect)
+
     def _arrive(
         self,
         attempt: tuple[str, int],
@@ -443,10 +475,8 @@
         )
         asked.reply = reply
         asked.replied = self.now
-        self.runs_when_refused[asked.name] = sum(
-            target.executed_bodies.count(asked.body)
-            for target in self.targets_by_name.values()
-        )
+        self.new_replies.append((asked, reply))
+        self.runs_when_refused[asked.name] = self.executions(asked.body)
         text = (
             f'answer version {reply.index_version} covers {len(reply.covered)}'
             if isinstance(reply, Answer)
