--- a/nutmegstep/warmup/core.py
+++ b/nutmegstep/warmup/core.py
@@ -167,6 +167,8 @@
         boot_id = known.warm_boot_id or known.unconfirmed_boot_id
         _set_cold(known)
         known.unconfirmed_boot_id = boot_id
+        # A report may make it warm while this VM has no connection.
+        known.unseen = True
 
     def disconnect(self, target: str) -> None:
         """Record that this VM closed its last connection to a target.
