--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -46,6 +46,7 @@
     vms: int = 2
     coverage: CoverageRule = CoverageRule.WHOLE
     work_class: WorkClass = WorkClass.INTERACTIVE
+    ramp_seconds: float = 1
 
     def to_layout(self) -> Layout:
         """Return the layout for a world."""
@@ -109,6 +110,8 @@
     catalogue: dict[int, int] | None = None
     allow: dict[str, dict[str, float]] | None = None
     warm: dict[str, list[str]] | None = None
+    close_idle: dict[str, list[str]] | None = None
+    lose_connections: dict[str, list[str]] | None = None
     expect: Expectation | None = None
     most_sends: int | None = None
 
