Abort a connection whose peer reset it before the close

Cause: half-closing a socket that the peer has reset raises OSError 107 in the task that wrote the answer; nothing retrieved it.

The connection is aborted instead; the test fails without the change.

--- a/nutmegstep/web/cycle.py
+++ b/nutmegstep/web/cycle.py
@@ -227,9 +227,15 @@
             Phase.LINGERING,
             limits.write_seconds if unsent else _LINGER_SECONDS,
         )
-        if not self._transport.is_closing():
+        if self._transport.is_closing():
+            return
+        try:
             self._transport.write_eof()
-            self._transport.resume_reading()
+        except OSError:
+            # The peer reset the connection; asyncio has not noticed yet.
+            self._transport.abort()
+            return
+        self._transport.resume_reading()
 
 
 def _log_fault(error: Exception) -> None:
--- a/tests/web/test_core.py
+++ b/tests/web/test_core.py
@@ -15,6 +15,7 @@
     RequestHead,
     serve_http,
 )
+from nutmegstep.web.connection import ServerConnection
 
 _GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 _POST = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n'
@@ -169,3 +170,36 @@
     assert _statuses(await fixture.exchange(_GET)) == [503]
     for writer in writers:
         writer.close()
+
+
+class _ResetTransport(asyncio.Transport):
+    """A connection that the peer has reset and asyncio still thinks open."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.aborted = False
+
+    def write(self, data: bytes) -> None:
+        """Drop the bytes."""
+
+    def is_closing(self) -> bool:
+        return self.aborted
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def write_eof(self) -> None:
+        raise OSError
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+async def test_reset_before_the_close_ends_the_connection(fixture) -> None:
+    """Guards against a reply to a lost peer that fails its task."""
+    transport = _ResetTransport()
+    connection = ServerConnection(fixture.server)
+    connection.connection_made(transport)
+    connection.data_received(b'no HTTP\r\n\r\n')
+    assert transport.aborted
+    connection.connection_lost(None)
