End the connection in the test of a reset peer

Without the change that it guards, the test left its connection open and the run did not end: it was stopped after 600 s.

--- a/tests/web/test_core.py
+++ b/tests/web/test_core.py
@@ -200,6 +200,8 @@
     transport = _ResetTransport()
     connection = ServerConnection(fixture.server)
     connection.connection_made(transport)
-    connection.data_received(b'no HTTP\r\n\r\n')
+    try:
+        connection.data_received(b'no HTTP\r\n\r\n')
+    finally:
+        connection.connection_lost(None)
     assert transport.aborted
-    connection.connection_lost(None)
