Recognise stragglers whose requests are hedged away

Cause, from counters of a trial: a straggler's attempt ended when its hedge answered, so that its average stayed mostly between 23 and 35 ms and rarely passed the bound of three times the fastest plus 5 ms; the near straggler went on to be chosen. Of the hedges to such targets about half were refused for lack of a token (62 to 86 of each VM); no free replica was rarer (0 to 15). Not separated: event loop lag on the shared machine, which doubled the median of target requests for some seconds in one trial.

An overtaken attempt counts as its wait and one more expected latency, the average rises faster than it falls, a replica is slow above twice the fastest, and the hedge delay is at most three medians, because answers of stragglers raise the p95.

--- a/nutmegstep/engine/hedges.py
+++ b/nutmegstep/engine/hedges.py
@@ -11,7 +11,7 @@
     send_attempt,
     untried_holders,
 )
-from nutmegstep.engine.state import EngineState, QueryState
+from nutmegstep.engine.state import AttemptState, EngineState, QueryState
 from nutmegstep.hedging import silence_bound
 from nutmegstep.model import Shard
 from nutmegstep.routing import PROBE_SHARE, is_slow
@@ -99,21 +99,28 @@
 def cancel_twins(
     state: EngineState,
     query: QueryState,
-    shard: str,
+    answered: AttemptState,
     now: float,
     effects: list[Effect],
 ) -> None:
-    """Cancel the attempts of a shard that has its answer."""
-    if shard not in query.hedged:
+    """Cancel the other attempts of a shard that has its answer."""
+    if answered.shard not in query.hedged:
         return
     twins = [
         attempt_id
         for attempt_id in query.attempt_ids
-        if state.attempts_by_id[attempt_id].shard == shard
+        if state.attempts_by_id[attempt_id].shard == answered.shard
     ]
     for attempt_id in twins:
         query.attempt_ids.discard(attempt_id)
-        give_up_attempt(state, attempt_id, now, effects)
+        started = state.attempts_by_id[attempt_id].started
+        give_up_attempt(
+            state,
+            attempt_id,
+            now,
+            effects,
+            overtaken=started < answered.started,
+        )
 
 
 def _hedge(
--- a/nutmegstep/engine/scatter.py
+++ b/nutmegstep/engine/scatter.py
@@ -171,7 +171,7 @@
         return
     del query.pending[attempt.shard]
     query.results_by_shard[attempt.shard] = event.body
-    cancel_twins(state, query, attempt.shard, now, effects)
+    cancel_twins(state, query, attempt, now, effects)
     finish_when_gathered(state, query, now, effects)
 
 
--- a/nutmegstep/engine/sending.py
+++ b/nutmegstep/engine/sending.py
@@ -130,6 +130,8 @@
     attempt_id: int,
     now: float,
     effects: list[Effect],
+    *,
+    overtaken: bool = False,
 ) -> None:
     """Cancel an attempt and count its time as a lower bound."""
     attempt = close_attempt(state, attempt_id)
@@ -137,7 +139,8 @@
         return
     stats = state.targets.stats_by_name.get(attempt.target)
     if stats is not None:
-        stats.unanswered(now - attempt.started)
+        count = stats.overtaken if overtaken else stats.unanswered
+        count(now - attempt.started)
     effects.append(CancelAttempt(attempt_id))
 
 
--- a/nutmegstep/hedging/latency.py
+++ b/nutmegstep/hedging/latency.py
@@ -10,6 +10,9 @@
 _ANSWERS_PER_UPDATE: Final = 64
 _HEDGE_QUANTILE: Final = 0.95
 _TAIL_QUANTILE: Final = 0.99
+# Answers of stragglers that were not hedged raise the p95 until hedges come
+# too late to help; the p95 of healthy targets is about twice their median.
+_MOST_MEDIANS: Final = 3
 _FIRST_HEDGE_SECONDS: Final = 0.05
 _FIRST_TAIL_SECONDS: Final = 0.1
 _SILENCE_FACTOR: Final = 4
@@ -23,7 +26,8 @@
     Parameters
     ----------
     hedge_delay : float
-        The p95 in seconds; a default until enough answers were counted.
+        The p95 in seconds, at most three medians; a default until enough
+        answers were counted.
     tail : float
         The p99 in seconds.
     expected : float
@@ -51,7 +55,10 @@
         if self.count % _ANSWERS_PER_UPDATE == 0:
             ordered = sorted(self.ring)
             self.expected = ordered[len(ordered) // 2]
-            self.hedge_delay = ordered[int(len(ordered) * _HEDGE_QUANTILE)]
+            self.hedge_delay = min(
+                ordered[int(len(ordered) * _HEDGE_QUANTILE)],
+                self.expected * _MOST_MEDIANS,
+            )
             self.tail = ordered[int(len(ordered) * _TAIL_QUANTILE)]
 
 
--- a/nutmegstep/routing/core.py
+++ b/nutmegstep/routing/core.py
@@ -13,7 +13,7 @@
 
 # The margin, in seconds, keeps the distance between failure domains (3 ms
 # there and back) from making a remote replica of a fast service slow.
-_SLOW_FACTOR: Final = 3
+_SLOW_FACTOR: Final = 2
 _SLOW_MARGIN: Final = 0.005
 
 
--- a/nutmegstep/routing/statistics.py
+++ b/nutmegstep/routing/statistics.py
@@ -11,7 +11,10 @@
 # Latency that is assumed of a target without a measurement, in seconds.
 _FIRST_LATENCY: Final = 0.01
 _FAILED_LATENCY: Final = 1
-_LATENCY_WEIGHT: Final = 0.2
+# A straggler costs the tail of every query until it is known, so that a
+# latency above the average counts more than one below it.
+_RISING_WEIGHT: Final = 0.5
+_USUAL_WEIGHT: Final = 0.2
 _MIN_LIMIT: Final = 1
 
 
@@ -26,7 +29,7 @@
     limit : float
         Requests that this VM may have in flight to the target.
     latency : float
-        Moving average in seconds.
+        Moving average in seconds that rises faster than it falls.
     in_flight : int
         Requests without an outcome.
 
@@ -50,7 +53,7 @@
 
     def answered(self, seconds: float) -> None:
         """Count an answer; raises the limit by one per window of answers."""
-        self.latency += (seconds - self.latency) * _LATENCY_WEIGHT
+        self._measured(seconds)
         raised = self.limit + 1 / self.limit
         self.limit = raised if raised < self.ceiling else self.ceiling
 
@@ -60,7 +63,17 @@
         Its latency is at least that long; a shorter wait says nothing.
         """
         if seconds > self.latency:
-            self.latency += (seconds - self.latency) * _LATENCY_WEIGHT
+            self._measured(seconds)
+
+    def overtaken(self, seconds: float) -> None:
+        """Count a request that a later one to another replica overtook.
+
+        Its time is taken to be the wait and one more expected latency, the
+        mean of exponential times that outlast the wait. The wait alone ends
+        at the hedge's answer, so that a straggler would never look slow.
+        """
+        expected = min(seconds + self.latency, _FAILED_LATENCY)
+        self.latency += (expected - self.latency) * _USUAL_WEIGHT
 
     def failed(self) -> None:
         """Count a request that failed, as if it had taken a second.
@@ -74,6 +87,11 @@
         """Halve the limit after a target refused work."""
         self.limit = max(_MIN_LIMIT, self.limit / 2)
 
+    def _measured(self, seconds: float) -> None:
+        rising = seconds > self.latency
+        weight = _RISING_WEIGHT if rising else _USUAL_WEIGHT
+        self.latency += (seconds - self.latency) * weight
+
 
 @dataclass(slots=True)
 class TargetTable:
--- a/tests/routing/test_core.py
+++ b/tests/routing/test_core.py
@@ -56,3 +56,10 @@
     """Guards against a dead target that is the first choice of all."""
     table.stats_by_name['a'].failed()
     assert _choices(table, 'abc') == {'b', 'c'}
+
+
+def test_target_that_is_always_overtaken_is_avoided(table) -> None:
+    """Guards against a straggler that hedges hide from routing."""
+    for _ in range(6):
+        table.stats_by_name['a'].overtaken(0.02)
+    assert _choices(table, 'abc') == {'b', 'c'}
