--- a/nutmegstep/measure/__main__.py
+++ b/nutmegstep/measure/__main__.py
@@ -10,6 +10,7 @@
 from nutmegstep.measure.bare import run_bare_loop
 from nutmegstep.measure.bench import Bench, Phase, load_bench
 from nutmegstep.measure.goals import goal_lines
+from nutmegstep.measure.parts import part_lines
 from nutmegstep.measure.report import HEADING, format_phase, phase_record
 from nutmegstep.measure.scenarios import SCENARIOS_BY_NAME
 from nutmegstep.measure.warming import warm_up
@@ -63,6 +64,8 @@
         f'{bench.deployment}: bare loop {bare.microseconds:.0f} us per target '
         f'request over {bare.requests} requests',
     )
+    for line in await part_lines():
+        print(f'{bench.deployment}: {line}')
     return bare.microseconds
 
 
