Note the idle cost and draw other targets for cold-unseen

Cause: the processor time per target request contains what entry processes spend without callers, which nothing showed: 3.72% of a core each in Lothian, 186 us of 596 us per target request at the quiet rate (load average 2). The second cold phase used the targets of the first, which the product may still have known as cold.

--- a/nutmegstep/measure/scenarios.py
+++ b/nutmegstep/measure/scenarios.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from nutmegstep.measure.bench import SIDES, Bench, Phase, measure_phase
+from nutmegstep.measure.idle import note_idle
 from nutmegstep.measure.load import run_closed_loop, run_open_loop
 from nutmegstep.measure.warming import warm_up
 from nutmegstep.measure.withdrawal import withdrawal
@@ -46,6 +47,7 @@
 
 async def quiet(bench: Bench) -> AsyncIterator[Phase]:
     """Measure a steady load without faults."""
+    await note_idle(bench)
     for side in SIDES:
         yield await _steady(bench, side, 'quiet')
 
@@ -92,9 +94,10 @@
     identifier. One that turns cold without notice looks warm until its
     answers are late, so that the first requests cannot be avoided.
     """
-    for name, restarted in _COLD_KINDS:
+    for number, (name, restarted) in enumerate(_COLD_KINDS):
+        # A target that is still cold from the first kind must not count.
+        replicas = _one_replica_per_shard(bench, number)
         for side in SIDES:
-            replicas = _one_replica_per_shard(bench)
             await bench.control.switch('cold', replicas, restarted=restarted)
             yield await _steady(bench, side, name)
             await _note_cold_load(bench, side, name, replicas)
@@ -138,11 +141,14 @@
     return best
 
 
-def _one_replica_per_shard(bench: Bench) -> list[str]:
+def _one_replica_per_shard(bench: Bench, shift: int = 0) -> list[str]:
     random = Random(bench.seed)
     version = build_version(bench.deployment, INDEX_VERSION)
     return [
-        random.choice(shard.replicas)
+        shard.replicas[
+            (random.randrange(len(shard.replicas)) + shift)
+            % len(shard.replicas)
+        ]
         for shard in version.shards_by_name.values()
     ]
 
