Bring suspended targets back, and bound the cache of claim journals

Cause: a VM that saw sheds or slow answers took the target as cold and then waited for a warm report. When the VM with the promise had seen nothing, no report came, and the target was lost to that VM for good.

Such a target is now tried again with one request after 10 s (or the declared ramp), and one whose connections were lost after 60 to 120 s. Ruled out: going back at once, which would put full load on a target that did turn cold.

Cached claim journals are bounded by records: 32 full ones of a bucket would have taken 163 MB. The scenario world is split into layout, records and world.

--- a/nutmegstep/claims/state.py
+++ b/nutmegstep/claims/state.py
@@ -1,6 +1,7 @@
 """State of the claim reducer."""
 
 from collections import OrderedDict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from random import Random
 from typing import Final
@@ -18,6 +19,7 @@
 ]
 
 _MAX_CACHED_JOURNALS: Final = 256
+_MAX_CACHED_RECORDS: Final = 50_000
 _WRITES_PER_SECOND: Final = 40
 
 
@@ -129,15 +131,30 @@
 
 
 def journal_state(state: ClaimState, name: str) -> JournalState:
-    """Return the cached journal; forgets the longest unused idle ones."""
+    """Return the cached journal; forgets the longest unused idle ones.
+
+    Notes
+    -----
+    A record takes 272 bytes in memory, so the bound on records keeps the
+    journals that are not in use below 14 MB. Without it, 32 full journals of one bucket would take
+    163 MB, more than a VM may spend on control.
+    """
     journals = state.journals_by_name
     journal = journals.setdefault(name, JournalState(name))
     journals.move_to_end(name)
-    if len(journals) > _MAX_CACHED_JOURNALS:
+    while _is_too_large(journals):
         unused = next(
             (known for known in journals.values() if known.idle),
             journal,
         )
-        if unused is not journal:
-            journals.pop(unused.name)
+        if unused is journal:
+            break
+        journals.pop(unused.name)
     return journal
+
+
+def _is_too_large(journals: Mapping[str, JournalState]) -> bool:
+    if len(journals) > _MAX_CACHED_JOURNALS:
+        return True
+    records = sum(len(known.records_by_key) for known in journals.values())
+    return records > _MAX_CACHED_RECORDS
--- a/nutmegstep/engine/warming.py
+++ b/nutmegstep/engine/warming.py
@@ -28,6 +28,9 @@
 # that comes back under the same name has restarted by then.
 _LEAVING_SECONDS: Final = 10
 
+# By then a VM with a promise has warmed up a target that did restart.
+_LOST_SECONDS: Final = 60
+
 _BROKEN: Final = frozenset(
     (
         FailureKind.CONNECT,
@@ -69,7 +72,9 @@
 ) -> None:
     """Take a target that may have restarted like a cold one."""
     if event.target in state.fleet.targets_by_name:
-        state.warmup.lose(event.target, now)
+        # The random part keeps the VMs from asking at the same time.
+        retry_after = _LOST_SECONDS * (1 + state.random.random())
+        state.warmup.lose(event.target, now, retry_after)
         # Waiting shards may have lost the last replica that they may use.
         state.recheck_waiting = True
 
@@ -150,7 +155,7 @@
         return
     if event.kind is FailureKind.SHED:
         stats.shed()
-        state.warmup.shed(attempt.target, event.boot_id)
+        state.warmup.shed(attempt.target, event.boot_id, now)
     elif event.kind in _UNANSWERED:
         stats.unanswered(now - attempt.started)
     elif event.kind in _BROKEN:
--- a/nutmegstep/warmup/core.py
+++ b/nutmegstep/warmup/core.py
@@ -23,6 +23,12 @@
 _MEDIAN_ANSWERS: Final = 32
 
 
+# A VM without a promise depends on a report of the VM that warms the target
+# up. When that one has seen nothing, no report comes, and the target would be
+# lost to this VM for good; after this time it tries with one request.
+_HOLD_SECONDS: Final = 10
+_SPARE_STEPS: Final = 2
+
 # Late reports about earlier processes of a target must not make it warm.
 _KEPT_BOOT_IDS: Final = 4
 
@@ -44,12 +50,32 @@
     unconfirmed_boot_id: str = ''
     lost_at: float = -math.inf
     unseen: bool = False
+    suspended_boot_id: str = ''
+    retry_at: float = math.inf
+    hold: float = _HOLD_SECONDS
 
     def note(self, *, bad: bool) -> bool:
         """Shift in an outcome; return whether too many were bad."""
         self.recent = (self.recent << 1 | bad) & _RECENT_MASK
         return self.recent.bit_count() >= _BAD_OF_RECENT
 
+    def suspend(self, now: float) -> None:
+        """Take the target as cold for a while; nothing restarted."""
+        boot_id = self.warm_boot_id
+        _set_cold(self)
+        self.suspended_boot_id = boot_id
+        self.retry_at = now + self.hold
+
+    def reconsider(self, now: float) -> None:
+        """Use the target again when nobody has confirmed it in time.
+
+        The next request goes alone and shows the boot identifier.
+        """
+        boot_id = self.suspended_boot_id or self.unconfirmed_boot_id
+        if now >= self.retry_at and boot_id:
+            _make_warm(self)
+            self.unseen = True
+
     def jumped(self, seconds: float) -> bool:
         """Return whether a latency is far above the running median."""
         self.answers += 1
@@ -95,8 +121,11 @@
     def has_right(self, target: str, now: float) -> bool:
         """Return whether a target is warm or a promise for it is in force."""
         known = self.by_target.get(target)
-        if known is not None and known.warm_boot_id:
-            return True
+        if known is not None:
+            if known.retry_at <= now:
+                known.reconsider(now)
+            if known.warm_boot_id:
+                return True
         return self.until_by_target.get(target, 0) > now
 
     def may_send(self, target: Target, in_flight: int, now: float) -> bool:
@@ -154,19 +183,27 @@
             _restart(known, boot_id)
         _make_warm(known)
 
-    def lose(self, target: str, now: float) -> None:
+    def lose(
+        self,
+        target: str,
+        now: float,
+        retry_after: float = math.inf,
+    ) -> None:
         """Take the warmth of a target as unconfirmed.
 
         Notes
         -----
         A restart closes all connections. Until the boot identifier is
-        confirmed the target is used like a cold one.
+        confirmed the target is used like a cold one. After `retry_after`
+        seconds one request asks for it: when only this VM lost its
+        connections, no other VM has a reason to report.
         """
         known = self._of(target)
         known.lost_at = now
         boot_id = known.warm_boot_id or known.unconfirmed_boot_id
         _set_cold(known)
         known.unconfirmed_boot_id = boot_id
+        known.retry_at = now + retry_after
         # A report may make it warm while this VM has no connection.
         known.unseen = True
 
@@ -224,17 +261,18 @@
             _restart(known, boot_id)
         if known.warm_boot_id:
             if known.note(bad=known.jumped(seconds)):
-                _set_cold(known)
+                known.hold = _hold_of(target)
+                known.suspend(now)
             return False
         return self._ramped(known, target, now)
 
-    def shed(self, target: str, boot_id: str) -> None:
+    def shed(self, target: str, boot_id: str, now: float) -> None:
         """Count a request that a target refused to execute."""
         known = self._of(target)
         if boot_id and known.boot_id != boot_id:
             _restart(known, boot_id)
-        if known.note(bad=True):
-            _set_cold(known)
+        if known.note(bad=True) and known.warm_boot_id:
+            known.suspend(now)
         # A shed during the ramp shows that the step was too large.
         known.allowed //= 2
 
@@ -282,14 +320,25 @@
     known.answers = 0
 
 
+def _hold_of(target: Target) -> float:
+    """Return the seconds after which another VM has warmed a target up."""
+    doublings = math.ceil(math.log2(target.slots / target.cold_slots))
+    ramp = target.ramp_step.total_seconds() * (doublings + _SPARE_STEPS)
+    return max(_HOLD_SECONDS, ramp)
+
+
 def _make_warm(known: _TargetWarmth) -> None:
     known.warm_boot_id = known.boot_id
     known.unconfirmed_boot_id = ''
+    known.suspended_boot_id = ''
+    known.retry_at = math.inf
     known.recent = 0
 
 
 def _set_cold(known: _TargetWarmth) -> None:
     known.warm_boot_id = ''
     known.unconfirmed_boot_id = ''
+    known.suspended_boot_id = ''
+    known.retry_at = math.inf
     known.recent = 0
     known.allowed = 0
--- a/tests/scenarios/invariants.py
+++ b/tests/scenarios/invariants.py
@@ -8,7 +8,8 @@
 from nutmegstep.engine.effects import SendToTarget
 from nutmegstep.model import Answer
 from nutmegstep.verdict import Refusal, Verdict
-from tests.scenarios.world import Asked, World
+from tests.scenarios.records import Asked
+from tests.scenarios.world import World
 
 __all__ = ['check_all']
 
--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -13,7 +13,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from nutmegstep.model import CoverageRule, WorkClass
-from tests.scenarios.world import Layout
+from tests.scenarios.layout import Layout
 
 __all__ = ['Expectation', 'Scenario', 'Step', 'load_scenario']
 
--- /dev/null
+++ b/tests/scenarios/records.py
@@ -0,0 +1,39 @@
+"""Requests and VMs of a scenario."""
+
+from dataclasses import dataclass, field
+from uuid import UUID
+
+from nutmegstep.engine import EngineState
+from nutmegstep.engine.events import Event
+from nutmegstep.model import Answer, OneShotRequest
+from nutmegstep.verdict import Refusal
+
+__all__ = ['Asked', 'Vm']
+
+
+@dataclass
+class Asked:
+    """A caller's request and what it was told."""
+
+    name: str
+    vm: str
+    arrived: float
+    key: UUID | None = None
+    record: str | None = None
+    body: bytes = b''
+    reply: Answer | Refusal | None = None
+    replied: float = 0
+    gone: bool = False
+
+
+@dataclass
+class Vm:
+    """One entry process."""
+
+    name: str
+    engine: EngineState
+    incarnation: int
+    paused: bool = False
+    drained: bool = False
+    held_back: list[Event] = field(default_factory=list)
+    requests_by_query: dict[int, OneShotRequest] = field(default_factory=dict)
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -22,6 +22,7 @@
     Step,
     TargetStep,
 )
+from tests.scenarios.layout import make_version
 from tests.scenarios.world import World
 
 __all__ = ['run_scenario', 'start_world']
@@ -33,7 +34,7 @@
     """Return a world whose VMs have a configuration and warm targets."""
     world = World(scenario.layout.to_layout(), seed)
     fleet = world.fleet()
-    version = world.version(world.layout.version)
+    version = make_version(world.layout, world.layout.version)
     world.shards_by_version[version.number] = set(version.shards_by_name)
     for vm in world.vms_by_name:
         world.dispatch(vm, FleetChanged(fleet))
@@ -147,7 +148,7 @@
 
 def _catalogue(world: World, shards_by_version: dict[int, int]) -> None:
     versions = tuple(
-        world.version(number, shards)
+        make_version(world.layout, number, shards)
         for number, shards in sorted(shards_by_version.items())
     )
     for version in versions:
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -6,12 +6,9 @@
 
 import heapq
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from datetime import timedelta
 from functools import partial
 from itertools import count
 from random import Random
-from uuid import UUID
 
 import orjson
 
@@ -42,68 +39,21 @@
 )
 from nutmegstep.model import (
     Answer,
-    CoverageRule,
     Fleet,
     IdempotentQuery,
-    IndexVersion,
     OneShotRequest,
-    Service,
-    Shard,
-    Target,
-    WorkClass,
 )
 from nutmegstep.verdict import Refusal
 from tests.claims.fakes import ClaimNotice, Cluster, make_key
+from tests.scenarios.layout import Layout, make_fleet, make_targets
+from tests.scenarios.records import Asked, Vm
 from tests.scenarios.targets import FakeTarget, Outcome
 
-__all__ = ['Asked', 'Layout', 'Vm', 'World']
+__all__ = ['World']
 
 _PLATFORM_SECONDS = 0.003
 
 
-@dataclass(frozen=True)
-class Layout:
-    """Shape of the configuration that a scenario starts with."""
-
-    shards: int = 2
-    replicas: int = 2
-    slots: int = 4
-    cold_slots: int = 1
-    vms: int = 2
-    version: int = 41
-    coverage: CoverageRule = CoverageRule.WHOLE
-    work_class: WorkClass = WorkClass.INTERACTIVE
-    ramp_seconds: float = 1
-
-
-@dataclass
-class Asked:
-    """A caller's request and what it was told."""
-
-    name: str
-    vm: str
-    arrived: float
-    key: UUID | None = None
-    record: str | None = None
-    body: bytes = b''
-    reply: Answer | Refusal | None = None
-    replied: float = 0
-    gone: bool = False
-
-
-@dataclass
-class Vm:
-    """One entry process."""
-
-    name: str
-    engine: EngineState
-    incarnation: int
-    paused: bool = False
-    drained: bool = False
-    held_back: list[Event] = field(default_factory=list)
-    requests_by_query: dict[int, OneShotRequest] = field(default_factory=dict)
-
-
 class World:
     """Runs reducers in manual time and records every message."""
 
@@ -116,7 +66,7 @@
         self.asked_by_name: dict[str, Asked] = {}
         self.generation = 0
         self.targets_by_name = {
-            target.name: target for target in _make_targets(layout)
+            target.name: target for target in make_targets(layout)
         }
         self.vms_by_name = {
             vm.name: vm for vm in map(self._make_vm, range(layout.vms))
@@ -152,47 +102,8 @@
     def fleet(self) -> Fleet:
         """Return a configuration with the next generation."""
         self.generation += 1
-        service = Service(
-            'records',
-            'index',
-            ('all',),
-            self.layout.work_class,
-            self.layout.coverage,
-            timedelta(seconds=10),
-        )
-        targets = {
-            fake.name: Target(
-                fake.name,
-                '127.0.0.1',
-                1,
-                fake.failure_domain,
-                fake.slots,
-                fake.cold_slots,
-                100,
-                timedelta(seconds=self.layout.ramp_seconds),
-            )
-            for fake in self.targets_by_name.values()
-        }
-        return Fleet(
-            self.generation,
-            {service.name: service},
-            targets,
-            self.layout.vms,
-            {'domain-0': 1, 'domain-1': 1},
-        )
-
-    def version(self, number: int, shards: int | None = None) -> IndexVersion:
-        """Return an index version; its shard map may have another size."""
-        names = [
-            f's{position}' for position in range(shards or self.layout.shards)
-        ]
-        return IndexVersion(
-            number,
-            {
-                name: Shard(name, 'all', self._replicas(position))
-                for position, name in enumerate(names)
-            },
-        )
+        fakes = self.targets_by_name.values()
+        return make_fleet(self.layout, fakes, self.generation)
 
     def ask(
         self,
@@ -352,12 +263,6 @@
         engine = EngineState(f'domain-{number % 2}', Random(number))
         return Vm(f'vm{number}', engine, self.cluster.start_vm())
 
-    def _replicas(self, position: int) -> tuple[str, ...]:
-        shard = position % self.layout.shards
-        return tuple(
-            f't{shard}{replica}' for replica in range(self.layout.replicas)
-        )
-
     def _register(self, name: str, vm: str, text: str) -> int:
         self._last_query_id += 1
         asked = Asked(name, vm, self.now, body=orjson.dumps({'text': text}))
@@ -512,17 +417,3 @@
         isinstance(outcome, TargetFailed)
         and outcome.kind is FailureKind.CONNECT
     )
-
-
-def _make_targets(layout: Layout) -> list[FakeTarget]:
-    return [
-        FakeTarget(
-            f't{shard}{replica}',
-            f'domain-{replica % 2}',
-            layout.slots,
-            layout.cold_slots,
-            (layout.version,),
-        )
-        for shard in range(layout.shards)
-        for replica in range(layout.replicas)
-    ]
--- a/tests/warmup/test_core.py
+++ b/tests/warmup/test_core.py
@@ -32,7 +32,7 @@
     for _ in range(4):
         warmup.answered(TARGET, 'b1', 0.1, now=0)
     assert warmup.is_warm('a')
-    warmup.shed('a', 'b1')
+    warmup.shed('a', 'b1', 0)
     assert not warmup.is_warm('a')
 
 
@@ -63,3 +63,25 @@
     assert not lapsed.may_send(TARGET, 0, now=1.5)
     lapsed.allow({'a': 5}, now=2)
     assert not lapsed.may_send(TARGET, 1, now=2)
+
+
+def test_suspended_target_is_tried_again_alone() -> None:
+    """Guards against a target that is lost to a VM that holds no promise."""
+    warmup = Warmup()
+    warmup.set_warm('a', 'b1', 0)
+    for _ in range(8):
+        warmup.shed('a', 'b1', 5)
+    assert not warmup.has_right('a', 14.9)
+    assert warmup.has_right('a', 15)
+    assert warmup.may_send(TARGET, 0, 15)
+    assert not warmup.may_send(TARGET, 1, 15)
+
+
+def test_lost_target_is_tried_again_alone() -> None:
+    """Guards against a target whose loss no other VM has seen."""
+    warmup = Warmup()
+    warmup.set_warm('a', 'b1', 0)
+    warmup.lose('a', 5, retry_after=60)
+    assert not warmup.has_right('a', 64.9)
+    assert warmup.has_right('a', 65)
+    assert not warmup.may_send(TARGET, 1, 65)
