--- a/nutmegstep/engine/__init__.py
+++ b/nutmegstep/engine/__init__.py
@@ -1,6 +1,14 @@
 """The reducer over all events, with effects as data."""
 
+from nutmegstep.engine.admitting import refusal_at_head
 from nutmegstep.engine.core import reduce
+from nutmegstep.engine.explaining import Explanation, explanations_of
 from nutmegstep.engine.state import EngineState
 
-__all__ = ['EngineState', 'reduce']
+__all__ = [
+    'EngineState',
+    'Explanation',
+    'explanations_of',
+    'reduce',
+    'refusal_at_head',
+]
