--- a/tests/hedging/test_latency.py
+++ b/tests/hedging/test_latency.py
@@ -1,6 +1,6 @@
-"""Tests of the delays that follow from recent latencies."""
+"""Tests of the hedge delay and the budgets."""
 
-from nutmegstep.hedging import LatencyWindow
+from nutmegstep.hedging import HEDGE_SHARE, LatencyWindow, TokenBudget
 
 
 def test_answers_of_stragglers_do_not_delay_hedges() -> None:
@@ -9,3 +9,15 @@
     for number in range(64):
         window.add(0.01 if number % 3 else 0.1)
     assert window.hedge_delay < window.tail / 2
+
+
+def test_budget_is_a_share_with_a_bounded_burst() -> None:
+    """Guards against extra load beyond the share after a quiet time."""
+    budget = TokenBudget(HEDGE_SHARE)
+    budget.earn(10_000)
+    burst = sum(budget.spend() for _ in range(100))
+    budget.earn(1000)
+    spent = sum(budget.spend() for _ in range(100))
+    assert (burst, spent) == (25, 25)
+    budget.earn(100)
+    assert sum(budget.spend() for _ in range(100)) == 5
