Remove the second platform client and a wrapper of a counter

PlatformClient repeated two calls of ObjectClient only to raise, for the stand-ins and the baseline; both unwrap the results of ObjectClient now. The entry process wrapped the count of early refusals because the gate was built before the telemetry; it is built after it and takes the function itself.

--- a/nutmegstep/entry/core.py
+++ b/nutmegstep/entry/core.py
@@ -98,15 +98,15 @@
         )
         self.runtime.claims = self.claims
         self.runtime.warm_reporter = self
-        self.gate = CallerGate(
-            self._is_ready,
-            self._check_head,
-            self._count_early_refusal,
-        )
         metrics = Metrics(lambda: self.state.fleet.services_by_name)
         tracer = build_tracer(LogSpanExporter(), settings.sampling_ratio)
         self.telemetry = Telemetry(tracer, metrics, self.clock)
         self.runtime.observe_send = self.telemetry.observe_send
+        self.gate = CallerGate(
+            self._is_ready,
+            self._check_head,
+            self.telemetry.count_early_refusal,
+        )
         self.pool.on_connections = self._on_connections
 
     def report_warm(self, effect: ReportWarm) -> None:
@@ -165,9 +165,6 @@
         refusal = refusal_at_head(self.state, service, now)
         return refusal.reason if refusal else None
 
-    def _count_early_refusal(self, reason: str) -> None:
-        self.telemetry.count_early_refusal(reason)
-
     def _declared_timeout(self, service: str) -> timedelta:
         declared = self.state.fleet.services_by_name.get(service)
         return declared.timeout if declared else _UNDECLARED_TIMEOUT
--- a/nutmegstep/measure/baseline.py
+++ b/nutmegstep/measure/baseline.py
@@ -15,7 +15,7 @@
 from nutmegstep.engine.effects import SendToTarget
 from nutmegstep.engine.events import TargetAnswered, TargetFailed
 from nutmegstep.model import Fleet, IndexVersion, Shard
-from nutmegstep.platform_api import PlatformClient
+from nutmegstep.platform_api import ObjectClient
 from nutmegstep.targets import TargetPool
 from nutmegstep.web import HttpRequest, HttpResponse, serve_http
 
@@ -148,9 +148,11 @@
 
 async def _serve(arguments: argparse.Namespace) -> None:
     host, port = arguments.platform.rsplit(':', 1)
-    platform = PlatformClient(host, int(port))
-    fleet = decode_fleet((await platform.get('config/fleet')).document)
-    stored = await platform.get('indexes/records')
+    platform = ObjectClient(host, int(port))
+    configuration = (await platform.get('config/fleet')).unwrap()
+    stored = (await platform.get('indexes/records')).unwrap()
+    platform.close()
+    fleet = decode_fleet(configuration.document)
     clock = SystemClock()
     baseline = Baseline(
         clock,
--- a/nutmegstep/platform_api/__init__.py
+++ b/nutmegstep/platform_api/__init__.py
@@ -15,7 +15,6 @@
     VmRecord,
     WatchReply,
 )
-from nutmegstep.platform_api.simple import ObjectReply, PlatformClient
 
 __all__ = [
     'CALL_TIMEOUT',
@@ -24,8 +23,6 @@
     'CallKind',
     'ChangedObject',
     'ObjectClient',
-    'ObjectReply',
-    'PlatformClient',
     'PlatformFailure',
     'PlatformFailureKind',
     'StoredObject',
--- a/nutmegstep/standins/__main__.py
+++ b/nutmegstep/standins/__main__.py
@@ -8,7 +8,7 @@
 import orjson
 
 from nutmegstep.declarations import encode_catalogue, encode_fleet
-from nutmegstep.platform_api import PlatformClient
+from nutmegstep.platform_api import ObjectClient
 from nutmegstep.standins.control import ServedTarget, control_handler
 from nutmegstep.standins.deployments import (
     DOMAIN_COUNT,
@@ -73,11 +73,14 @@
         while not path.exists():
             await asyncio.sleep(_POLL_SECONDS)
         port_by_target.update(orjson.loads(path.read_bytes()))
-    client = PlatformClient(_LOOPBACK, port)
+    client = ObjectClient(_LOOPBACK, port)
     fleet = build_fleet(deployment, port_by_target, arguments.entry_vms)
     version = build_version(deployment, INDEX_VERSION)
-    await client.put('config/fleet', encode_fleet(fleet))
-    await client.put('indexes/records', encode_catalogue((version,)))
+    written = await client.put('config/fleet', encode_fleet(fleet))
+    written.unwrap()
+    catalogue = encode_catalogue((version,))
+    (await client.put('indexes/records', catalogue)).unwrap()
+    client.close()
     _write(directory / 'platform.port', str(port).encode())
 
 
