--- /dev/null
+++ b/nutmegstep/dispatch/answering.py
@@ -0,0 +1,130 @@
+"""Replies and failures of targets."""
+
+from typing import Final
+
+from nutmegstep.dispatch.effects import Decision, Effect
+from nutmegstep.dispatch.events import (
+    FailureKind,
+    SendFailed,
+    TargetReplied,
+    TargetReply,
+)
+from nutmegstep.dispatch.finishing import settle
+from nutmegstep.dispatch.sending import repeat
+from nutmegstep.dispatch.state import DispatchState, Send
+
+__all__ = ['take_failure', 'take_reply']
+
+_MISDIRECTED_PAUSE: Final = 3.0
+"""Seconds for which an address that answered for another target is left; the
+list of targets is corrected within this time."""
+
+
+def take_reply(
+    state: DispatchState,
+    event: TargetReplied,
+    now: float,
+) -> list[Effect]:
+    """Use a reply, or ask another target."""
+    send = _close_send(state, event.send_id)
+    if send is None:
+        return []
+    reply = event.reply
+    _learn(state, send, reply, now)
+    if not reply.was_executed:
+        send.part.runs -= 1
+    if send.part.reply is not None or not _is_open(state, send):
+        return []
+    if reply.is_success:
+        send.part.reply = reply
+        return settle(state, send.open_request, now)
+    send.part.failure = reply
+    note = Decision(
+        'target_rejected',
+        send.open_request.request.caller_id,
+        {
+            'target': send.target.target_id,
+            'status': reply.status,
+            'executed': reply.was_executed,
+        },
+    )
+    may_repeat = send.open_request.route.is_idempotent or not reply.was_executed
+    return [note, *_go_on(state, send, may_repeat, now)]
+
+
+def take_failure(
+    state: DispatchState,
+    event: SendFailed,
+    now: float,
+) -> list[Effect]:
+    """Ask another target after a send that ended without a reply."""
+    send = _close_send(state, event.send_id)
+    if send is None:
+        return []
+    if event.kind is not FailureKind.CANCELLED:
+        state.health_of(send.target).observe_loss(now)
+    if not event.kind.may_have_run:
+        send.part.runs -= 1
+    if send.part.reply is not None or not _is_open(state, send):
+        return []
+    note = Decision(
+        'send_failed',
+        send.open_request.request.caller_id,
+        {
+            'target': send.target.target_id,
+            'kind': event.kind.value,
+            'after_ms': round((now - send.sent) * 1000),
+        },
+    )
+    may_repeat = (
+        send.open_request.route.is_idempotent or not event.kind.may_have_run
+    )
+    return [note, *_go_on(state, send, may_repeat, now)]
+
+
+def _go_on(
+    state: DispatchState,
+    send: Send,
+    may_repeat: bool,
+    now: float,
+) -> list[Effect]:
+    effects: list[Effect] = []
+    if may_repeat:
+        effects.extend(repeat(state, send.open_request, send.part, now))
+    else:
+        send.part.is_dead = not send.part.sends
+    effects.extend(settle(state, send.open_request, now))
+    return effects
+
+
+def _close_send(state: DispatchState, send_id: int) -> Send | None:
+    send = state.sends_by_id.pop(send_id, None)
+    if send is None:
+        return None
+    send.part.sends.discard(send_id)
+    health = state.health_by_target.get(send.target.target_id)
+    if health is not None:
+        health.stalls_at_by_send.pop(send_id, None)
+    return send
+
+
+def _learn(
+    state: DispatchState,
+    send: Send,
+    reply: TargetReply,
+    now: float,
+) -> None:
+    health = state.health_of(send.target)
+    if reply.is_success:
+        latency = state.latency_of(send.open_request.route)
+        seconds = now - send.sent
+        health.observe_reply(seconds / latency.median, now)
+        latency.observe(seconds)
+        return
+    health.observe_rejection(now)
+    if reply.is_misdirected:
+        health.blocked_until = now + _MISDIRECTED_PAUSE
+
+
+def _is_open(state: DispatchState, send: Send) -> bool:
+    return send.open_request.request.request_id in state.open_by_id
--- /dev/null
+++ b/nutmegstep/dispatch/arriving.py
@@ -0,0 +1,148 @@
+"""Requests that arrive: route, admission, first sends."""
+
+import math
+from datetime import timedelta
+from itertools import chain
+from typing import Final
+
+from nutmegstep.configuration import Configuration, Route, match_route
+from nutmegstep.dispatch.choosing import is_usable
+from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
+from nutmegstep.dispatch.events import RequestArrived, RoutedRequest
+from nutmegstep.dispatch.finishing import settle
+from nutmegstep.dispatch.sending import send_first
+from nutmegstep.dispatch.state import DispatchState, OpenRequest, Part
+from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
+
+__all__ = ['arrive']
+
+_NOT_READY_PAUSE: Final = timedelta(milliseconds=30)
+"""Another VM is likely to serve the request at once."""
+_ANSWER_MARGIN: Final = 0.014
+"""Seconds of the target latency that the way from and to the caller and the
+encoding of an answer take."""
+_CONNECT_MARGIN: Final = 0.006
+"""Seconds in addition for a caller that has just connected."""
+_DEADLINE_MARGIN: Final = 0.01
+"""Seconds before the deadline at which the final answer is sent."""
+_PAUSE_SHARE: Final = 1 / 3
+"""Largest share of the time left for which callers wait on request."""
+
+
+def arrive(
+    state: DispatchState,
+    event: RequestArrived,
+    now: float,
+) -> list[Effect]:
+    """Start a request or refuse it."""
+    request = event.request
+    configuration = state.configuration
+    if configuration is None or not state.has_targets:
+        return _refuse_not_ready(request)
+    route = match_route(configuration, request.host, request.path)
+    if route is None:
+        return _refuse(
+            request,
+            refuse(Verdict.NOT_RUN, Reason.UNKNOWN_ROUTE, 'no route matches'),
+            {'config_version': configuration.version},
+        )
+    open_request = _open(state, configuration, request, route)
+    if not _can_be_covered(state, open_request, now):
+        return _refuse(
+            request,
+            refuse(
+                Verdict.NOT_RUN,
+                Reason.NO_TARGET,
+                'too few shards have a target',
+                retry_after=_longest_pause(open_request),
+            ),
+            {'config_version': configuration.version, 'route': route.name},
+        )
+    state.open_by_id[request.request_id] = open_request
+    sends = chain.from_iterable(
+        send_first(state, open_request, part, now)
+        for part in open_request.parts
+    )
+    return [*sends, *settle(state, open_request, now)]
+
+
+def _open(
+    state: DispatchState,
+    configuration: Configuration,
+    request: RoutedRequest,
+    route: Route,
+) -> OpenRequest:
+    timeout = route.timeout.total_seconds()
+    time_left = timeout if request.time_left is None else request.time_left
+    margin = _ANSWER_MARGIN
+    if request.is_first:
+        margin += _CONNECT_MARGIN
+    latency = route.target_latency.total_seconds()
+    services = route.shards or (_pick_destination(state, route),)
+    return OpenRequest(
+        request,
+        route,
+        tuple(Part(service) for service in services),
+        answer_by=request.arrived + latency - margin,
+        deadline=request.arrived
+        + max(0, min(timeout, time_left) - _DEADLINE_MARGIN),
+    )
+
+
+def _pick_destination(state: DispatchState, route: Route) -> str:
+    # Smooth weighted round robin: each destination earns its weight, and the
+    # chosen one pays the sum.
+    if len(route.destinations) == 1:
+        return route.destinations[0].service
+    credits = state.split_credits_by_route.setdefault(route.name, {})
+    total = math.fsum(one.weight for one in route.destinations)
+    for destination in route.destinations:
+        earned = credits.get(destination.service, 0) + destination.weight
+        credits[destination.service] = earned
+    names = [one.service for one in route.destinations if one.weight > 0]
+    chosen = max(names, key=lambda name: credits.get(name, 0))
+    credits[chosen] -= total
+    return chosen
+
+
+def _can_be_covered(
+    state: DispatchState,
+    open_request: OpenRequest,
+    now: float,
+) -> bool:
+    covered = sum(
+        any(
+            is_usable(state, target, now)
+            for target in state.roster.of_service(part.service)
+        )
+        for part in open_request.parts
+    )
+    return covered >= open_request.required_parts
+
+
+def _longest_pause(open_request: OpenRequest) -> timedelta:
+    left = open_request.deadline - open_request.request.arrived
+    return timedelta(seconds=left * _PAUSE_SHARE)
+
+
+def _refuse_not_ready(request: RoutedRequest) -> list[Effect]:
+    refusal = refuse(
+        Verdict.NOT_RUN,
+        Reason.NO_CONFIGURATION,
+        'this VM has not read the configuration and the targets',
+        retry_after=_NOT_READY_PAUSE,
+    )
+    return _refuse(request, refusal, {})
+
+
+def _refuse(
+    request: RoutedRequest,
+    refusal: Refusal,
+    inputs: dict[str, object],
+) -> list[Effect]:
+    inputs['reason'] = refusal.reason.value
+    inputs['host'] = request.host
+    return [
+        Decision('refused', request.caller_id, inputs),
+        DeliverRefusal(request.request_id, refusal),
+    ]
--- /dev/null
+++ b/nutmegstep/dispatch/budget.py
@@ -0,0 +1,91 @@
+"""Bound on repeats and hedges, shared by all VMs without messages."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Final
+
+__all__ = ['BudgetTerms', 'RepeatBudget']
+
+_USED_SHARE: Final = 0.9
+"""Part of the allowed ratio and slack that is used; the rest covers requests
+that are counted in another window than here."""
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetTerms:
+    """What all VMs together may send to a service beyond its requests.
+
+    Parameters
+    ----------
+    ratio : float
+        Extra sends per request.
+    slack : float
+        Extra sends per window in addition.
+    window : datetime.timedelta
+        Length of the sliding window.
+    """
+
+    ratio: float
+    slack: float
+    window: timedelta
+
+
+class RepeatBudget:
+    """Tokens for extra sends of this VM to one service.
+
+    Half of the slack is the capacity and half flows in over a window, so the
+    sum over any window stays below the slack. A process starts without
+    tokens: the one it replaces may just have spent them.
+
+    Parameters
+    ----------
+    terms : BudgetTerms
+        Bound over all VMs.
+    now : float
+        Monotonic instant of the start.
+    """
+
+    def __init__(self, terms: BudgetTerms, now: float) -> None:
+        self._terms = terms
+        self._tokens = float(0)
+        self._updated = now
+
+    def earn(self, now: float, vm_count: int) -> None:
+        """Count a request for the service."""
+        self._refill(now, vm_count)
+        self._tokens += self._terms.ratio * _USED_SHARE
+        self._cap(vm_count)
+
+    def spend(self, now: float, vm_count: int, reserve: float = 0) -> bool:
+        """Take a token for an extra send, or return False.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic instant.
+        vm_count : int
+            Number of VMs that share the bound.
+        reserve : float, optional
+            Share of the capacity that must remain for more urgent sends.
+        """
+        self._refill(now, vm_count)
+        if self._tokens < 1 + reserve * self._capacity(vm_count):
+            return False
+        self._tokens -= 1
+        return True
+
+    def _refill(self, now: float, vm_count: int) -> None:
+        elapsed = max(0, now - self._updated)
+        self._updated = now
+        window = self._terms.window.total_seconds()
+        self._tokens += elapsed * self._share(vm_count) / window
+        self._cap(vm_count)
+
+    def _share(self, vm_count: int) -> float:
+        return self._terms.slack * _USED_SHARE / 2 / vm_count
+
+    def _capacity(self, vm_count: int) -> float:
+        return max(1, self._share(vm_count))
+
+    def _cap(self, vm_count: int) -> None:
+        self._tokens = min(self._tokens, self._capacity(vm_count))
--- /dev/null
+++ b/nutmegstep/dispatch/control.py
@@ -0,0 +1,145 @@
+"""Configuration, targets and withdrawals as the store reports them."""
+
+from nutmegstep.dispatch.effects import Decision, DropTarget, Effect
+from nutmegstep.dispatch.events import (
+    ConfigurationChanged,
+    DomainsWithdrawn,
+    HousekeepingDue,
+    StoreRegained,
+    TargetAnnounced,
+    TargetDiscarded,
+    TargetsListed,
+    VmsCounted,
+)
+from nutmegstep.dispatch.state import DispatchState
+
+__all__ = [
+    'announce_target',
+    'change_configuration',
+    'count_vms',
+    'discard_target',
+    'keep_house',
+    'list_targets',
+    'regain_store',
+    'withdraw_domains',
+]
+
+
+def change_configuration(
+    state: DispatchState,
+    event: ConfigurationChanged,
+    now: float,
+) -> list[Effect]:
+    """Take a newer version; an older one never replaces it."""
+    known = state.configuration.version if state.configuration else 0
+    offered = event.configuration.version
+    if state.configuration is not None and offered <= known:
+        return []
+    state.configuration = event.configuration
+    inputs = {'version': offered, 'previous': known}
+    return [Decision('configuration_in_force', '', inputs)]
+
+
+def list_targets(
+    state: DispatchState,
+    event: TargetsListed,
+    now: float,
+) -> list[Effect]:
+    """Take a whole list of targets."""
+    dropped = state.roster.replace_all(event.records_by_id, now)
+    state.has_targets = True
+    listed = Decision('targets_listed', '', {'count': len(state.roster.by_id)})
+    return [listed, *_drop(state, dropped)]
+
+
+def announce_target(
+    state: DispatchState,
+    event: TargetAnnounced,
+    now: float,
+) -> list[Effect]:
+    """Take an announcement that appeared or changed."""
+    record = event.record
+    known = state.roster.by_id.get(record.target_id)
+    is_new = state.roster.update(record)
+    is_noted = (
+        is_new or known is None or known.is_draining != record.is_draining
+    )
+    effects: list[Effect] = []
+    if known is not None and is_new:
+        effects.append(DropTarget(record.target_id))
+    if is_noted:
+        inputs = {
+            'target': record.target_id,
+            'service': record.service,
+            'draining': record.is_draining,
+            'cold_ms': max(0, round((record.cold_until - now) * 1000)),
+        }
+        effects.append(Decision('target_announced', '', inputs))
+    return effects
+
+
+def discard_target(
+    state: DispatchState,
+    event: TargetDiscarded,
+    now: float,
+) -> list[Effect]:
+    """Take an announcement that disappeared."""
+    if state.roster.remove(event.target_id, now):
+        return _drop(state, (event.target_id,))
+    return []
+
+
+def withdraw_domains(
+    state: DispatchState,
+    event: DomainsWithdrawn,
+    now: float,
+) -> list[Effect]:
+    """Take the set of withdrawn failure domains."""
+    if event.domains == state.withdrawn_domains:
+        return []
+    state.withdrawn_domains = event.domains
+    return [
+        Decision('domains_withdrawn', '', {'domains': sorted(event.domains)})
+    ]
+
+
+def regain_store(
+    state: DispatchState,
+    event: StoreRegained,
+    now: float,
+) -> list[Effect]:
+    """Keep targets whose entries lapsed while the store was away."""
+    state.roster.regain_contact(now)
+    return []
+
+
+def count_vms(
+    state: DispatchState,
+    event: VmsCounted,
+    now: float,
+) -> list[Effect]:
+    """Take the number of VMs that share targets."""
+    if event.count == state.vm_count:
+        return []
+    state.vm_count = event.count
+    state.vms_in_domain = event.in_domain
+    return [Decision('vms_counted', '', {'count': event.count})]
+
+
+def keep_house(
+    state: DispatchState,
+    event: HousekeepingDue,
+    now: float,
+) -> list[Effect]:
+    """Drop targets whose entries have not reappeared in time."""
+    return _drop(state, state.roster.expire(now))
+
+
+def _drop(state: DispatchState, target_ids: tuple[str, ...]) -> list[Effect]:
+    effects: list[Effect] = []
+    for target_id in target_ids:
+        # Sends in flight keep their records; the learned state goes.
+        state.health_by_target.pop(target_id, None)
+        effects.append(DropTarget(target_id))
+        effects.append(Decision('target_dropped', '', {'target': target_id}))
+    return effects
--- /dev/null
+++ b/nutmegstep/dispatch/events.py
@@ -0,0 +1,238 @@
+"""Events of the dispatcher: what callers, targets and the store report."""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from nutmegstep.configuration import Configuration
+from nutmegstep.discovery import TargetRecord
+
+__all__ = [
+    'CallerLeft',
+    'ConfigurationChanged',
+    'DomainsWithdrawn',
+    'Event',
+    'FailureKind',
+    'HeaderItems',
+    'HousekeepingDue',
+    'RequestArrived',
+    'RequestDue',
+    'RoutedRequest',
+    'SendFailed',
+    'StoreRegained',
+    'TargetAnnounced',
+    'TargetDiscarded',
+    'TargetReplied',
+    'TargetReply',
+    'TargetsListed',
+    'VmsCounted',
+]
+
+HeaderItems = tuple[tuple[bytes, bytes], ...]
+
+
+@enum.unique
+class FailureKind(enum.Enum):
+    """Why a send ended without a reply."""
+
+    CONNECT = 'connect'
+    RESET = 'reset'
+    INVALID = 'invalid'
+    TIMEOUT = 'timeout'
+    CANCELLED = 'cancelled'
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the target may have worked on the request."""
+        return self is not FailureKind.CONNECT
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedRequest:
+    """A request of a caller that was read completely.
+
+    Parameters
+    ----------
+    request_id : int
+        Identifier within this process.
+    caller_id : str
+        Identifier that the caller gave to this attempt.
+    method : bytes
+        Method.
+    target : bytes
+        Path and query as received.
+    host : str
+        Value of the ``Host`` header.
+    path : str
+        Path without the query.
+    headers : tuple of pairs
+        Headers to forward.
+    body : bytes
+        Whole body.
+    time_left : float or None
+        Seconds for which the caller waits; None when it does not say.
+    arrived : float
+        Monotonic instant at which the request was complete.
+    is_first : bool
+        Whether it is the first request of its connection.
+    """
+
+    request_id: int
+    caller_id: str
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: HeaderItems
+    body: bytes
+    time_left: float | None
+    arrived: float
+    is_first: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReply:
+    """A complete reply of a target.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers : tuple of pairs
+        Headers to pass on.
+    body : bytes
+        Whole body.
+    signature : str
+        Proof of origin; empty when it is missing.
+    was_executed : bool
+        False when the target states that it did not run the request.
+    is_misdirected : bool
+        Whether another target answered at the address.
+    """
+
+    status: int
+    headers: HeaderItems
+    body: bytes
+    signature: str
+    was_executed: bool = True
+    is_misdirected: bool = False
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the reply is a usable answer."""
+        return 200 <= self.status < 300 and bool(self.signature)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A caller sent a request."""
+
+    request: RoutedRequest
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller closed its connection before its answer."""
+
+    request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestDue:
+    """The instant asked for by `WakeAt` has come."""
+
+    request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReplied:
+    """A target sent a complete reply."""
+
+    send_id: int
+    reply: TargetReply
+
+
+@dataclass(frozen=True, slots=True)
+class SendFailed:
+    """A send ended without a reply."""
+
+    send_id: int
+    kind: FailureKind
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """A version of the configuration was read."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsListed:
+    """All announcements of targets were read."""
+
+    records_by_id: Mapping[str, TargetRecord]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetAnnounced:
+    """An announcement of a target appeared or changed."""
+
+    record: TargetRecord
+
+
+@dataclass(frozen=True, slots=True)
+class TargetDiscarded:
+    """An announcement disappeared or cannot be read."""
+
+    target_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class DomainsWithdrawn:
+    """The set of withdrawn failure domains was read."""
+
+    domains: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRegained:
+    """The store answers again after it was out of reach."""
+
+
+@dataclass(frozen=True, slots=True)
+class VmsCounted:
+    """The number of VMs that share targets was estimated.
+
+    Parameters
+    ----------
+    count : int
+        All VMs, this one included.
+    in_domain : int
+        Those of the own failure domain, this one included.
+    """
+
+    count: int
+    in_domain: int
+
+
+@dataclass(frozen=True, slots=True)
+class HousekeepingDue:
+    """Time to drop entries that lapsed for good."""
+
+
+Event = (
+    RequestArrived
+    | CallerLeft
+    | RequestDue
+    | TargetReplied
+    | SendFailed
+    | ConfigurationChanged
+    | TargetsListed
+    | TargetAnnounced
+    | TargetDiscarded
+    | DomainsWithdrawn
+    | StoreRegained
+    | VmsCounted
+    | HousekeepingDue
+)
--- /dev/null
+++ b/nutmegstep/dispatch/finishing.py
@@ -0,0 +1,192 @@
+"""When a request is answered, and with what.
+
+With all parts in, the answer goes out at once. Until the target latency is
+nearly over, missing parts are waited for, as long as a target is at work on
+them that has been answering. From then on a partial answer that covers the
+declared share goes out. A request that can no longer be covered is given up
+at once.
+"""
+
+from datetime import timedelta
+from itertools import chain
+from typing import Final
+
+from nutmegstep.dispatch.effects import (
+    CancelSend,
+    Decision,
+    DeliverMerged,
+    DeliverRefusal,
+    DeliverReply,
+    Effect,
+    WakeAt,
+)
+from nutmegstep.dispatch.events import TargetReply
+from nutmegstep.dispatch.merging import merge_records
+from nutmegstep.dispatch.state import DispatchState, OpenRequest, Part
+from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
+
+__all__ = ['close_request', 'give_up', 'settle']
+
+_GIVE_UP_PAUSE: Final = timedelta(milliseconds=50)
+
+
+def settle(
+    state: DispatchState,
+    open_request: OpenRequest,
+    now: float,
+) -> list[Effect]:
+    """Answer a request if it is time to, or ask to be woken."""
+    if open_request.route.is_gather:
+        done = _settle_gather(state, open_request, now)
+    else:
+        done = _settle_single(state, open_request, now)
+    if done is not None:
+        return done
+    instants = [part.hedge_at for part in open_request.parts if _waits(part)]
+    if now < open_request.answer_by:
+        instants.append(open_request.answer_by)
+    instants.append(open_request.deadline)
+    return [WakeAt(open_request.request.request_id, min(instants))]
+
+
+def close_request(
+    state: DispatchState,
+    open_request: OpenRequest,
+) -> list[Effect]:
+    """Forget a request and end its sends."""
+    state.open_by_id.pop(open_request.request.request_id, None)
+    send_ids = chain.from_iterable(part.sends for part in open_request.parts)
+    return [CancelSend(send_id) for send_id in send_ids]
+
+
+def give_up(
+    state: DispatchState,
+    open_request: OpenRequest,
+    refusal: Refusal,
+) -> list[Effect]:
+    """Refuse a request with the verdict that its sends allow."""
+    request = open_request.request
+    return [
+        Decision(
+            'refused',
+            request.caller_id,
+            {
+                'reason': refusal.reason.value,
+                'verdict': refusal.verdict.value,
+                'route': open_request.route.name,
+                'missing': [
+                    part.service
+                    for part in open_request.parts
+                    if part.reply is None
+                ],
+            },
+        ),
+        *close_request(state, open_request),
+        DeliverRefusal(request.request_id, refusal),
+    ]
+
+
+def _settle_gather(
+    state: DispatchState,
+    open_request: OpenRequest,
+    now: float,
+) -> list[Effect] | None:
+    parts = open_request.parts
+    answered = [part for part in parts if part.reply is not None]
+    required = open_request.required_parts
+    if len(answered) == len(parts):
+        return _deliver(state, open_request, answered)
+    dead = sum(part.is_dead and part.reply is None for part in parts)
+    if len(parts) - dead < required:
+        return give_up(state, open_request, _incomplete(open_request, dead))
+    is_late = now >= open_request.answer_by
+    has_hope = any(_waits(part) and not part.is_weak for part in parts)
+    if len(answered) >= required and (is_late or not has_hope):
+        return _deliver(state, open_request, answered)
+    if now >= open_request.deadline:
+        return give_up(state, open_request, _too_late(open_request))
+    return None
+
+
+def _settle_single(
+    state: DispatchState,
+    open_request: OpenRequest,
+    now: float,
+) -> list[Effect] | None:
+    part = open_request.parts[0]
+    if part.reply is not None:
+        return _pass_on(state, open_request, part.reply)
+    if now >= open_request.deadline:
+        return give_up(state, open_request, _too_late(open_request))
+    if not part.is_dead:
+        return None
+    if part.failure is not None and part.failure.was_executed:
+        return _pass_on(state, open_request, part.failure)
+    return give_up(state, open_request, _incomplete(open_request, 1))
+
+
+def _pass_on(
+    state: DispatchState,
+    open_request: OpenRequest,
+    reply: TargetReply,
+) -> list[Effect]:
+    return [
+        *close_request(state, open_request),
+        DeliverReply(open_request.request.request_id, reply),
+    ]
+
+
+def _deliver(
+    state: DispatchState,
+    open_request: OpenRequest,
+    answered: list[Part],
+) -> list[Effect]:
+    # Sends that are still under way run on until they expire: a reply shows
+    # that the target answers again, and its connection stays usable.
+    request = open_request.request
+    state.open_by_id.pop(request.request_id, None)
+    replies = [part.reply for part in answered if part.reply is not None]
+    missing = len(open_request.parts) - len(replies)
+    merged = DeliverMerged(
+        request.request_id,
+        tuple(reply.signature for reply in replies),
+        missing,
+        merge_records(
+            (reply.body for reply in replies),
+            open_request.route.top_records,
+        ),
+    )
+    if not missing:
+        return [merged]
+    services = [
+        part.service for part in open_request.parts if part.reply is None
+    ]
+    inputs = {'route': open_request.route.name, 'missing': services}
+    return [Decision('partial_answer', request.caller_id, inputs), merged]
+
+
+def _waits(part: Part) -> bool:
+    return part.reply is None and not part.is_dead
+
+
+def _verdict(open_request: OpenRequest) -> Verdict:
+    may_have_run = any(part.runs for part in open_request.parts)
+    return Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
+
+
+def _incomplete(open_request: OpenRequest, dead: int) -> Refusal:
+    return refuse(
+        _verdict(open_request),
+        Reason.TARGET_FAILED,
+        f'{dead} of {len(open_request.parts)} shards cannot answer',
+        retry_after=_GIVE_UP_PAUSE,
+    )
+
+
+def _too_late(open_request: OpenRequest) -> Refusal:
+    return refuse(
+        _verdict(open_request),
+        Reason.DEADLINE_EXCEEDED,
+        'the time for an answer is over',
+        retry_after=_GIVE_UP_PAUSE,
+    )
--- /dev/null
+++ b/nutmegstep/dispatch/health.py
@@ -0,0 +1,112 @@
+"""What ordinary traffic teaches about a target."""
+
+import math
+from dataclasses import dataclass, field
+from typing import Final
+
+__all__ = ['TargetHealth']
+
+_LATENCY_WEIGHT: Final = 0.2
+"""Weight of one latency sample."""
+_RATIO_MAX: Final = 5.0
+"""Largest sample of slowness; a single pause must not outweigh many replies."""
+_FAILURE_WEIGHT: Final = 0.25
+"""Weight of one success or failure."""
+_HALF_LIFE: Final = 2.0
+"""Seconds after which a deviation counts half, so that a target that was
+avoided is tried again by ordinary traffic."""
+_FIRST_BACKOFF: Final = 0.1
+"""Seconds without sends after a first failed connection."""
+_LONGEST_BACKOFF: Final = 1.0
+"""Seconds without sends after many failed connections."""
+_BACKOFF_STEPS: Final = 4
+
+
+@dataclass(slots=True)
+class TargetHealth:
+    """Learned state of one target.
+
+    Parameters
+    ----------
+    born : int
+        Incarnation that the state belongs to.
+
+    Attributes
+    ----------
+    stalls_at_by_send : dict
+        Instants at which sends in flight count as stalled, oldest first.
+    failures : int
+        Consecutive failures.
+    blocked_until : float
+        Monotonic instant before which nothing is sent.
+    cold_tokens : float
+        Sends that the target may get while it is cold.
+    cold_updated : float
+        Monotonic instant of the latest change of `cold_tokens`.
+    """
+
+    born: int
+    stalls_at_by_send: dict[int, float] = field(default_factory=dict)
+    failures: int = 0
+    blocked_until: float = 0
+    cold_tokens: float = 1
+    cold_updated: float = 0
+    _slowness: float = 1
+    _slowness_at: float = 0
+    _failure_rate: float = 0
+    _failure_at: float = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Number of sends without an outcome."""
+        return len(self.stalls_at_by_send)
+
+    def slowness(self, now: float) -> float:
+        """Return the latency relative to that of the route's targets."""
+        return 1 + (self._slowness - 1) * _decay(now - self._slowness_at)
+
+    def failure_rate(self, now: float) -> float:
+        """Return the share of recent sends that failed."""
+        return self._failure_rate * _decay(now - self._failure_at)
+
+    def is_stalled(self, now: float) -> bool:
+        """Whether the oldest send waits for longer than is usual."""
+        oldest = next(iter(self.stalls_at_by_send.values()), math.inf)
+        return oldest <= now
+
+    def is_blocked(self, now: float) -> bool:
+        """Whether nothing may be sent, or only one trial that is under way."""
+        if now < self.blocked_until:
+            return True
+        return self.failures > 0 and self.in_flight > 0
+
+    def observe_reply(self, ratio: float, now: float) -> None:
+        """Take the latency of a reply, relative to the route's median."""
+        sample = min(ratio, _RATIO_MAX)
+        before = self.slowness(now)
+        self._slowness = before + _LATENCY_WEIGHT * (sample - before)
+        self._slowness_at = now
+        self.failures = 0
+        self._observe_failure(0, now)
+
+    def observe_rejection(self, now: float) -> None:
+        """Take a reply that is a failure or says that nothing ran."""
+        self.failures = 0
+        self._observe_failure(1, now)
+
+    def observe_loss(self, now: float) -> None:
+        """Take a send that ended without a reply."""
+        steps = min(self.failures, _BACKOFF_STEPS)
+        backoff = min(_FIRST_BACKOFF * 2**steps, _LONGEST_BACKOFF)
+        self.failures += 1
+        self.blocked_until = now + backoff
+        self._observe_failure(1, now)
+
+    def _observe_failure(self, failed: int, now: float) -> None:
+        before = self.failure_rate(now)
+        self._failure_rate = before + _FAILURE_WEIGHT * (failed - before)
+        self._failure_at = now
+
+
+def _decay(seconds: float) -> float:
+    return math.exp2(-seconds / _HALF_LIFE)
--- /dev/null
+++ b/nutmegstep/dispatch/sending.py
@@ -0,0 +1,147 @@
+"""First sends, repeats and hedges."""
+
+import math
+from typing import Final
+
+from nutmegstep.dispatch.choosing import (
+    Choice,
+    choose_target,
+    take_cold_token,
+)
+from nutmegstep.dispatch.effects import Decision, Effect, SendRequest
+from nutmegstep.dispatch.state import DispatchState, OpenRequest, Part, Send
+
+__all__ = ['hedge', 'repeat', 'send_first']
+
+_PATIENCE_LATENCIES: Final = 3.0
+"""Target latencies after which a shard's target is not waited for."""
+_STALL_DELAYS: Final = 1.25
+"""Hedge delays after which a target counts as stalled."""
+_HEDGE_RESERVE: Final = 0.3
+"""Share of the budget's capacity that hedges leave to repeats."""
+_LIMIT_SHARE: Final = 0.8
+"""Part of a target's connections that all VMs use together."""
+
+
+def send_first(
+    state: DispatchState,
+    open_request: OpenRequest,
+    part: Part,
+    now: float,
+) -> list[Effect]:
+    """Send a part to the best target, or mark it as dead."""
+    state.budget_of(part.service, now).earn(now, state.vm_count)
+    choice = choose_target(state, part.service, now)
+    if choice is None:
+        part.is_dead = True
+        return []
+    part.is_weak = choice.is_stalled
+    return [_send(state, open_request, part, choice, now)]
+
+
+def repeat(
+    state: DispatchState,
+    open_request: OpenRequest,
+    part: Part,
+    now: float,
+) -> list[Effect]:
+    """Ask another target after one has failed, or mark the part as dead.
+
+    The part stays alive while another send is under way.
+    """
+    choice = _choose_other(state, open_request, part, now)
+    allowed = choice is not None and state.budget_of(
+        part.service,
+        now,
+    ).spend(now, state.vm_count)
+    if choice is None or not allowed:
+        part.is_dead = not part.sends
+        reason = 'no_target' if choice is None else 'no_budget'
+        return [_note(open_request, part, 'repeat_omitted', reason)]
+    return [
+        _note(open_request, part, 'repeat', choice.target.target_id),
+        _send(state, open_request, part, choice, now),
+    ]
+
+
+def hedge(
+    state: DispatchState,
+    open_request: OpenRequest,
+    part: Part,
+    now: float,
+) -> list[Effect]:
+    """Ask a second target while the first one has not answered."""
+    part.hedge_at = math.inf
+    choice = _choose_other(state, open_request, part, now)
+    if choice is None or choice.is_stalled:
+        return [_note(open_request, part, 'hedge_omitted', 'no_target')]
+    budget = state.budget_of(part.service, now)
+    if not budget.spend(now, state.vm_count, _HEDGE_RESERVE):
+        return [_note(open_request, part, 'hedge_omitted', 'no_budget')]
+    return [
+        _note(open_request, part, 'hedge', choice.target.target_id),
+        _send(state, open_request, part, choice, now),
+    ]
+
+
+def _choose_other(
+    state: DispatchState,
+    open_request: OpenRequest,
+    part: Part,
+    now: float,
+) -> Choice | None:
+    if part.runs >= open_request.route.attempts:
+        return None
+    return choose_target(state, part.service, now, part.tried)
+
+
+def _send(
+    state: DispatchState,
+    open_request: OpenRequest,
+    part: Part,
+    choice: Choice,
+    now: float,
+) -> SendRequest:
+    target = choice.target
+    route = open_request.route
+    send_id = state.next_send_id
+    state.next_send_id += 1
+    delay = state.latency_of(route).hedge_delay
+    state.sends_by_id[send_id] = Send(open_request, part, target, now)
+    health = state.health_of(target)
+    health.stalls_at_by_send[send_id] = now + delay * _STALL_DELAYS
+    take_cold_token(state, target, now)
+    part.sends.add(send_id)
+    part.tried.add(target.target_id)
+    part.runs += 1
+    part.hedge_at = now + delay if route.is_idempotent else math.inf
+    expires = open_request.deadline
+    if route.is_gather:
+        patience = route.target_latency.total_seconds() * _PATIENCE_LATENCIES
+        expires = min(expires, now + patience)
+    return SendRequest(
+        send_id,
+        open_request.request,
+        target,
+        expires,
+        _connection_limit(state, target.service),
+        route.is_idempotent,
+    )
+
+
+def _connection_limit(state: DispatchState, service: str) -> int:
+    declared = state.spec_of(service).max_connections
+    return max(1, int(declared * _LIMIT_SHARE / state.vm_count))
+
+
+def _note(
+    open_request: OpenRequest,
+    part: Part,
+    name: str,
+    detail: str,
+) -> Decision:
+    return Decision(
+        name,
+        open_request.request.caller_id,
+        {'service': part.service, 'detail': detail, 'sends': part.runs},
+    )
--- /dev/null
+++ b/nutmegstep/dispatch/state.py
@@ -0,0 +1,259 @@
+"""State of the dispatcher."""
+
+import math
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+from typing import Final
+
+from nutmegstep.configuration import Configuration, Route, ServiceSpec
+from nutmegstep.discovery import Roster, TargetRecord
+from nutmegstep.dispatch.budget import BudgetTerms, RepeatBudget
+from nutmegstep.dispatch.events import RoutedRequest, TargetReply
+from nutmegstep.dispatch.health import TargetHealth
+from nutmegstep.dispatch.latency import RunningQuantile
+
+__all__ = [
+    'ColdTerms',
+    'DispatchState',
+    'DispatchTerms',
+    'OpenRequest',
+    'Part',
+    'RouteLatency',
+    'Send',
+]
+
+_HEDGE_PROBABILITY: Final = 0.94
+"""Quantile of latencies after which a second target is asked."""
+_MEDIAN: Final = 0.5
+_FIRST_MEDIAN_SHARE: Final = 0.2
+"""Median of a route without samples, as a share of its target latency."""
+_FIRST_HEDGE_SHARE: Final = 0.4
+"""Hedge delay of a route without samples, as a share of its target latency."""
+_HEDGE_MAX_SHARE: Final = 0.4
+"""Longest hedge delay as a share of the target latency: what remains must
+suffice for the second target."""
+_HEDGE_MIN_MEDIANS: Final = 1.3
+"""Shortest hedge delay in medians."""
+_VM_COUNT_UNKNOWN: Final = 8
+"""Number of VMs that is assumed until they have been counted; the two
+deployments have six and seven."""
+
+
+@dataclass(frozen=True, slots=True)
+class ColdTerms:
+    """Load that a cold target bears, summed over all VMs.
+
+    Parameters
+    ----------
+    overshoot : float
+        Factor on the declared rate.
+    slack : float
+        Requests per second in addition.
+    """
+
+    overshoot: float
+    slack: float
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchTerms:
+    """Bounds that the operators set for a deployment."""
+
+    budget: BudgetTerms
+    cold: ColdTerms
+
+
+class RouteLatency:
+    """Latencies of the targets of one route.
+
+    Parameters
+    ----------
+    target_latency : float
+        Seconds within which an answer is worth most.
+    """
+
+    def __init__(self, target_latency: float) -> None:
+        self._median = RunningQuantile(
+            _MEDIAN,
+            target_latency * _FIRST_MEDIAN_SHARE,
+        )
+        self._hedge = RunningQuantile(
+            _HEDGE_PROBABILITY,
+            target_latency * _FIRST_HEDGE_SHARE,
+        )
+        self._longest = target_latency * _HEDGE_MAX_SHARE
+
+    @property
+    def median(self) -> float:
+        """Median of the latencies in seconds."""
+        return self._median.estimate
+
+    @property
+    def hedge_delay(self) -> float:
+        """Seconds after which a second target is asked."""
+        shortest = self._median.estimate * _HEDGE_MIN_MEDIANS
+        return min(max(self._hedge.estimate, shortest), self._longest)
+
+    def observe(self, seconds: float) -> None:
+        """Take the latency of a target."""
+        self._median.observe(seconds)
+        self._hedge.observe(min(seconds, self._longest * 2))
+
+
+@dataclass(slots=True)
+class Part:
+    """One shard of a request, or the whole of it.
+
+    Attributes
+    ----------
+    service : str
+        Service that is asked.
+    sends : set of int
+        Sends without an outcome.
+    tried : set of str
+        Targets that were asked.
+    runs : int
+        Targets that may have run the request.
+    reply : TargetReply or None
+        Usable answer.
+    failure : TargetReply or None
+        Latest reply that is not usable.
+    hedge_at : float
+        Monotonic instant at which another target is asked.
+    is_weak : bool
+        Whether only targets that do not answer were left to ask.
+    is_dead : bool
+        Whether no target is left to ask.
+    """
+
+    service: str
+    sends: set[int] = field(default_factory=set)
+    tried: set[str] = field(default_factory=set)
+    runs: int = 0
+    reply: TargetReply | None = None
+    failure: TargetReply | None = None
+    hedge_at: float = math.inf
+    is_weak: bool = False
+    is_dead: bool = False
+
+
+@dataclass(slots=True)
+class OpenRequest:
+    """A request that has not been answered.
+
+    Attributes
+    ----------
+    request : RoutedRequest
+        The request.
+    route : Route
+        Route of the version under which it started.
+    parts : tuple of Part
+        Its shards.
+    answer_by : float
+        Monotonic instant until which a partial answer is held back.
+    deadline : float
+        Monotonic instant of the final answer at the latest.
+    """
+
+    request: RoutedRequest
+    route: Route
+    parts: tuple[Part, ...]
+    answer_by: float
+    deadline: float
+
+    @property
+    def required_parts(self) -> int:
+        """Smallest number of parts of an answer."""
+        share = self.route.min_coverage * len(self.parts)
+        return max(1, math.ceil(share - 1e-9))
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """A request on its way to a target."""
+
+    open_request: OpenRequest
+    part: Part
+    target: TargetRecord
+    sent: float
+
+
+class DispatchState:
+    """Everything that the dispatcher knows.
+
+    Parameters
+    ----------
+    own_domain : str
+        Failure domain of this VM.
+    terms : DispatchTerms
+        Bounds of the deployment.
+    random : random.Random
+        Source of randomness.
+    """
+
+    def __init__(
+        self,
+        own_domain: str,
+        terms: DispatchTerms,
+        random: Random,
+    ) -> None:
+        self.own_domain = own_domain
+        self.terms = terms
+        self.random = random
+        self.configuration: Configuration | None = None
+        self.roster = Roster()
+        self.has_targets = False
+        self.withdrawn_domains: frozenset[str] = frozenset()
+        self.vm_count = _VM_COUNT_UNKNOWN
+        self.vms_in_domain = max(1, _VM_COUNT_UNKNOWN // 3)
+        self.open_by_id: dict[int, OpenRequest] = {}
+        self.sends_by_id: dict[int, Send] = {}
+        self.health_by_target: dict[str, TargetHealth] = {}
+        self.split_credits_by_route: dict[str, dict[str, float]] = {}
+        self.next_send_id = 1
+        self._budget_by_service: dict[str, RepeatBudget] = {}
+        self._latency_by_route: dict[str, RouteLatency] = {}
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests can be served."""
+        return self.configuration is not None and self.has_targets
+
+    def spec_of(self, service: str) -> ServiceSpec:
+        """Return the declaration of a service, or a cautious one."""
+        declared = (
+            self.configuration.services_by_name.get(service)
+            if self.configuration
+            else None
+        )
+        return declared or ServiceSpec(
+            service,
+            max_connections=self.vm_count,
+            cold_period=timedelta(seconds=3),
+            cold_rate=0,
+        )
+
+    def health_of(self, target: TargetRecord) -> TargetHealth:
+        """Return the learned state of a target's incarnation."""
+        health = self.health_by_target.get(target.target_id)
+        if health is None or health.born != target.born:
+            health = TargetHealth(target.born)
+            self.health_by_target[target.target_id] = health
+        return health
+
+    def budget_of(self, service: str, now: float) -> RepeatBudget:
+        """Return the budget of repeats of a service."""
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = RepeatBudget(self.terms.budget, now)
+            self._budget_by_service[service] = budget
+        return budget
+
+    def latency_of(self, route: Route) -> RouteLatency:
+        """Return the latencies of a route."""
+        latency = self._latency_by_route.get(route.name)
+        if latency is None:
+            latency = RouteLatency(route.target_latency.total_seconds())
+            self._latency_by_route[route.name] = latency
+        return latency
--- /dev/null
+++ b/nutmegstep/following/census.py
@@ -0,0 +1,106 @@
+"""Number of VMs, from entries that each VM renews in the store.
+
+Entries do not expire by themselves and VMs vanish without a word, so an
+entry counts until it has not been renewed for `FORGET_AFTER`. Too high a
+count only leaves shared budgets unused; too low a one would exceed them.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Final
+
+__all__ = ['FORGET_AFTER', 'RENEW_EVERY', 'VmCensus', 'VmEntry']
+
+RENEW_EVERY: Final = timedelta(minutes=5)
+"""Time between two writes of a VM; at 4,600 VMs 15 writes a second."""
+FORGET_AFTER: Final = timedelta(minutes=16)
+"""Three renewals and some."""
+
+
+@dataclass(frozen=True, slots=True)
+class VmEntry:
+    """Entry of one VM.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Where the VM is.
+    revision : int
+        Revision of the latest renewal.
+    """
+
+    failure_domain: str
+    revision: int
+
+
+class VmCensus:
+    """Counts VMs by their entries, without comparing clocks.
+
+    Parameters
+    ----------
+    own_name : str
+        Name of this VM.
+    own_domain : str
+        Failure domain of this VM.
+
+    Examples
+    --------
+    >>> census = VmCensus('vm-1', 'north')
+    >>> census.observe({'vm-2': VmEntry('north', 7)}, now=0)
+    >>> census.count(0), census.count_in_domain(0)
+    (2, 2)
+    >>> census.count(3600)
+    1
+    """
+
+    def __init__(self, own_name: str, own_domain: str) -> None:
+        self._own_name = own_name
+        self._own_domain = own_domain
+        self._entry_by_name: dict[str, VmEntry] = {}
+        self._seen_by_name: dict[str, float] = {}
+
+    def observe(self, entry_by_name: Mapping[str, VmEntry], now: float) -> None:
+        """Take the entries of all VMs.
+
+        Parameters
+        ----------
+        entry_by_name : Mapping
+            Entries in the store.
+        now : float
+            Monotonic instant of the read.
+        """
+        renewed = {
+            name: now
+            for name, entry in entry_by_name.items()
+            if self._entry_by_name.get(name) != entry
+        }
+        self._entry_by_name = dict(entry_by_name)
+        self._seen_by_name = {
+            name: seen
+            for name, seen in {**self._seen_by_name, **renewed}.items()
+            if name in entry_by_name
+        }
+
+    def count(self, now: float) -> int:
+        """Return the number of VMs, this one included."""
+        return len(self._others(now)) + 1
+
+    def count_in_domain(self, now: float) -> int:
+        """Return the number of VMs in the own failure domain."""
+        domains = [
+            self._entry_by_name[name].failure_domain
+            for name in self._others(now)
+        ]
+        return domains.count(self._own_domain) + 1
+
+    def forgotten(self, now: float) -> tuple[str, ...]:
+        """Return the names whose entries may be deleted."""
+        oldest = now - FORGET_AFTER.total_seconds()
+        return tuple(
+            name for name, seen in self._seen_by_name.items() if seen < oldest
+        )
+
+    def _others(self, now: float) -> list[str]:
+        gone = {self._own_name, *self.forgotten(now)}
+        return [name for name in self._entry_by_name if name not in gone]
--- /dev/null
+++ b/nutmegstep/following/core.py
@@ -0,0 +1,162 @@
+"""Lists a kind of objects, then follows its changes."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+from typing import Final
+
+from returns.pipeline import is_successful
+
+from nutmegstep.following.contact import StoreContact
+from nutmegstep.following.reader import (
+    Change,
+    HistoryGone,
+    Listing,
+    StoreReader,
+)
+
+__all__ = ['Follower', 'Subscription']
+
+_LOG: Final = logging.getLogger(__name__)
+_FIRST_PAUSE: Final = 0.1
+"""Seconds before a failed call is repeated."""
+_LONGEST_PAUSE: Final = 0.8
+"""Seconds between repeated calls at most; a lost store is found again within
+this time, which is part of the time in which changes must be in force."""
+_GROWTH: Final = 2
+_GROWTH_STEPS: Final = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Subscription:
+    """What to follow and whom to tell.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of objects.
+    wait : datetime.timedelta
+        Longest wait of one watch.
+    gather : datetime.timedelta
+        Pause after a change, in which further changes come together.
+    on_listing : Callable
+        Takes all objects.
+    on_change : Callable
+        Takes one change.
+    """
+
+    kind: str
+    wait: timedelta
+    gather: timedelta
+    on_listing: Callable[[Listing], None]
+    on_change: Callable[[Change], None]
+
+
+class Follower:
+    """Keeps one kind of objects current.
+
+    While the store does not answer, one follower tries it again; the others
+    wait for its success, because each call is priced.
+
+    Parameters
+    ----------
+    reader : StoreReader
+        The store.
+    contact : StoreContact
+        Shared with the other followers.
+    subscription : Subscription
+        What to follow.
+    random : random.Random
+        Spreads the pauses of the VMs.
+    is_prober : bool
+        Whether this follower tries a store that does not answer.
+    """
+
+    def __init__(
+        self,
+        reader: StoreReader,
+        contact: StoreContact,
+        subscription: Subscription,
+        random: Random,
+        is_prober: bool,
+    ) -> None:
+        self._reader = reader
+        self._contact = contact
+        self._subscription = subscription
+        self._random = random
+        self._is_prober = is_prober
+        self._revision: int | None = None
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if not self._is_prober:
+                await self._contact.regained.wait()
+            if await self._step():
+                self._failures = 0
+                continue
+            await asyncio.sleep(self._pause())
+
+    async def _step(self) -> bool:
+        if self._is_prober:
+            return await self._call()
+        call = asyncio.ensure_future(self._call())
+        lost = asyncio.ensure_future(self._contact.lost.wait())
+        try:
+            await asyncio.wait(
+                (call, lost),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            return call.done() and call.result()
+        finally:
+            call.cancel()
+            lost.cancel()
+
+    async def _call(self) -> bool:
+        if self._revision is None:
+            return await self._list()
+        return await self._watch(self._revision)
+
+    async def _list(self) -> bool:
+        listed = await self._reader.list_kind(self._subscription.kind)
+        if not is_successful(listed):
+            self._contact.report_failure(listed.failure())
+            return False
+        self._contact.report_success()
+        listing = listed.unwrap()
+        self._revision = listing.revision
+        self._subscription.on_listing(listing)
+        return True
+
+    async def _watch(self, revision: int) -> bool:
+        watched = await self._reader.watch_kind(
+            self._subscription.kind,
+            revision,
+            self._subscription.wait,
+        )
+        if not is_successful(watched):
+            self._contact.report_failure(watched.failure())
+            return False
+        self._contact.report_success()
+        found = watched.unwrap()
+        if isinstance(found, HistoryGone):
+            self._revision = None
+            fields = {'kind': self._subscription.kind, 'revision': revision}
+            _LOG.info('history gone, listing again', extra=fields)
+            return True
+        self._revision = found.revision
+        for change in found.changes:
+            self._subscription.on_change(change)
+        if found.changes:
+            await asyncio.sleep(self._subscription.gather.total_seconds())
+        return True
+
+    def _pause(self) -> float:
+        growth = float(_GROWTH) ** self._failures
+        self._failures = min(self._failures + 1, _GROWTH_STEPS)
+        pause = min(_FIRST_PAUSE * growth, _LONGEST_PAUSE)
+        return pause * (1 + self._random.random()) / 2
--- /dev/null
+++ b/nutmegstep/gateway/channel.py
@@ -0,0 +1,216 @@
+"""One HTTP/1.1 connection to a target."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Final
+
+import h11
+
+from nutmegstep.dispatch.effects import SendRequest
+from nutmegstep.dispatch.events import FailureKind, HeaderItems
+from nutmegstep.gateway.codec import RawReply
+
+__all__ = ['Channel', 'Outcome', 'OutcomeCallback']
+
+Outcome = RawReply | FailureKind
+OutcomeCallback = Callable[[Outcome], None]
+"""Takes a complete response, or why there is none."""
+
+_ChannelCallback = Callable[['Channel'], None]
+
+_USER_TIMEOUT_MS: Final = 1000
+"""Longest time for which sent bytes stay unacknowledged; a partition then
+ends the connection instead of leaving it open for minutes."""
+_REPLY_BYTES: Final = 4 * 1024 * 1024
+"""Largest response body; replies are held in memory until they are whole."""
+_IDLE_DEFAULT: Final = 4.0
+"""Seconds for which an idle connection is reused when the target does not
+say for how long it keeps one."""
+_IDLE_SHARE: Final = 0.7
+"""Part of the announced idle time that is used; a request that crosses the
+target's close may or may not have run."""
+
+
+@dataclass(slots=True)
+class _Exchange:
+    """The request in flight."""
+
+    on_outcome: OutcomeCallback
+    status: int = 0
+    headers: HeaderItems = ()
+    chunks: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+
+class Channel(asyncio.Protocol):
+    """Carries one request at a time.
+
+    Parameters
+    ----------
+    on_free : Callable
+        Called when the connection can take another request.
+    on_closed : Callable
+        Called once when the connection is gone.
+
+    Attributes
+    ----------
+    idle_since : float
+        Instant of the event loop's clock at which it became free.
+    """
+
+    def __init__(
+        self,
+        on_free: _ChannelCallback,
+        on_closed: _ChannelCallback,
+    ) -> None:
+        self.idle_since = float(0)
+        self._idle_seconds = _IDLE_DEFAULT
+        self._on_free = on_free
+        self._on_closed = on_closed
+        self._http = h11.Connection(h11.CLIENT)
+        self._exchange: _Exchange | None = None
+        self._transport: asyncio.Transport | None = None
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in flight."""
+        return self._exchange is not None
+
+    def is_reusable(self, now: float) -> bool:
+        """Whether the target still keeps the connection at an instant."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        return now - self.idle_since < self._idle_seconds * _IDLE_SHARE
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound the time for unacknowledged bytes."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.get_extra_info('socket').setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            _USER_TIMEOUT_MS,
+        )
+
+    def send(
+        self,
+        effect: SendRequest,
+        headers: HeaderItems,
+        on_outcome: OutcomeCallback,
+    ) -> None:
+        """Hand a request to the kernel; `on_outcome` is called once."""
+        assert self._transport is not None
+        self._exchange = _Exchange(on_outcome)
+        request = effect.request
+        try:
+            head = h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=list(headers),
+            )
+        except h11.LocalProtocolError:
+            self.fail(FailureKind.INVALID)
+            return
+        encoded = (
+            self._http.send(head),
+            self._http.send(h11.Data(data=request.body)),
+            self._http.send(h11.EndOfMessage()),
+        )
+        self._transport.write(b''.join(part or b'' for part in encoded))
+
+    def fail(self, kind: FailureKind) -> None:
+        """Close the connection; the request in flight ends with `kind`."""
+        exchange = self._exchange
+        self._exchange = None
+        if self._transport is not None:
+            self._transport.abort()
+        if exchange is not None:
+            exchange.on_outcome(kind)
+
+    def data_received(self, data: bytes) -> None:
+        """Read a response; bytes that belong to none end the connection."""
+        if self._exchange is None:
+            self.fail(FailureKind.INVALID)
+            return
+        self._read(data)
+
+    def eof_received(self) -> None:
+        """Complete a response that ends with the connection."""
+        if self._exchange is not None:
+            self._read(b'')
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report the loss."""
+        self.fail(FailureKind.RESET)
+        self._on_closed(self)
+
+    def _read(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError:
+            self.fail(FailureKind.INVALID)
+
+    def _read_events(self) -> None:
+        exchange = self._exchange
+        while exchange is not None and self._exchange is exchange:
+            event = self._http.next_event()
+            if isinstance(event, type):
+                return
+            self._take_event(exchange, event)
+
+    def _take_event(self, exchange: _Exchange, event: h11.Event) -> None:
+        if isinstance(event, h11.Response):
+            exchange.status = event.status_code
+            exchange.headers = tuple(event.headers)
+        elif isinstance(event, h11.Data):
+            self._take_data(exchange, bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._complete(exchange)
+        elif isinstance(event, h11.ConnectionClosed):
+            self.fail(FailureKind.RESET)
+
+    def _take_data(self, exchange: _Exchange, data: bytes) -> None:
+        exchange.chunks.append(data)
+        exchange.size += len(data)
+        if exchange.size > _REPLY_BYTES:
+            self.fail(FailureKind.INVALID)
+
+    def _complete(self, exchange: _Exchange) -> None:
+        self._exchange = None
+        announced = _announced_idle_time(exchange.headers)
+        if announced is not None:
+            self._idle_seconds = announced
+        if self._can_restart():
+            self._http.start_next_cycle()
+            self.idle_since = asyncio.get_running_loop().time()
+            self._on_free(self)
+        else:
+            self.fail(FailureKind.RESET)
+        exchange.on_outcome(
+            RawReply(
+                exchange.status,
+                exchange.headers,
+                b''.join(exchange.chunks),
+            ),
+        )
+
+    def _can_restart(self) -> bool:
+        # A target may answer before it has read the body; what is still
+        # buffered belongs to that body.
+        assert self._transport is not None
+        if self._transport.is_closing() or self._http.trailing_data[0]:
+            return False
+        if self._transport.get_write_buffer_size():
+            return False
+        states = {self._http.our_state, self._http.their_state}
+        return states == {h11.DONE}
+
+
+def _announced_idle_time(headers: HeaderItems) -> float | None:
+    announced = dict(headers).get(b'keep-alive', b'')
+    _, _, seconds = announced.partition(b'timeout=')
+    digits = seconds.partition(b',')[0].strip()
+    return float(digits) if digits.isdigit() else None
--- /dev/null
+++ b/nutmegstep/gateway/core.py
@@ -0,0 +1,201 @@
+"""Carries events to the dispatcher and carries out its effects."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Mapping
+from itertools import count
+from typing import Any, Final
+
+from nutmegstep.clock import Clock
+from nutmegstep.dispatch import DispatchState, reduce_event
+from nutmegstep.dispatch.effects import (
+    CancelSend,
+    Decision,
+    DeliverMerged,
+    DeliverRefusal,
+    DeliverReply,
+    DropTarget,
+    Effect,
+    SendRequest,
+    WakeAt,
+)
+from nutmegstep.dispatch.events import (
+    CallerLeft,
+    Event,
+    FailureKind,
+    RequestArrived,
+    RequestDue,
+    RoutedRequest,
+    SendFailed,
+    TargetReplied,
+)
+from nutmegstep.gateway.channel import Outcome
+from nutmegstep.gateway.codec import Delivery, WireCodec
+from nutmegstep.gateway.decisions import DecisionLog
+from nutmegstep.gateway.metrics import GatewayMetrics
+from nutmegstep.gateway.pool import ChannelPool
+from nutmegstep.web import HttpRequest, HttpResponse
+
+__all__ = ['Gateway']
+
+
+class _Waiter:
+    """A caller that waits for its answer."""
+
+    def __init__(self, request: RoutedRequest) -> None:
+        loop = asyncio.get_running_loop()
+        self.request = request
+        self.answer: asyncio.Future[Delivery] = loop.create_future()
+        self.timer: asyncio.TimerHandle | None = None
+        self.wakes_at = float(0)
+
+
+class Gateway:
+    """Serves callers from targets, as the dispatcher decides.
+
+    Parameters
+    ----------
+    state : DispatchState
+        State of the dispatcher.
+    clock : Clock
+        Gives the instant of each event.
+    codec : WireCodec
+        Protocol of callers and targets.
+    metrics : GatewayMetrics
+        Takes counts and latencies.
+
+    Attributes
+    ----------
+    pool : ChannelPool
+        Connections to targets.
+    """
+
+    def __init__(
+        self,
+        state: DispatchState,
+        clock: Clock,
+        codec: WireCodec,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self.state = state
+        self.pool = ChannelPool(clock, codec, self._report)
+        self.decisions = DecisionLog(clock)
+        self._clock = clock
+        self._codec = codec
+        self._metrics = metrics
+        self._ids = count(1)
+        self._events: deque[Event] = deque()
+        self._is_dispatching = False
+        self._waiter_by_request: dict[int, _Waiter] = {}
+        perform: dict[type, Callable[[Any], None]] = {
+            SendRequest: self.pool.send,
+            CancelSend: self._cancel,
+            DropTarget: self._drop,
+            WakeAt: self._wake_at,
+            DeliverReply: self._deliver,
+            DeliverMerged: self._deliver,
+            DeliverRefusal: self._deliver,
+            Decision: self._decide,
+        }
+        self._perform_by_effect: Final[Mapping[type, Callable[[Any], None]]] = (
+            perform
+        )
+
+    @property
+    def open_requests(self) -> int:
+        """Number of callers that wait for an answer."""
+        return len(self._waiter_by_request)
+
+    def dispatch(self, event: Event) -> None:
+        """Reduce an event and carry out the effects.
+
+        An event that an effect causes at once is reduced after the current
+        effects.
+        """
+        self._events.append(event)
+        if self._is_dispatching:
+            return
+        self._is_dispatching = True
+        try:
+            self._drain_events()
+        finally:
+            self._is_dispatching = False
+
+    async def handle(self, http_request: HttpRequest) -> HttpResponse:
+        """Answer a caller; cancelled when the caller leaves."""
+        now = self._clock.monotonic()
+        request = self._codec.read_request(http_request, next(self._ids), now)
+        waiter = _Waiter(request)
+        self._waiter_by_request[request.request_id] = waiter
+        try:
+            self.dispatch(RequestArrived(request))
+            delivery = await waiter.answer
+        except asyncio.CancelledError:
+            self.dispatch(CallerLeft(request.request_id))
+            raise
+        finally:
+            self._waiter_by_request.pop(request.request_id)
+            if waiter.timer is not None:
+                waiter.timer.cancel()
+        seconds = self._clock.monotonic() - now
+        self._metrics.count_request(delivery, seconds)
+        return self._codec.write_response(request, delivery)
+
+    def _drain_events(self) -> None:
+        while self._events:
+            now = self._clock.monotonic()
+            event = self._events.popleft()
+            for effect in reduce_event(self.state, event, now):
+                self._perform(effect)
+
+    def _perform(self, effect: Effect) -> None:
+        self._perform_by_effect[type(effect)](effect)
+
+    def _cancel(self, effect: CancelSend) -> None:
+        self.pool.cancel(effect.send_id)
+
+    def _drop(self, effect: DropTarget) -> None:
+        self.pool.drop_target(effect.target_id)
+
+    def _decide(self, effect: Decision) -> None:
+        self._metrics.count_decision(effect)
+        self.decisions.write(effect)
+
+    def _deliver(self, effect: Delivery) -> None:
+        waiter = self._waiter_by_request.get(effect.request_id)
+        if waiter is not None and not waiter.answer.done():
+            waiter.answer.set_result(effect)
+
+    def _wake_at(self, effect: WakeAt) -> None:
+        waiter = self._waiter_by_request.get(effect.request_id)
+        if waiter is None:
+            return
+        if waiter.timer is not None:
+            # Waking too early is harmless and cheaper than a new timer.
+            if waiter.wakes_at <= effect.instant:
+                return
+            waiter.timer.cancel()
+        waiter.wakes_at = effect.instant
+        waiter.timer = asyncio.get_running_loop().call_later(
+            effect.instant - self._clock.monotonic(),
+            self._wake,
+            waiter,
+        )
+
+    def _wake(self, waiter: _Waiter) -> None:
+        waiter.timer = None
+        self.dispatch(RequestDue(waiter.request.request_id))
+
+    def _report(self, effect: SendRequest, outcome: Outcome) -> None:
+        event: Event
+        if isinstance(outcome, FailureKind):
+            event = SendFailed(effect.send_id, outcome)
+        else:
+            reply = self._codec.read_reply(effect, outcome)
+            event = (
+                SendFailed(effect.send_id, FailureKind.INVALID)
+                if reply is None
+                else TargetReplied(effect.send_id, reply)
+            )
+        self._metrics.count_send(event)
+        self.dispatch(event)
--- /dev/null
+++ b/nutmegstep/gateway/feeds.py
@@ -0,0 +1,154 @@
+"""Turns objects of the store into events of the dispatcher."""
+
+import logging
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+from typing import Final
+
+from returns.pipeline import is_successful
+
+from nutmegstep.clock import Clock
+from nutmegstep.discovery import TargetRecord
+from nutmegstep.dispatch.events import (
+    ConfigurationChanged,
+    DomainsWithdrawn,
+    Event,
+    TargetAnnounced,
+    TargetDiscarded,
+    TargetsListed,
+)
+from nutmegstep.following import Change, Listing
+from nutmegstep.following.core import Subscription
+from nutmegstep.gateway.adapter import Adapter
+
+__all__ = ['Feeds']
+
+_LOG: Final = logging.getLogger(__name__)
+_PROBE_WAIT: Final = timedelta(seconds=4)
+"""Longest wait of the watch that shows that the store answers; a quarter of
+the time in which a change must be in force while the store is unstable."""
+_LONG_WAIT: Final = timedelta(seconds=20)
+"""Longest wait of the other watches; each call is priced."""
+_GATHER: Final = timedelta(milliseconds=200)
+"""Pause after a change; a tenth of the time in which it must be in force."""
+
+
+class Feeds:
+    """Events from the kinds that a gateway follows.
+
+    Parameters
+    ----------
+    adapter : Adapter
+        Decodes objects.
+    clock : Clock
+        Dates announcements.
+    dispatch : Callable
+        Takes events.
+    """
+
+    def __init__(
+        self,
+        adapter: Adapter,
+        clock: Clock,
+        dispatch: Callable[[Event], None],
+    ) -> None:
+        self._adapter = adapter
+        self._clock = clock
+        self._dispatch = dispatch
+        self._withdrawn: set[str] = set()
+
+    def subscriptions(self) -> tuple[Subscription, ...]:
+        """Return what to follow; the first one shows whether calls succeed."""
+        kinds = self._adapter.kinds
+        return (
+            Subscription(
+                kinds.configuration,
+                _PROBE_WAIT,
+                _GATHER,
+                self._list_configurations,
+                self._change_configuration,
+            ),
+            Subscription(
+                kinds.targets,
+                _LONG_WAIT,
+                _GATHER,
+                self._list_targets,
+                self._change_target,
+            ),
+            Subscription(
+                kinds.withdrawals,
+                _LONG_WAIT,
+                _GATHER,
+                self._list_withdrawals,
+                self._change_withdrawal,
+            ),
+        )
+
+    def _list_configurations(self, listing: Listing) -> None:
+        current = self._adapter.kinds.current
+        document = listing.documents_by_name.get(current)
+        if document is None:
+            _LOG.info('the store has no configuration yet')
+        else:
+            self._take_configuration(document)
+
+    def _change_configuration(self, change: Change) -> None:
+        if change.name != self._adapter.kinds.current:
+            return
+        if change.is_deleted:
+            _LOG.error('configuration deleted, the last one stays in force')
+            return
+        self._take_configuration(change.document)
+
+    def _take_configuration(self, document: object) -> None:
+        read = self._adapter.read_configuration(document)
+        if is_successful(read):
+            self._dispatch(ConfigurationChanged(read.unwrap()))
+        else:
+            fields = {'detail': read.failure()}
+            _LOG.error('configuration is invalid', extra=fields)
+
+    def _list_targets(self, listing: Listing) -> None:
+        records = self._read_targets(listing)
+        self._dispatch(
+            TargetsListed({one.target_id: one for one in records}),
+        )
+
+    def _read_targets(self, listing: Listing) -> Iterator[TargetRecord]:
+        for name, document in listing.documents_by_name.items():
+            record = self._read_target(name, document)
+            if record is not None:
+                yield record
+
+    def _read_target(
+        self,
+        name: str,
+        document: object,
+    ) -> TargetRecord | None:
+        now = self._clock.monotonic()
+        read = self._adapter.read_target(name, document, now)
+        if is_successful(read):
+            return read.unwrap()
+        fields = {'target': name, 'detail': read.failure()}
+        _LOG.warning('announcement cannot be read', extra=fields)
+        return None
+
+    def _change_target(self, change: Change) -> None:
+        record = None
+        if not change.is_deleted:
+            record = self._read_target(change.name, change.document)
+        if record is None:
+            self._dispatch(TargetDiscarded(change.name))
+        else:
+            self._dispatch(TargetAnnounced(record))
+
+    def _list_withdrawals(self, listing: Listing) -> None:
+        self._withdrawn = set(listing.documents_by_name)
+        self._dispatch(DomainsWithdrawn(frozenset(self._withdrawn)))
+
+    def _change_withdrawal(self, change: Change) -> None:
+        if change.is_deleted:
+            self._withdrawn.discard(change.name)
+        else:
+            self._withdrawn.add(change.name)
+        self._dispatch(DomainsWithdrawn(frozenset(self._withdrawn)))
--- /dev/null
+++ b/nutmegstep/gateway/metrics.py
@@ -0,0 +1,108 @@
+"""Counters and histograms of a gateway, served as text."""
+
+from typing import Final
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from nutmegstep.dispatch.effects import (
+    Decision,
+    DeliverMerged,
+    DeliverRefusal,
+)
+from nutmegstep.dispatch.events import SendFailed, TargetReplied
+from nutmegstep.gateway.codec import Delivery
+
+__all__ = ['GatewayMetrics']
+
+_BUCKETS: Final = (
+    0.005,
+    0.01,
+    0.02,
+    0.03,
+    0.05,
+    0.075,
+    0.1,
+    0.15,
+    0.25,
+    0.5,
+    1,
+    2,
+    5,
+    10,
+)
+"""Upper bounds in seconds, dense around the target latencies."""
+
+
+class GatewayMetrics:
+    """Metrics of one process.
+
+    Attributes
+    ----------
+    registry : CollectorRegistry
+        Everything that is exported.
+    """
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._requests = Counter(
+            'nutmegstep_requests_total',
+            'Answered requests by outcome.',
+            ('outcome',),
+            registry=self.registry,
+        )
+        self._seconds = Histogram(
+            'nutmegstep_request_seconds',
+            'Time from the end of a request to its answer.',
+            buckets=_BUCKETS,
+            registry=self.registry,
+        )
+        self._sends = Counter(
+            'nutmegstep_target_requests_total',
+            'Requests to targets by outcome.',
+            ('outcome',),
+            registry=self.registry,
+        )
+        self._decisions = Counter(
+            'nutmegstep_decisions_total',
+            'Decisions by name.',
+            ('decision',),
+            registry=self.registry,
+        )
+        self.store_calls = Counter(
+            'nutmegstep_store_calls_total',
+            'Calls to the platform store by operation and outcome.',
+            ('operation', 'outcome'),
+            registry=self.registry,
+        )
+        self.omitted_lines = Gauge(
+            'nutmegstep_omitted_log_lines',
+            'Decisions without a log line since the start.',
+            registry=self.registry,
+        )
+
+    def count_request(self, delivery: Delivery, seconds: float) -> None:
+        """Count an answered request and its latency in seconds."""
+        self._requests.labels(_outcome_of(delivery)).inc()
+        self._seconds.observe(seconds)
+
+    def count_send(self, event: SendFailed | TargetReplied) -> None:
+        """Count the outcome of a request to a target."""
+        if isinstance(event, SendFailed):
+            outcome = event.kind.value
+        elif event.reply.is_success:
+            outcome = 'answered'
+        else:
+            outcome = 'rejected'
+        self._sends.labels(outcome).inc()
+
+    def count_decision(self, decision: Decision) -> None:
+        """Count a decision."""
+        self._decisions.labels(decision.name).inc()
+
+
+def _outcome_of(delivery: Delivery) -> str:
+    if isinstance(delivery, DeliverRefusal):
+        return delivery.refusal.reason.value
+    if isinstance(delivery, DeliverMerged):
+        return 'partial' if delivery.missing else 'complete'
+    return 'passed_on'
--- /dev/null
+++ b/nutmegstep/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter of the operators' platform: names and formats, no decisions."""
--- /dev/null
+++ b/nutmegstep/platform/core.py
@@ -0,0 +1,76 @@
+"""Runs a gateway on the operators' platform."""
+
+import argparse
+import asyncio
+import os
+import sys
+from pathlib import Path
+from typing import Final
+
+from prometheus_client import Counter
+
+from nutmegstep.clock import Clock
+from nutmegstep.gateway.adapter import Adapter, KindNames, Store
+from nutmegstep.gateway.process import serve
+from nutmegstep.platform.documents import read_configuration, read_target
+from nutmegstep.platform.store import ObjectStore
+from nutmegstep.platform.wire import CODEC
+from nutmegstep.platform_api.transport import HttpTransport
+from nutmegstep.settings import (
+    GatewaySettings,
+    SettingsError,
+    read_environment_file,
+    read_settings,
+)
+from nutmegstep.logs import configure_buffered_logs
+
+__all__ = ['ADAPTER', 'main']
+
+_SETTINGS_PATH: Final = 'NUTMEGSTEP_NODE_FILE'
+"""Variable with the path of the settings file."""
+_EXIT_CUT: Final = 1
+_EXIT_USAGE: Final = 2
+
+
+def _open_store(
+    address: tuple[str, int],
+    clock: Clock,
+    counter: Counter,
+) -> Store:
+    return ObjectStore(HttpTransport(*address, clock), counter)
+
+
+ADAPTER: Final = Adapter(
+    codec=CODEC,
+    kinds=KindNames(
+        configuration='config',
+        current='main',
+        targets='servers',
+        withdrawals='evacuations',
+    ),
+    ready_path='/v1/ready',
+    open_store=_open_store,
+    read_configuration=read_configuration,
+    read_target=read_target,
+)
+
+
+def main() -> int:
+    """Run until the process is stopped; return the exit code."""
+    try:
+        settings = _read()
+    except SettingsError as error:
+        print(f'nutmegstep: {error}', file=sys.stderr)
+        return _EXIT_USAGE
+    logs = configure_buffered_logs(settings.log_level, sys.stdout.fileno())
+    answered = asyncio.run(serve(ADAPTER, _read))
+    logs.flush()
+    return 0 if answered else _EXIT_CUT
+
+
+def _read() -> GatewaySettings:
+    variables = dict(os.environ)
+    path = os.environ.get(_SETTINGS_PATH)
+    if path is not None:
+        variables.update(read_environment_file(Path(path)))
+    return read_settings(GatewaySettings, argparse.Namespace(), variables)
--- /dev/null
+++ b/nutmegstep/platform/store.py
@@ -0,0 +1,268 @@
+"""Calls of the operators' store, on the project's transport."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from functools import partial
+from typing import Any, Final, TypeVar
+from urllib.parse import quote, urlencode
+
+import orjson
+from prometheus_client import Counter
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from nutmegstep.following import Change, Changes, HistoryGone, Listing
+from nutmegstep.following.census import VmEntry
+from nutmegstep.platform_api.connection import HttpCall, HttpReply
+from nutmegstep.platform_api.records import (
+    PlatformFailure,
+    PlatformFailureKind,
+)
+from nutmegstep.platform_api.transport import HttpTransport
+
+__all__ = ['KIND_VMS', 'ObjectStore']
+
+KIND_VMS: Final = 'nutmegstep-vms'
+"""Objects by which entry VMs know how many they are."""
+
+_MILLISECOND: Final = timedelta(milliseconds=1)
+_NO_POLL: Final = timedelta(0)
+_STATUS_OK: Final = 200
+_STATUS_REDIRECT: Final = 300
+_STATUS_CONFLICT: Final = 409
+_STATUS_GONE: Final = 410
+_JSON: Final = (('Content-Type', 'application/json'),)
+
+_Object = Mapping[str, Any]
+_Read = TypeVar('_Read')
+
+
+@dataclass(frozen=True, slots=True)
+class _Page:
+    """Objects of a listing, as they came."""
+
+    found: tuple[_Object, ...]
+    has_more: bool
+    revision: int
+
+
+class ObjectStore:
+    """Reads and writes objects by kind and name.
+
+    Parameters
+    ----------
+    transport : HttpTransport
+        Carries the calls.
+    counter : prometheus_client.Counter
+        Counts calls by operation and outcome.
+    """
+
+    def __init__(self, transport: HttpTransport, counter: Counter) -> None:
+        self._transport = transport
+        self._counter = counter
+
+    async def list_kind(self, kind: str) -> Result[Listing, PlatformFailure]:
+        """Read all objects of a kind at the revision of the first page."""
+        listed = await self._pages(kind, {})
+        return listed.map(
+            lambda page: Listing(
+                {_name_of(one): one.get('spec') for one in page.found},
+                page.revision,
+            ),
+        )
+
+    async def watch_kind(
+        self,
+        kind: str,
+        revision: int,
+        wait: timedelta,
+    ) -> Result[Changes | HistoryGone, PlatformFailure]:
+        """Wait for changes after a revision."""
+        query = {'watch': revision, 'wait_ms': wait // _MILLISECOND}
+        called = await self._call(
+            'watch',
+            HttpCall('GET', _path(kind, query)),
+            poll=wait,
+        )
+        if not is_successful(called):
+            return Failure(called.failure())
+        reply = called.unwrap()
+        if reply.status == _STATUS_GONE:
+            return Success(HistoryGone())
+        return _decode(_read_changes, reply)
+
+    async def list_vms(self) -> Result[dict[str, VmEntry], PlatformFailure]:
+        """Read the entries of all VMs; they may be seconds old."""
+        listed = await self._pages(KIND_VMS, {'allow_stale': 1})
+        return listed.map(
+            lambda page: {
+                _name_of(one): _read_vm_entry(one) for one in page.found
+            },
+        )
+
+    async def put_vm(
+        self,
+        name: str,
+        failure_domain: str,
+        renewal: int,
+    ) -> Result[None, PlatformFailure]:
+        """Create or renew the entry of this VM."""
+        spec = {'failure_domain': failure_domain, 'renewal': renewal}
+        meta = {'name': name}
+        body = orjson.dumps({'meta': meta, 'spec': spec})
+        path = _path(KIND_VMS, {})
+        create = HttpCall('POST', path, body, _JSON)
+        called = await self._call('create', create, is_write=True)
+        if not is_successful(called):
+            return Failure(called.failure())
+        if called.unwrap().status != _STATUS_CONFLICT:
+            return Success(None)
+        replace = HttpCall('PUT', f'{path}/{quote(name)}', body, _JSON)
+        replaced = await self._call('replace', replace, is_write=True)
+        return replaced.map(lambda _: None)
+
+    async def delete_vm(self, name: str) -> Result[None, PlatformFailure]:
+        """Delete the entry of a VM that is gone."""
+        path = _path(KIND_VMS, {})
+        call = HttpCall('DELETE', f'{path}/{quote(name)}')
+        called = await self._call('delete', call, is_write=True)
+        return called.map(lambda _: None)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._transport.close()
+
+    async def _pages(
+        self,
+        kind: str,
+        query: Mapping[str, object],
+    ) -> Result[_Page, PlatformFailure]:
+        found = await self._page(kind, query)
+        more = found.map(_last_name).value_or('')
+        while more:
+            following = await self._page(kind, {**query, 'after': more})
+            # Changes between two pages are seen again by the watch, which
+            # goes on from the first page.
+            found = found.bind(partial(_join, following))
+            more = following.map(_last_name).value_or('')
+        return found
+
+    async def _page(
+        self,
+        kind: str,
+        query: Mapping[str, object],
+    ) -> Result[_Page, PlatformFailure]:
+        called = await self._call('list', HttpCall('GET', _path(kind, query)))
+        return called.bind(partial(_decode, _read_page))
+
+    async def _call(
+        self,
+        operation: str,
+        http: HttpCall,
+        *,
+        is_write: bool = False,
+        poll: timedelta = _NO_POLL,
+    ) -> Result[HttpReply, PlatformFailure]:
+        called = await self._transport.call(
+            http,
+            is_write=is_write,
+            poll=poll,
+        )
+        checked = called.bind(lambda reply: _check(http, reply))
+        outcome = 'ok'
+        if not is_successful(checked):
+            outcome = checked.failure().kind.value
+        self._counter.labels(operation, outcome).inc()
+        return checked
+
+
+def _check(
+    http: HttpCall,
+    reply: HttpReply,
+) -> Result[HttpReply, PlatformFailure]:
+    # 410 and 409 are answers that the caller of the function decides on.
+    if _STATUS_OK <= reply.status < _STATUS_REDIRECT:
+        return Success(reply)
+    if reply.status in {_STATUS_CONFLICT, _STATUS_GONE}:
+        return Success(reply)
+    detail = f'{http.method} {http.path}: status {reply.status}'
+    return Failure(PlatformFailure(PlatformFailureKind.UNAVAILABLE, detail))
+
+
+def _decode(
+    read: Callable[[Any], _Read],
+    reply: HttpReply,
+) -> Result[_Read, PlatformFailure]:
+    try:
+        return Success(read(orjson.loads(reply.body)))
+    except (KeyError, TypeError, ValueError) as error:
+        detail = f'malformed reply: {error!r}'
+        return Failure(
+            PlatformFailure(PlatformFailureKind.INVALID_REPLY, detail),
+        )
+
+
+def _join(
+    following: Result[_Page, PlatformFailure],
+    found: _Page,
+) -> Result[_Page, PlatformFailure]:
+    return following.map(
+        lambda page: replace(
+            found,
+            found=(*found.found, *page.found),
+            has_more=page.has_more,
+        ),
+    )
+
+
+def _last_name(page: _Page) -> str:
+    return _name_of(page.found[-1]) if page.has_more and page.found else ''
+
+
+def _read_page(document: Any) -> _Page:
+    return _Page(
+        tuple(one for one in document['items'] if _has_name(one)),
+        bool(document['more']),
+        int(document['at']),
+    )
+
+
+def _read_changes(document: Any) -> Changes:
+    events = [
+        event for event in document['events'] if _has_name(event['object'])
+    ]
+    changes = (
+        Change(
+            _name_of(event['object']),
+            event['object'].get('spec'),
+            bool(event['deleted']),
+        )
+        for event in events
+    )
+    return Changes(tuple(changes), int(document['at']))
+
+
+def _read_vm_entry(one: _Object) -> VmEntry:
+    spec = one.get('spec')
+    domain = spec.get('failure_domain') if isinstance(spec, dict) else ''
+    meta = one['meta']
+    revision = meta.get('rev') if isinstance(meta, dict) else 0
+    return VmEntry(str(domain), revision if isinstance(revision, int) else 0)
+
+
+def _has_name(one: object) -> bool:
+    if not isinstance(one, dict):
+        return False
+    meta = one.get('meta')
+    return isinstance(meta, dict) and isinstance(meta.get('name'), str)
+
+
+def _name_of(one: _Object) -> str:
+    meta = one['meta']
+    return str(meta['name']) if isinstance(meta, dict) else ''
+
+
+def _path(kind: str, query: Mapping[str, object]) -> str:
+    suffix = f'?{urlencode(query)}' if query else ''
+    return f'/v1/objects/{kind}{suffix}'
--- /dev/null
+++ b/nutmegstep/platform/wire.py
@@ -0,0 +1,196 @@
+"""Headers of callers and targets on the operators' platform."""
+
+from itertools import chain
+from typing import Final
+
+import orjson
+
+from nutmegstep.dispatch.effects import (
+    DeliverMerged,
+    DeliverReply,
+    SendRequest,
+)
+from nutmegstep.dispatch.events import (
+    HeaderItems,
+    RoutedRequest,
+    TargetReply,
+)
+from nutmegstep.gateway import RawReply, WireCodec
+from nutmegstep.gateway.codec import Delivery
+from nutmegstep.verdict import Reason, Refusal, Verdict, http_status
+from nutmegstep.web import HttpRequest, HttpResponse
+
+__all__ = ['CODEC']
+
+_ATTEMPT_ID: Final = b'x-nutmegstep-attempt-id'
+_DEADLINE: Final = b'x-nutmegstep-deadline-ms'
+# Identifier of the target that is meant; any other one answers 421.
+_EXPECTED_TARGET: Final = b'x-nutmegstep-expect-instance'
+# Signature of a target's reply.
+_SIGNATURE: Final = b'x-nutmegstep-server-stamp'
+_NOT_EXECUTED: Final = b'x-nutmegstep-not-executed'
+_PART_SIGNATURES: Final = 'X-Nutmegstep-Part-Stamps'
+_MISSING_PARTS: Final = 'X-Nutmegstep-Missing-Parts'
+
+_HOP_BY_HOP: Final = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    ),
+)
+_OWN_REQUEST_HEADERS: Final = frozenset((_DEADLINE, _EXPECTED_TARGET))
+_MILLISECONDS: Final = 1000
+_STATUS_OK: Final = 200
+_STATUS_MISDIRECTED: Final = 421
+_STATUS_BAD_GATEWAY: Final = 502
+_STATUS_GATEWAY_TIMEOUT: Final = 504
+_BODILESS: Final = frozenset((b'GET', b'HEAD'))
+
+
+def _read_request(
+    http_request: HttpRequest,
+    request_id: int,
+    now: float,
+) -> RoutedRequest:
+    items = http_request.header_items
+    dropped = _connection_options(items) | _OWN_REQUEST_HEADERS
+    return RoutedRequest(
+        request_id=request_id,
+        caller_id=http_request.headers.get(_ATTEMPT_ID.decode(), ''),
+        method=http_request.method.encode(),
+        target=http_request.target,
+        host=http_request.headers.get('host', ''),
+        path=http_request.path,
+        headers=tuple(item for item in items if item[0] not in dropped),
+        body=http_request.body,
+        time_left=_read_deadline(
+            http_request.headers.get(_DEADLINE.decode(), ''),
+        ),
+        arrived=now,
+        is_first=http_request.is_first,
+    )
+
+
+def _request_headers(effect: SendRequest, seconds_left: float) -> HeaderItems:
+    request = effect.request
+    deadline = max(1, int(seconds_left * _MILLISECONDS))
+    own = (
+        (_DEADLINE, b'%d' % deadline),
+        (_EXPECTED_TARGET, effect.target.target_id.encode()),
+    )
+    if request.method in _BODILESS and not request.body:
+        return (*request.headers, *own)
+    length = (b'content-length', b'%d' % len(request.body))
+    return (*request.headers, *own, length)
+
+
+def _read_reply(effect: SendRequest, raw: RawReply) -> TargetReply | None:
+    header_by_name = dict(raw.headers)
+    echoed = header_by_name.get(_ATTEMPT_ID)
+    caller_id = effect.request.caller_id
+    if echoed is not None and echoed.decode('latin-1') != caller_id:
+        return None
+    # Callers ask for no encoding, so an encoded body is not the target's.
+    if b'content-encoding' in header_by_name:
+        return None
+    is_misdirected = raw.status == _STATUS_MISDIRECTED
+    dropped = _connection_options(raw.headers)
+    return TargetReply(
+        status=raw.status,
+        headers=tuple(item for item in raw.headers if item[0] not in dropped),
+        body=raw.body,
+        signature=header_by_name.get(_SIGNATURE, b'').decode('latin-1'),
+        was_executed=not is_misdirected and _NOT_EXECUTED not in header_by_name,
+        is_misdirected=is_misdirected,
+    )
+
+
+def _write_response(
+    request: RoutedRequest,
+    delivery: Delivery,
+) -> HttpResponse:
+    if isinstance(delivery, DeliverReply):
+        return _pass_on(delivery.reply)
+    if isinstance(delivery, DeliverMerged):
+        return _write_merged(request, delivery)
+    return _write_refusal(request, delivery.refusal)
+
+
+def _pass_on(reply: TargetReply) -> HttpResponse:
+    headers = tuple(
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in reply.headers
+    )
+    return HttpResponse(reply.status, reply.body, headers, content_type='')
+
+
+def _write_merged(
+    request: RoutedRequest,
+    delivery: DeliverMerged,
+) -> HttpResponse:
+    headers = (
+        (_ATTEMPT_ID.decode(), request.caller_id),
+        (_PART_SIGNATURES, ', '.join(delivery.signatures)),
+        (_MISSING_PARTS, str(delivery.missing)),
+    )
+    return HttpResponse(
+        _STATUS_OK,
+        delivery.body,
+        headers,
+        content_type='application/octet-stream',
+    )
+
+
+def _write_refusal(request: RoutedRequest, refusal: Refusal) -> HttpResponse:
+    seconds = refusal.retry_after.total_seconds()
+    headers = (
+        (_ATTEMPT_ID.decode(), request.caller_id),
+        ('Retry-After', f'{seconds:.3f}'),
+    )
+    document = {
+        'verdict': refusal.verdict.value,
+        'reason': refusal.reason.value,
+        'detail': refusal.detail,
+    }
+    return HttpResponse(_status_of(refusal), orjson.dumps(document), headers)
+
+
+def _status_of(refusal: Refusal) -> int:
+    # 429 and 503 promise that the request has not run and never will.
+    if refusal.verdict is Verdict.NOT_RUN:
+        status = http_status(refusal.reason)
+        return 503 if status == _STATUS_GATEWAY_TIMEOUT else status
+    if refusal.reason is Reason.DEADLINE_EXCEEDED:
+        return _STATUS_GATEWAY_TIMEOUT
+    return _STATUS_BAD_GATEWAY
+
+
+def _connection_options(items: HeaderItems) -> frozenset[bytes]:
+    named = chain.from_iterable(
+        text.lower().split(b',')
+        for name, text in items
+        if name == b'connection'
+    )
+    return _HOP_BY_HOP.union(option.strip() for option in named)
+
+
+def _read_deadline(text: str) -> float | None:
+    return int(text) / _MILLISECONDS if text.isdigit() else None
+
+
+CODEC: Final = WireCodec(
+    _read_request,
+    _request_headers,
+    _read_reply,
+    _write_response,
+)
+"""Codec of the platform's protocol."""
--- a/nutmegstep/platform_api/connection.py
+++ b/nutmegstep/platform_api/connection.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection to the platform."""
 
 import asyncio
+import socket
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final, Self
@@ -10,6 +11,12 @@
 __all__ = ['HttpCall', 'HttpReply', 'PlatformConnection']
 
 _READ_BYTES: Final = 65536
+_PROBE_SECONDS: Final = 1
+"""Idle time before the first keep-alive probe, and between two probes."""
+_PROBES: Final = 2
+"""Unanswered probes after which a connection counts as silent."""
+_USER_TIMEOUT_MS: Final = 2000
+"""Longest time for which sent bytes stay unacknowledged."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +79,7 @@
             The platform cannot be reached.
         """
         reader, writer = await asyncio.open_connection(host, port)
+        _bound_silence(writer.get_extra_info('socket'))
         return cls(f'{host}:{port}', reader, writer)
 
     @property
@@ -141,6 +149,20 @@
         return event
 
 
+def _bound_silence(connected: socket.socket) -> None:
+    # A waiting watch sends nothing. Without probes a connection that
+    # something between the ends has forgotten would wait until it times out.
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    options = (
+        (socket.TCP_KEEPIDLE, _PROBE_SECONDS),
+        (socket.TCP_KEEPINTVL, _PROBE_SECONDS),
+        (socket.TCP_KEEPCNT, _PROBES),
+        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+    )
+    for option, number in options:
+        connected.setsockopt(socket.IPPROTO_TCP, option, number)
+
+
 def _take(reply: HttpReply, event: h11.Event) -> None:
     if isinstance(event, h11.Response):
         reply.status = event.status_code
--- a/nutmegstep/platform_api/core.py
+++ b/nutmegstep/platform_api/core.py
@@ -1,23 +1,16 @@
 """Calls to the platform's object API with typed failures."""
 
-import asyncio
 from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import Final, TypeVar
 from urllib.parse import quote, urlencode
 
-import h11
 from pydantic import TypeAdapter, ValidationError
 from returns.result import Failure, Result, Success
 
-from nutmegstep.clock import Clock, SystemClock
-from nutmegstep.platform_api.connection import (
-    HttpCall,
-    HttpReply,
-    PlatformConnection,
-)
+from nutmegstep.clock import Clock
+from nutmegstep.platform_api.connection import HttpCall, HttpReply
 from nutmegstep.platform_api.records import (
     CallKind,
     PlatformFailure,
@@ -27,11 +20,14 @@
     WatchReply,
 )
 from nutmegstep.platform_api.status import failure_of_status
+from nutmegstep.platform_api.transport import (
+    CALL_TIMEOUT,
+    IDLE_TIMEOUT,
+    HttpTransport,
+)
 
 __all__ = ['CALL_TIMEOUT', 'IDLE_TIMEOUT', 'WATCH_POLL', 'ObjectClient']
 
-CALL_TIMEOUT: Final = timedelta(seconds=2)
-IDLE_TIMEOUT: Final = timedelta(seconds=15)
 WATCH_POLL: Final = timedelta(seconds=30)
 _MILLISECOND: Final = timedelta(milliseconds=1)
 _NO_POLL: Final = timedelta(0)
@@ -42,25 +38,6 @@
 _watch_adapter = TypeAdapter(WatchReply)
 
 
-@dataclass(frozen=True, slots=True)
-class _Attempt:
-    kind: CallKind
-    http: HttpCall
-    seconds: float
-    deadline: float
-
-    def fail(
-        self,
-        kind: PlatformFailureKind,
-        detail: str,
-        *,
-        sent: bool,
-    ) -> Result[HttpReply, PlatformFailure]:
-        where = f'{self.http.method} {self.http.path}: {detail}'
-        applied = sent and self.kind in _WRITES
-        return Failure(PlatformFailure(kind, where, applied))
-
-
 class ObjectClient:
     """Client of the object API; reuses connections, newest first.
 
@@ -84,11 +61,7 @@
         timeout: timedelta = CALL_TIMEOUT,
     ) -> None:
         self.calls_by_kind: Counter[CallKind] = Counter()
-        self._host = host
-        self._port = port
-        self._clock = clock or SystemClock()
-        self._timeout = timeout
-        self._idle: list[PlatformConnection] = []
+        self._transport = HttpTransport(host, port, clock, timeout)
 
     async def get(self, name: str) -> Result[StoredObject, PlatformFailure]:
         """Read an object; `NOT_FOUND` when it does not exist."""
@@ -167,9 +140,7 @@
 
     def close(self) -> None:
         """Close the idle connections."""
-        for connection in self._idle:
-            connection.close()
-        self._idle.clear()
+        self._transport.close()
 
     async def _call(
         self,
@@ -178,69 +149,24 @@
         poll: timedelta = _NO_POLL,
     ) -> Result[HttpReply, PlatformFailure]:
         self.calls_by_kind[kind] += 1
-        seconds = (self._timeout + poll).total_seconds()
-        deadline = asyncio.get_running_loop().time() + seconds
-        attempt = _Attempt(kind, http, seconds, deadline)
-        try:
-            async with asyncio.timeout_at(attempt.deadline):
-                connection = await self._take()
-        except TimeoutError:
-            detail = f'no connection within {attempt.seconds} s'
-            return attempt.fail(
-                PlatformFailureKind.TIMEOUT,
-                detail,
-                sent=False,
-            )
-        except OSError as error:
-            return attempt.fail(
-                PlatformFailureKind.UNREACHABLE,
-                str(error),
-                sent=False,
-            )
-        return await self._exchange(attempt, connection)
-
-    async def _exchange(
-        self,
-        attempt: _Attempt,
-        connection: PlatformConnection,
-    ) -> Result[HttpReply, PlatformFailure]:
-        try:
-            async with asyncio.timeout_at(attempt.deadline):
-                reply = await connection.exchange(attempt.http)
-        except TimeoutError:
-            kind = PlatformFailureKind.TIMEOUT
-            detail = f'no reply within {attempt.seconds} s'
-            return attempt.fail(kind, detail, sent=connection.bytes_sent)
-        except OSError as error:
-            kind = PlatformFailureKind.UNREACHABLE
-            return attempt.fail(kind, str(error), sent=connection.bytes_sent)
-        except h11.RemoteProtocolError as error:
-            kind = PlatformFailureKind.INVALID_REPLY
-            return attempt.fail(kind, str(error), sent=connection.bytes_sent)
-        finally:
-            self._give_back(connection)
-        failed = failure_of_status(
-            reply.status,
-            f'{attempt.http.method} {attempt.http.path}',
-            is_write=attempt.kind in _WRITES,
+        is_write = kind in _WRITES
+        called = await self._transport.call(http, is_write=is_write, poll=poll)
+        return called.bind(
+            lambda reply: _check_status(reply, http, is_write),
         )
-        return Success(reply) if failed is None else Failure(failed)
 
-    async def _take(self) -> PlatformConnection:
-        oldest = self._clock.monotonic() - IDLE_TIMEOUT.total_seconds()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.reusable and connection.idle_since > oldest:
-                return connection
-            connection.close()
-        return await PlatformConnection.open(self._host, self._port)
 
-    def _give_back(self, connection: PlatformConnection) -> None:
-        if not connection.reusable:
-            connection.close()
-            return
-        connection.idle_since = self._clock.monotonic()
-        self._idle.append(connection)
+def _check_status(
+    reply: HttpReply,
+    http: HttpCall,
+    is_write: bool,
+) -> Result[HttpReply, PlatformFailure]:
+    failed = failure_of_status(
+        reply.status,
+        f'{http.method} {http.path}',
+        is_write=is_write,
+    )
+    return Success(reply) if failed is None else Failure(failed)
 
 
 def _path(name: str) -> str:
--- a/nutmegstep/settings/__init__.py
+++ b/nutmegstep/settings/__init__.py
@@ -1,10 +1,20 @@
-"""Settings of the entry process."""
+"""Settings of the processes: flags and environment variables, checked."""
 
 from nutmegstep.settings.core import (
     Settings,
     SettingsError,
     add_arguments,
     load_settings,
+    read_settings,
 )
+from nutmegstep.settings.gateway import GatewaySettings, read_environment_file
 
-__all__ = ['Settings', 'SettingsError', 'add_arguments', 'load_settings']
+__all__ = [
+    'GatewaySettings',
+    'Settings',
+    'SettingsError',
+    'add_arguments',
+    'load_settings',
+    'read_environment_file',
+    'read_settings',
+]
--- a/nutmegstep/settings/core.py
+++ b/nutmegstep/settings/core.py
@@ -5,9 +5,24 @@
 from dataclasses import MISSING, Field, dataclass, field, fields
 from ipaddress import ip_address
 from pathlib import Path
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
-__all__ = ['Settings', 'SettingsError', 'add_arguments', 'load_settings']
+if TYPE_CHECKING:
+    from _typeshed import DataclassInstance
+
+__all__ = [
+    'Settings',
+    'SettingsError',
+    'add_arguments',
+    'load_settings',
+    'read_address',
+    'read_level',
+    'read_name',
+    'read_settings',
+    'setting',
+]
+
+_Kind = TypeVar('_Kind', bound='DataclassInstance')
 
 _PREFIX: Final = 'NUTMEGSTEP_'
 _PORT_MAX: Final = 65535
@@ -29,7 +44,8 @@
     return port
 
 
-def _read_address(text: str) -> tuple[str, int]:
+def read_address(text: str) -> tuple[str, int]:
+    """Return IP number and port of an address."""
     host, _, port = text.rpartition(':')
     return _read_ip(host.strip('[]')), _read_port(port)
 
@@ -37,11 +53,12 @@
 def _read_seeds(text: str) -> tuple[str, ...]:
     parts = [part.strip() for part in text.split(',') if part.strip()]
     for part in parts:
-        _read_address(part)
+        read_address(part)
     return tuple(parts)
 
 
-def _read_name(text: str) -> str:
+def read_name(text: str) -> str:
+    """Return a text that is not blank."""
     if not text.strip():
         raise ValueError(text)
     return text
@@ -61,18 +78,32 @@
     return count
 
 
-def _read_level(text: str) -> str:
+def read_level(text: str) -> str:
+    """Return the name of a logging level."""
     if text not in _LEVELS:
         raise ValueError(text)
     return text
 
 
-def _setting(
+def setting(
     read: Callable[[str], Any],
     expected: str,
     text: str,
     default: Any = MISSING,
 ) -> Any:
+    """Declare a field of a settings class.
+
+    Parameters
+    ----------
+    read : Callable
+        Returns the value of a text or raises ValueError.
+    expected : str
+        What a valid text is.
+    text : str
+        Help.
+    default : object, optional
+        Value when neither flag nor variable is given.
+    """
     metadata = {'read': read, 'expected': expected, 'help': text}
     return field(default=default, metadata=metadata)
 
@@ -117,117 +148,120 @@
         Least severe level that is logged.
     """
 
-    platform: tuple[str, int] = _setting(
-        _read_address,
+    platform: tuple[str, int] = setting(
+        read_address,
         'an IP number and a port, as in 127.0.0.1:8500',
         'address of the platform object API',
     )
-    failure_domain: str = _setting(
-        _read_name,
+    failure_domain: str = setting(
+        read_name,
         'a name',
         'failure domain of this VM',
     )
-    host: str = _setting(
+    host: str = setting(
         _read_ip,
         'an IP number',
         'IP number of the callers port',
         '127.0.0.1',
     )
-    port: int = _setting(
+    port: int = setting(
         _read_port,
         f'a port from 0 to {_PORT_MAX}',
         'callers port; 0 lets the kernel choose',
         0,
     )
-    port_file: Path | None = _setting(
+    port_file: Path | None = setting(
         Path,
         'a path',
         'file that receives the callers address',
         None,
     )
-    operator_host: str = _setting(
+    operator_host: str = setting(
         _read_ip,
         'an IP number',
         'IP number of the operators HTTP port',
         '127.0.0.1',
     )
-    operator_port: int = _setting(
+    operator_port: int = setting(
         _read_port,
         f'a port from 0 to {_PORT_MAX}',
         'operators HTTP port; 0 lets the kernel choose',
         0,
     )
-    vm_name: str = _setting(
-        _read_name,
+    vm_name: str = setting(
+        read_name,
         'a name',
         'name of this VM, as in the list of the platform',
         'entry-vm',
     )
-    peer_host: str = _setting(
+    peer_host: str = setting(
         _read_ip,
         'an IP number',
         'IP number for peers and operators (gRPC)',
         '127.0.0.1',
     )
-    peer_port: int = _setting(
+    peer_port: int = setting(
         _read_port,
         f'a port from 0 to {_PORT_MAX}',
         'gRPC port for peers and operators; 0 lets the kernel choose',
         0,
     )
-    peer_port_file: Path | None = _setting(
+    peer_port_file: Path | None = setting(
         Path,
         'a path',
         'file that receives the address for peers',
         None,
     )
-    seeds: tuple[str, ...] = _setting(
+    seeds: tuple[str, ...] = setting(
         _read_seeds,
         'addresses separated by commas, as in 127.0.0.1:9000,127.0.0.2:9000',
         'peers that are asked while no other VM is known',
         (),
     )
-    tls_certificate: Path | None = _setting(
+    tls_certificate: Path | None = setting(
         Path,
         'a path',
         'PEM file with the certificate of this VM',
         None,
     )
-    tls_key: Path | None = _setting(
+    tls_key: Path | None = setting(
         Path,
         'a path',
         'PEM file with the key of this VM',
         None,
     )
-    tls_authorities: Path | None = _setting(
+    tls_authorities: Path | None = setting(
         Path,
         'a path',
         'PEM file with the authorities that sign certificates',
         None,
     )
-    caller_connections: int = _setting(
+    caller_connections: int = setting(
         _read_count,
         'an integer of at least 1',
         'most open connections of callers',
         1000,
     )
-    sampling_ratio: float = _setting(
+    sampling_ratio: float = setting(
         _read_ratio,
         'a number from 0 to 1',
         'share of new traces that are recorded',
         0.01,
     )
-    log_level: str = _setting(
-        _read_level,
+    log_level: str = setting(
+        read_level,
         f'one of {", ".join(_LEVELS)}',
         'least severe level that is logged',
         'info',
     )
 
 
-def add_arguments(parser: argparse.ArgumentParser) -> None:
+def add_arguments(
+    parser: argparse.ArgumentParser,
+    kind: type[Any] = Settings,
+) -> None:
     """Add a flag for each setting; the help names the variable too."""
-    for one in fields(Settings):
+    for one in fields(kind):
         required = one.default is MISSING
         default = 'required' if required else f'default {one.default}'
         parser.add_argument(
@@ -241,10 +275,26 @@
     arguments: argparse.Namespace,
     environment: Mapping[str, str],
 ) -> Settings:
-    """Return the settings; a flag goes before its environment variable.
+    """Return the settings of an entry process.
+
+    See Also
+    --------
+    read_settings
+    """
+    return _check_tls(read_settings(Settings, arguments, environment))
+
+
+def read_settings(
+    kind: type[_Kind],
+    arguments: argparse.Namespace,
+    environment: Mapping[str, str],
+) -> _Kind:
+    """Return settings; a flag goes before its environment variable.
 
     Parameters
     ----------
+    kind : type
+        Data class whose fields were declared with `setting`.
     arguments : argparse.Namespace
         Result of a parser that `add_arguments` has extended.
     environment : Mapping
@@ -256,14 +306,14 @@
         A setting is missing or not valid.
     """
     found: dict[str, Any] = {}
-    for one in fields(Settings):
-        text = getattr(arguments, one.name)
+    for one in fields(kind):
+        text = getattr(arguments, one.name, None)
         text = environment.get(_environment_name(one)) if text is None else text
         if text is not None:
             found[one.name] = _read(one, text)
         elif one.default is MISSING:
             raise SettingsError(f'{_names(one)} is not set')
-    return _check_tls(Settings(**found))
+    return kind(**found)
 
 
 def _check_tls(settings: Settings) -> Settings:
--- /dev/null
+++ b/nutmegstep/settings/gateway.py
@@ -0,0 +1,175 @@
+"""Settings of a gateway, from flags, environment variables or a file."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Final
+
+from nutmegstep.settings.core import (
+    SettingsError,
+    read_address,
+    read_level,
+    read_name,
+    setting,
+)
+
+__all__ = ['GatewaySettings', 'read_environment_file']
+
+_ADDRESS: Final = 'an IP number and a port, as in 127.0.0.1:8080'
+_SECONDS: Final = 'a number of seconds above 0'
+_NUMBER: Final = 'a number of at least 0'
+
+
+def _read_number(text: str) -> float:
+    number = float(text)
+    if not 0 <= number < float('inf'):
+        raise ValueError(text)
+    return number
+
+
+def _read_seconds(text: str) -> timedelta:
+    seconds = _read_number(text)
+    if not seconds:
+        raise ValueError(text)
+    return timedelta(seconds=seconds)
+
+
+def _read_port(text: str) -> int:
+    return read_address(f'127.0.0.1:{text}')[1]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class GatewaySettings:
+    """Settings of one gateway process.
+
+    Parameters
+    ----------
+    vm_name : str
+        Name of this VM.
+    failure_domain : str
+        Failure domain of this VM.
+    callers_address : tuple of str and int
+        Where callers connect.
+    ready_address : tuple of str and int
+        Where the balancer asks whether this VM takes callers.
+    store_address : tuple of str and int
+        The platform's store.
+    metrics_port : int
+        Port of the metrics on the callers' IP number; 0 serves none.
+    grace : datetime.timedelta
+        Time from SIGTERM until the process is killed.
+    repeat_ratio, repeat_slack : float
+        Extra sends to a service over all VMs: per request, and in addition
+        per window.
+    repeat_window : datetime.timedelta
+        Window of that bound.
+    cold_overshoot, cold_slack : float
+        Load of a cold target over all VMs: factor on its declared rate, and
+        requests per second in addition.
+    log_level : str
+        Least severe level that is logged.
+    """
+
+    vm_name: str = setting(read_name, 'a name', 'name of this VM')
+    failure_domain: str = setting(
+        read_name,
+        'a name',
+        'failure domain of this VM',
+    )
+    callers_address: tuple[str, int] = setting(
+        read_address,
+        _ADDRESS,
+        'where callers connect',
+    )
+    ready_address: tuple[str, int] = setting(
+        read_address,
+        _ADDRESS,
+        'where the balancer asks for readiness',
+    )
+    store_address: tuple[str, int] = setting(
+        read_address,
+        _ADDRESS,
+        'address of the platform store',
+    )
+    metrics_port: int = setting(
+        _read_port,
+        'a port',
+        'port of the metrics; 0 serves none',
+        0,
+    )
+    grace: timedelta = setting(
+        _read_seconds,
+        _SECONDS,
+        'time from SIGTERM until the process is killed, in seconds',
+        timedelta(seconds=6),
+    )
+    repeat_ratio: float = setting(
+        _read_number,
+        _NUMBER,
+        'extra sends per request, over all VMs',
+        0.2,
+    )
+    repeat_slack: float = setting(
+        _read_number,
+        _NUMBER,
+        'extra sends per window in addition, over all VMs',
+        50,
+    )
+    repeat_window: timedelta = setting(
+        _read_seconds,
+        _SECONDS,
+        'window of the bound on extra sends, in seconds',
+        timedelta(seconds=10),
+    )
+    cold_overshoot: float = setting(
+        _read_number,
+        _NUMBER,
+        'factor on the declared rate of a cold target',
+        1,
+    )
+    cold_slack: float = setting(
+        _read_number,
+        _NUMBER,
+        'requests per second to a cold target in addition',
+        5,
+    )
+    log_level: str = setting(
+        read_level,
+        'debug, info, warning or error',
+        'least severe level that is logged',
+        'info',
+    )
+
+
+def read_environment_file(
+    path: Path,
+    read_text: Callable[[Path], str] = Path.read_text,
+) -> dict[str, str]:
+    """Return the variables of a file with one ``NAME=value`` a line.
+
+    Empty lines, lines that begin with ``#`` and empty values are passed over.
+
+    Raises
+    ------
+    SettingsError
+        The file cannot be read, or a line has no equals sign.
+    """
+    try:
+        text = read_text(path)
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f'{path} cannot be read: {error}') from error
+    lines = (line.strip() for line in text.splitlines())
+    pairs = [
+        _read_line(path, number, line)
+        for number, line in enumerate(lines, start=1)
+        if line and not line.startswith('#')
+    ]
+    return {name: value for name, value in pairs if value}
+
+
+def _read_line(path: Path, number: int, line: str) -> tuple[str, str]:
+    name, equals, value = line.partition('=')
+    if not equals:
+        raise SettingsError(f'{path}, line {number}: no equals sign')
+    return name.strip(), value.strip()
--- a/nutmegstep/verdict/core.py
+++ b/nutmegstep/verdict/core.py
@@ -25,6 +25,8 @@
     BAD_REQUEST = 'bad_request'
     TOO_LARGE = 'too_large'
     UNKNOWN_SERVICE = 'unknown_service'
+    UNKNOWN_ROUTE = 'unknown_route'
+    NO_TARGET = 'no_target'
     NO_CONFIGURATION = 'no_configuration'
     OVERLOADED = 'overloaded'
     DRAINING = 'draining'
@@ -74,6 +76,7 @@
         Reason.BAD_REQUEST: 400,
         Reason.KEY_INVALID: 400,
         Reason.UNKNOWN_SERVICE: 404,
+        Reason.UNKNOWN_ROUTE: 404,
         Reason.ALREADY_CLAIMED: 409,
         Reason.KEY_EXPIRED: 409,
         Reason.KEY_REUSED: 409,
--- a/nutmegstep/web/connection.py
+++ b/nutmegstep/web/connection.py
@@ -58,6 +58,8 @@
         """Keep a half-closed connection open until its answer is sent."""
         if self.cycle.phase is not Phase.LINGERING:
             self.cycle.feed(b'')
+        if self._owner.limits.cancels_half_closed:
+            return False
         return self.cycle.phase is Phase.BUSY
 
     def pause_writing(self) -> None:
--- a/nutmegstep/web/messages.py
+++ b/nutmegstep/web/messages.py
@@ -33,6 +33,9 @@
         Longest time for which a peer may leave a response unread.
     keep_alive_seconds : float
         Longest time between two requests of a connection.
+    cancels_half_closed : bool
+        Whether a peer that closes its sending side has left. Otherwise its
+        answer is still written.
     connections : int
         Most open connections; requests on further ones are refused after
         their head, and beyond twice the number connections are closed.
@@ -45,6 +48,7 @@
     write_seconds: float = 10
     keep_alive_seconds: float = 60
     connections: int = 1000
+    cancels_half_closed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,13 +91,36 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A request that was read completely."""
+    """A request that was read completely.
+
+    Parameters
+    ----------
+    method : str
+        Method.
+    path : str
+        Path without the query.
+    query : Mapping
+        Last value of each parameter, by name.
+    headers : Mapping
+        Last value of each header, by lower-case name.
+    body : bytes
+        Whole body.
+    target : bytes
+        Path and query as received.
+    header_items : tuple of pairs
+        All headers in order, with lower-case names.
+    is_first : bool
+        Whether it is the first request of its connection.
+    """
 
     method: str
     path: str
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes
+    target: bytes = b''
+    header_items: tuple[tuple[bytes, bytes], ...] = ()
+    is_first: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +136,7 @@
     headers : tuple of pairs
         Additional headers.
     content_type : str
-        Type of the body.
+        Type of the body; empty when `headers` names it.
     """
 
     status: int
--- a/nutmegstep/web/reader.py
+++ b/nutmegstep/web/reader.py
@@ -62,6 +62,7 @@
         self._head: h11.Request | None = None
         self._chunks: list[bytes] = []
         self._size = 0
+        self._is_first = True
 
     @property
     def has_data(self) -> bool:
@@ -131,6 +132,9 @@
                 for name, text in self.headers.items()
             },
             b''.join(self._chunks),
+            self._head.target,
+            tuple(self._head.headers),
+            self._is_first,
         )
 
     def encode_continue(self) -> bytes:
@@ -151,11 +155,9 @@
         if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return b''
         length = str(len(response.body))
-        headers = [
-            ('Content-Type', response.content_type),
-            ('Content-Length', length),
-            *response.headers,
-        ]
+        headers = [('Content-Length', length), *response.headers]
+        if response.content_type:
+            headers.insert(0, ('Content-Type', response.content_type))
         if close:
             headers.append(('Connection', 'close'))
         head = h11.Response(status_code=response.status, headers=headers)
@@ -211,6 +213,7 @@
         )
 
     def _forget_request(self) -> None:
+        self._is_first = False
         self.headers = {}
         self._head = None
         self._chunks = []
