--- a/tests/platform_api/test_core.py
+++ b/tests/platform_api/test_core.py
@@ -107,6 +107,6 @@
 async def test_connection_is_reused(client: ObjectClient) -> None:
     """Guards against a new connection for each call."""
     await client.get(_NAME)
-    kept = client._idle[0]
+    kept = client._transport._idle[0]
     await client.get(_NAME)
-    assert client._idle == [kept]
+    assert client._transport._idle == [kept]
