Let hedges use the budget of a large fleet

Cause: hedges had to leave 30% of the capacity, so they needed 1.3 tokens where the share of one of 65 VMs holds 1.2; no hedge was ever sent there. The reserve now concerns the capacity beyond one token.

--- a/nutmegstep/dispatch/budget.py
+++ b/nutmegstep/dispatch/budget.py
@@ -66,10 +66,12 @@
         vm_count : int
             Number of VMs that share the bound.
         reserve : float, optional
-            Share of the capacity that must remain for more urgent sends.
+            Share of the capacity beyond one token that must remain for more
+            urgent sends.
         """
         self._refill(now, vm_count)
-        if self._tokens < 1 + reserve * self._capacity(vm_count):
+        kept = reserve * (self._capacity(vm_count) - 1)
+        if self._tokens < 1 + kept:
             return False
         self._tokens -= 1
         return True
--- /dev/null
+++ b/tests/dispatch/test_budget.py
@@ -0,0 +1,70 @@
+"""Bound on repeats and hedges over all VMs."""
+
+from datetime import timedelta
+from itertools import chain
+
+import pytest
+
+from nutmegstep.dispatch.budget import BudgetTerms, RepeatBudget
+
+_TERMS = BudgetTerms(0.2, 54, timedelta(seconds=10))
+_RESERVE = 0.3
+
+
+def _spend_greedily(
+    budget: RepeatBudget,
+    start: float,
+    requests: int,
+    vm_count: int,
+) -> list[float]:
+    """Return the instants of all extra sends within a window of 10 s."""
+    gap = 10 / requests
+    spent = []
+    for number in range(requests):
+        now = start + number * gap
+        budget.earn(now, vm_count)
+        while budget.spend(now, vm_count):
+            spent.append(now)
+    return spent
+
+
+@pytest.mark.parametrize('vm_count', [1, 3, 7, 10])
+@pytest.mark.parametrize('requests', [10, 200, 2000])
+def test_window_stays_within_the_bound(vm_count: int, requests: int) -> None:
+    """Guards against extra sends beyond ratio and slack over all VMs."""
+    budgets = [RepeatBudget(_TERMS, 0) for _ in range(vm_count)]
+    rested = 100
+    spent = chain.from_iterable(
+        _spend_greedily(budget, rested, requests, vm_count)
+        for budget in budgets
+    )
+    bound = 0.2 * requests * vm_count + 54
+    assert len(list(spent)) <= bound
+
+
+def test_restart_within_a_window_stays_within_the_bound() -> None:
+    """Guards against each killed process bringing a full budget again."""
+    spent = 0
+    for restart in range(10):
+        budgets = [RepeatBudget(_TERMS, restart) for _ in range(7)]
+        spent += sum(budget.spend(restart + 0.99, 7) for budget in budgets)
+    assert spent <= 54
+
+
+@pytest.mark.parametrize('vm_count', [7, 65, 90])
+def test_hedge_is_possible_with_many_vms(vm_count: int) -> None:
+    """Guards against a reserve that no VM of a large fleet can ever reach."""
+    budget = RepeatBudget(BudgetTerms(0.2, 170, timedelta(seconds=10)), 0)
+    for second in range(20):
+        budget.earn(second, vm_count)
+    assert budget.spend(20, vm_count, _RESERVE)
+
+
+def test_hedges_leave_tokens_to_repeats() -> None:
+    """Guards against hedges that use up what failed sends need."""
+    budget = RepeatBudget(_TERMS, 0)
+    for second in range(100):
+        budget.earn(second, 7)
+    while budget.spend(100, 7, _RESERVE):
+        """Use all that hedges may use."""
+    assert budget.spend(100, 7)
