Let two VMs of a failure domain read the store for the others

VMs of a failure domain rank each other by a hash of their names. The first two follow the store; the others read the same listings and watches from them and fall back to the store when no relay answers. Each answered request is logged with the shard that came last.

--- a/nutmegstep/dispatch/answering.py
+++ b/nutmegstep/dispatch/answering.py
@@ -37,6 +37,7 @@
         return []
     if reply.is_success:
         send.part.reply = reply
+        send.part.replied_at = now
         return settle(state, send.open_request, now)
     send.part.failure = reply
     note = Decision(
--- a/nutmegstep/dispatch/finishing.py
+++ b/nutmegstep/dispatch/finishing.py
@@ -27,6 +27,7 @@
 
 __all__ = ['close_request', 'give_up', 'settle']
 
+_MILLISECONDS: Final = 1000
 _GIVE_UP_PAUSE: Final = timedelta(milliseconds=50)
 
 
@@ -95,14 +96,14 @@
     answered = [part for part in parts if part.reply is not None]
     required = open_request.required_parts
     if len(answered) == len(parts):
-        return _deliver(state, open_request, answered)
+        return _deliver(state, open_request, answered, now)
     dead = sum(part.is_dead and part.reply is None for part in parts)
     if len(parts) - dead < required:
         return give_up(state, open_request, _incomplete(open_request, dead))
     is_late = now >= open_request.answer_by
     has_hope = any(_waits(part) and not part.is_weak for part in parts)
     if len(answered) >= required and (is_late or not has_hope):
-        return _deliver(state, open_request, answered)
+        return _deliver(state, open_request, answered, now)
     if now >= open_request.deadline:
         return give_up(state, open_request, _too_late(open_request))
     return None
@@ -115,13 +116,13 @@
 ) -> list[Effect] | None:
     part = open_request.parts[0]
     if part.reply is not None:
-        return _pass_on(state, open_request, part.reply)
+        return _pass_on(state, open_request, part.reply, now)
     if now >= open_request.deadline:
         return give_up(state, open_request, _too_late(open_request))
     if not part.is_dead:
         return None
     if part.failure is not None and part.failure.was_executed:
-        return _pass_on(state, open_request, part.failure)
+        return _pass_on(state, open_request, part.failure, now)
     return give_up(state, open_request, _incomplete(open_request, 1))
 
 
@@ -129,8 +130,10 @@
     state: DispatchState,
     open_request: OpenRequest,
     reply: TargetReply,
+    now: float,
 ) -> list[Effect]:
     return [
+        _note_answer(open_request, now, status=reply.status),
         *close_request(state, open_request),
         DeliverReply(open_request.request.request_id, reply),
     ]
@@ -140,6 +143,7 @@
     state: DispatchState,
     open_request: OpenRequest,
     answered: list[Part],
+    now: float,
 ) -> list[Effect]:
     # Sends that are still under way run on until they expire: a reply shows
     # that the target answers again, and its connection stays usable.
@@ -156,13 +160,28 @@
             open_request.route.top_records,
         ),
     )
-    if not missing:
-        return [merged]
-    services = [
-        part.service for part in open_request.parts if part.reply is None
-    ]
-    inputs = {'route': open_request.route.name, 'missing': services}
-    return [Decision('partial_answer', request.caller_id, inputs), merged]
+    return [_note_answer(open_request, now, missing=missing), merged]
+
+
+def _note_answer(
+    open_request: OpenRequest,
+    now: float,
+    **outcome: int,
+) -> Decision:
+    arrived = open_request.request.arrived
+    last = max(open_request.parts, key=lambda part: part.replied_at)
+    inputs: dict[str, object] = {
+        'route': open_request.route.name,
+        'after_ms': round((now - arrived) * _MILLISECONDS),
+        'sends': sum(len(part.tried) for part in open_request.parts),
+        'last_service': last.service,
+        'last_ms': round((last.replied_at - arrived) * _MILLISECONDS),
+        **outcome,
+    }
+    missing = [part.service for part in open_request.parts if not part.reply]
+    if missing:
+        inputs['missing_services'] = missing
+    return Decision('answered', open_request.request.caller_id, inputs)
 
 
 def _waits(part: Part) -> bool:
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -117,6 +117,8 @@
         Targets that may have run the request.
     reply : TargetReply or None
         Usable answer.
+    replied_at : float
+        Monotonic instant of the usable answer.
     failure : TargetReply or None
         Latest reply that is not usable.
     hedge_at : float
@@ -132,6 +134,7 @@
     tried: set[str] = field(default_factory=set)
     runs: int = 0
     reply: TargetReply | None = None
+    replied_at: float = 0
     failure: TargetReply | None = None
     hedge_at: float = math.inf
     is_weak: bool = False
--- a/nutmegstep/following/census.py
+++ b/nutmegstep/following/census.py
@@ -26,11 +26,14 @@
     ----------
     failure_domain : str
         Where the VM is.
+    address : str
+        ``host:port`` at which it serves other VMs.
     revision : int
         Revision of the latest renewal.
     """
 
     failure_domain: str
+    address: str
     revision: int
 
 
@@ -47,7 +50,7 @@
     Examples
     --------
     >>> census = VmCensus('vm-1', 'north')
-    >>> census.observe({'vm-2': VmEntry('north', 7)}, now=0)
+    >>> census.observe({'vm-2': VmEntry('north', '10.0.0.2:7', 1)}, now=0)
     >>> census.count(0), census.count_in_domain(0)
     (2, 2)
     >>> census.count(3600)
@@ -88,11 +91,16 @@
 
     def count_in_domain(self, now: float) -> int:
         """Return the number of VMs in the own failure domain."""
-        domains = [
-            self._entry_by_name[name].failure_domain
+        return len(self.neighbours(now)) + 1
+
+    def neighbours(self, now: float) -> Mapping[str, VmEntry]:
+        """Return the other VMs of the own failure domain, by name."""
+        entries = self._entry_by_name
+        return {
+            name: entries[name]
             for name in self._others(now)
-        ]
-        return domains.count(self._own_domain) + 1
+            if entries[name].failure_domain == self._own_domain
+        }
 
     def forgotten(self, now: float) -> tuple[str, ...]:
         """Return the names whose entries may be deleted."""
--- a/nutmegstep/following/core.py
+++ b/nutmegstep/following/core.py
@@ -11,8 +11,9 @@
 from returns.pipeline import is_successful
 
 from nutmegstep.following.contact import StoreContact
+from nutmegstep.following.racing import unless
 from nutmegstep.following.reader import (
-    Change,
+    Changes,
     HistoryGone,
     Listing,
     StoreReader,
@@ -44,15 +45,15 @@
         Pause after a change, in which further changes come together.
     on_listing : Callable
         Takes all objects.
-    on_change : Callable
-        Takes one change.
+    on_changes : Callable
+        Takes changes in order; called after each watch.
     """
 
     kind: str
     wait: timedelta
     gather: timedelta
     on_listing: Callable[[Listing], None]
-    on_change: Callable[[Change], None]
+    on_changes: Callable[[Changes], None]
 
 
 class Follower:
@@ -89,6 +90,7 @@
         self._random = random
         self._is_prober = is_prober
         self._revision: int | None = None
+        self._highest = 0
         self._failures = 0
 
     async def run(self) -> None:
@@ -104,17 +106,7 @@
     async def _step(self) -> bool:
         if self._is_prober:
             return await self._call()
-        call = asyncio.ensure_future(self._call())
-        lost = asyncio.ensure_future(self._contact.lost.wait())
-        try:
-            await asyncio.wait(
-                (call, lost),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            return call.done() and call.result()
-        finally:
-            call.cancel()
-            lost.cancel()
+        return bool(await unless(self._contact.lost, self._call()))
 
     async def _call(self) -> bool:
         if self._revision is None:
@@ -128,7 +120,12 @@
             return False
         self._contact.report_success()
         listing = listed.unwrap()
-        self._revision = listing.revision
+        if listing.revision < self._highest:
+            # Another VM that lags behind answered; what is known is newer.
+            fields = {'kind': self._subscription.kind, 'known': self._highest}
+            _LOG.info('older listing passed over', extra=fields)
+            return False
+        self._advance(listing.revision)
         self._subscription.on_listing(listing)
         return True
 
@@ -148,13 +145,16 @@
             fields = {'kind': self._subscription.kind, 'revision': revision}
             _LOG.info('history gone, listing again', extra=fields)
             return True
-        self._revision = found.revision
-        for change in found.changes:
-            self._subscription.on_change(change)
+        self._advance(found.revision)
+        self._subscription.on_changes(found)
         if found.changes:
             await asyncio.sleep(self._subscription.gather.total_seconds())
         return True
 
+    def _advance(self, revision: int) -> None:
+        self._revision = revision
+        self._highest = max(self._highest, revision)
+
     def _pause(self) -> float:
         growth = float(_GROWTH) ** self._failures
         self._failures = min(self._failures + 1, _GROWTH_STEPS)
--- a/nutmegstep/gateway/adapter.py
+++ b/nutmegstep/gateway/adapter.py
@@ -27,10 +27,12 @@
     async def put_vm(
         self,
         name: str,
-        failure_domain: str,
-        renewal: int,
+        entry: VmEntry,
     ) -> Result[None, PlatformFailure]:
-        """Create or renew the entry of this VM."""
+        """Create or renew the entry of this VM.
+
+        The revision of `entry` only makes a renewal differ from the last.
+        """
 
     async def delete_vm(self, name: str) -> Result[None, PlatformFailure]:
         """Delete the entry of a VM that is gone."""
--- a/nutmegstep/gateway/counting.py
+++ b/nutmegstep/gateway/counting.py
@@ -1,8 +1,9 @@
-"""Keeps this VM's entry and counts the others."""
+"""Keeps this VM's entry and reads those of the others."""
 
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 from typing import Final
@@ -12,93 +13,111 @@
 from nutmegstep.clock import Clock
 from nutmegstep.dispatch.events import VmsCounted
 from nutmegstep.following import StoreContact
-from nutmegstep.following.census import RENEW_EVERY, VmCensus
+from nutmegstep.following.census import RENEW_EVERY, VmCensus, VmEntry
 from nutmegstep.gateway.adapter import Store
+from nutmegstep.relay import RelayChoice, choose_relays
 
-__all__ = ['VmCounter']
+__all__ = ['CensusReports', 'VmCounter']
 
 _LOG: Final = logging.getLogger(__name__)
-_FIRST_READ: Final = timedelta(seconds=1)
+_FIRST_READ: Final = timedelta(milliseconds=500)
 """VMs that start together have written their entries by then."""
-_READ_EVERY: Final = timedelta(seconds=15)
+_SECOND_READ: Final = timedelta(seconds=4)
+"""The first read may be some seconds old."""
+_READ_EVERY: Final = timedelta(seconds=25)
 """Time between reads; each may be stale, which costs a tenth of a call."""
 _RETRY: Final = timedelta(seconds=2)
+_REVISION_BITS: Final = 31
+
+
+@dataclass(frozen=True, slots=True)
+class CensusReports:
+    """Who is told about the other VMs.
+
+    Parameters
+    ----------
+    on_count : Callable
+        Takes the number of VMs.
+    on_relays : Callable
+        Takes the relays to read from.
+    """
+
+    on_count: Callable[[VmsCounted], None]
+    on_relays: Callable[[RelayChoice], None]
 
 
 class VmCounter:
-    """Estimates how many VMs share the targets.
+    """Knows the VMs that share the targets.
 
     Parameters
     ----------
     store : Store
         Where the entries are.
-    contact : StoreContact
-        Nothing is called while the store does not answer.
     clock : Clock
         Dates what was read.
     name : str
         Name of this VM.
-    failure_domain : str
-        Failure domain of this VM.
+    entry : VmEntry
+        What the others read about this VM.
+    reports : CensusReports
+        Who is told.
     """
 
     def __init__(
         self,
         store: Store,
-        contact: StoreContact,
         clock: Clock,
         name: str,
-        failure_domain: str,
+        entry: VmEntry,
+        reports: CensusReports,
     ) -> None:
+        self.first_read = asyncio.Event()
         self._store = store
-        self._contact = contact
         self._clock = clock
         self._name = name
-        self._failure_domain = failure_domain
-        self._census = VmCensus(name, failure_domain)
+        self._entry = entry
+        self._reports = reports
+        self._census = VmCensus(name, entry.failure_domain)
 
-    async def run(
-        self,
-        report: Callable[[VmsCounted], None],
-        random: Random,
-    ) -> None:
+    async def run(self, contact: StoreContact, random: Random) -> None:
         """Renew, read and report until cancelled.
 
         Parameters
         ----------
-        report : Callable
-            Takes the count after each read.
+        contact : StoreContact
+            Nothing is called while the store does not answer.
         random : random.Random
             Spreads the calls of the VMs.
         """
+        pauses = iter((_FIRST_READ, _SECOND_READ))
         renews_at = self._clock.monotonic()
-        pause = _FIRST_READ
         while True:
-            await self._contact.regained.wait()
             now = self._clock.monotonic()
+            done = True
             if now >= renews_at:
-                renewed = await self._renew(random)
-                pause = _FIRST_READ if renewed else _RETRY
-                if renewed:
-                    renews_at = now + RENEW_EVERY.total_seconds()
-            elif await self._read(report):
-                pause = _READ_EVERY
+                done = await self._renew(random)
+                renews_at = now + RENEW_EVERY.total_seconds() * done
             else:
-                pause = _RETRY
+                done = await self._read()
+            self.first_read.set()
+            pause = next(pauses, _READ_EVERY) if done else _RETRY
             await asyncio.sleep(pause.total_seconds() * (1 + random.random()))
+            await contact.regained.wait()
 
     async def _renew(self, random: Random) -> bool:
-        written = await self._store.put_vm(
-            self._name,
-            self._failure_domain,
-            random.getrandbits(32),
+        entry = VmEntry(
+            self._entry.failure_domain,
+            self._entry.address,
+            random.getrandbits(_REVISION_BITS),
         )
+        written = await self._store.put_vm(self._name, entry)
         if not is_successful(written):
             fields = {'detail': written.failure().detail}
             _LOG.warning('entry of this VM not written', extra=fields)
-        return is_successful(written)
+            return False
+        return await self._read()
 
-    async def _read(self, report: Callable[[VmsCounted], None]) -> bool:
+    async def _read(self) -> bool:
         listed = await self._store.list_vms()
         if not is_successful(listed):
             fields = {'detail': listed.failure().detail}
@@ -108,10 +127,8 @@
         self._census.observe(listed.unwrap(), now)
         for name in self._census.forgotten(now):
             await self._store.delete_vm(name)
-        report(
-            VmsCounted(
-                self._census.count(now),
-                self._census.count_in_domain(now),
-            ),
-        )
+        neighbours = self._census.neighbours(now)
+        count = VmsCounted(self._census.count(now), len(neighbours) + 1)
+        self._reports.on_count(count)
+        self._reports.on_relays(choose_relays(self._name, neighbours))
         return True
--- a/nutmegstep/gateway/feeds.py
+++ b/nutmegstep/gateway/feeds.py
@@ -17,7 +17,7 @@
     TargetDiscarded,
     TargetsListed,
 )
-from nutmegstep.following import Change, Listing
+from nutmegstep.following import Change, Changes, Listing
 from nutmegstep.following.core import Subscription
 from nutmegstep.gateway.adapter import Adapter
 
@@ -66,21 +66,21 @@
                 _PROBE_WAIT,
                 _GATHER,
                 self._list_configurations,
-                self._change_configuration,
+                _for_each(self._change_configuration),
             ),
             Subscription(
                 kinds.targets,
                 _LONG_WAIT,
                 _GATHER,
                 self._list_targets,
-                self._change_target,
+                _for_each(self._change_target),
             ),
             Subscription(
                 kinds.withdrawals,
                 _LONG_WAIT,
                 _GATHER,
                 self._list_withdrawals,
-                self._change_withdrawal,
+                _for_each(self._change_withdrawal),
             ),
         )
 
@@ -152,3 +152,11 @@
         else:
             self._withdrawn.add(change.name)
         self._dispatch(DomainsWithdrawn(frozenset(self._withdrawn)))
+
+
+def _for_each(take: Callable[[Change], None]) -> Callable[[Changes], None]:
+    def take_all(found: Changes) -> None:
+        for change in found.changes:
+            take(change)
+
+    return take_all
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -5,7 +5,9 @@
 import secrets
 import signal
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
+from datetime import timedelta
 from random import Random
 from typing import Final
 
@@ -15,13 +17,22 @@
 from nutmegstep.dispatch import ColdTerms, DispatchState, DispatchTerms
 from nutmegstep.dispatch.budget import BudgetTerms
 from nutmegstep.dispatch.events import HousekeepingDue, StoreRegained
-from nutmegstep.following import Follower, StoreContact
+from nutmegstep.following import Changes, Follower, Listing, StoreContact
+from nutmegstep.following.census import VmEntry
+from nutmegstep.following.core import Subscription
 from nutmegstep.gateway.adapter import Adapter
 from nutmegstep.gateway.core import Gateway
-from nutmegstep.gateway.counting import VmCounter
+from nutmegstep.gateway.counting import CensusReports, VmCounter
 from nutmegstep.gateway.feeds import Feeds
 from nutmegstep.gateway.lifecycle import drain
 from nutmegstep.gateway.metrics import GatewayMetrics
+from nutmegstep.platform_api.transport import HttpTransport
+from nutmegstep.relay import (
+    RelayCache,
+    RelayReader,
+    RelayServer,
+    SwitchingReader,
+)
 from nutmegstep.settings import GatewaySettings, SettingsError
 from nutmegstep.web import (
     HttpLimits,
@@ -41,6 +52,10 @@
 _HOUSEKEEPING_SECONDS: Final = 0.5
 _RELOAD_SECONDS: Final = 2.0
 """Settings may change without a signal, and are read again so often."""
+_RELAY_TIMEOUT: Final = timedelta(milliseconds=500)
+"""Longest call to a relay, which is a millisecond or two away."""
+_CENSUS_TIMEOUT: Final = 1.0
+"""Seconds for which the first read of the VMs is waited for."""
 _CONNECTIONS: Final = 2000
 """Most connections of callers; half of the descriptors of a small VM."""
 
@@ -74,6 +89,7 @@
             self.clock,
             self.metrics.store_calls,
         )
+        self.reader = SwitchingReader(self.store, self._connect_relay)
         self.is_draining = False
 
     async def answer_ready(self, request: HttpRequest) -> HttpResponse:
@@ -127,6 +143,12 @@
             hup.clear()
             self._take_settings(read)
 
+    def _connect_relay(self, address: str) -> RelayReader:
+        host, _, port = address.rpartition(':')
+        return RelayReader(
+            HttpTransport(host, int(port), self.clock, _RELAY_TIMEOUT),
+        )
+
     def _take_settings(self, read: ReadSettings) -> None:
         try:
             settings = read()
@@ -170,7 +192,7 @@
             settings.callers_address[0],
             settings.metrics_port,
         )
-    tasks = _start_tasks(process, callers, read, hup)
+    tasks = await _start_tasks(process, callers, read, hup)
     fields = {'vm': settings.vm_name, 'domain': settings.failure_domain}
     _LOG.info('started', extra=fields)
     await stop.wait()
@@ -190,37 +212,79 @@
     return answered
 
 
-def _start_tasks(
+async def _start_tasks(
     process: _Process,
     callers: HttpServer,
     read: ReadSettings,
     hup: asyncio.Event,
 ) -> list[asyncio.Task[None]]:
+    settings = process.settings
     feeds = Feeds(process.adapter, process.clock, process.gateway.dispatch)
+    caches = {one.kind: RelayCache() for one in feeds.subscriptions()}
+    subscriptions = [
+        _with_cache(one, caches[one.kind]) for one in feeds.subscriptions()
+    ]
+    relay = RelayServer(caches, process.contact.lost, process.reader.on_relay)
+    await serve_http(relay.answer, *settings.peers_address)
     counter = VmCounter(
         process.store,
-        process.contact,
         process.clock,
-        process.settings.vm_name,
-        process.settings.failure_domain,
+        settings.vm_name,
+        VmEntry(
+            settings.failure_domain,
+            '{0}:{1}'.format(*settings.peers_address),
+            revision=0,
+        ),
+        CensusReports(process.gateway.dispatch, process.reader.choose),
+    )
+    counting = counter.run(process.contact, process.random)
+    coroutines = (
+        counting,
+        _follow(process, subscriptions, counter.first_read),
+        process.keep_house(callers),
+        process.reload(read, hup),
     )
+    return [asyncio.create_task(one) for one in coroutines]
+
+
+async def _follow(
+    process: _Process,
+    subscriptions: list[Subscription],
+    first_read: asyncio.Event,
+) -> None:
+    # Knowing the relays first saves most VMs their calls to the store.
+    with suppress(TimeoutError):
+        await asyncio.wait_for(first_read.wait(), _CENSUS_TIMEOUT)
     followers = [
         Follower(
-            process.store,
+            process.reader,
             process.contact,
             subscription,
             process.random,
             is_prober=number == 0,
         ).run()
-        for number, subscription in enumerate(feeds.subscriptions())
+        for number, subscription in enumerate(subscriptions)
     ]
-    coroutines = (
-        *followers,
-        counter.run(process.gateway.dispatch, process.random),
-        process.keep_house(callers),
-        process.reload(read, hup),
+    await asyncio.gather(*followers)
+
+
+def _with_cache(
+    subscription: Subscription,
+    cache: RelayCache,
+) -> Subscription:
+    def take_listing(listing: Listing) -> None:
+        cache.take_listing(listing)
+        subscription.on_listing(listing)
+
+    def take_changes(found: Changes) -> None:
+        cache.take_changes(found)
+        subscription.on_changes(found)
+
+    return replace(
+        subscription,
+        on_listing=take_listing,
+        on_changes=take_changes,
     )
-    return [asyncio.create_task(one) for one in coroutines]
 
 
 def _listen_to_signals() -> tuple[asyncio.Event, asyncio.Event]:
--- a/nutmegstep/platform/store.py
+++ b/nutmegstep/platform/store.py
@@ -20,6 +20,7 @@
     PlatformFailureKind,
 )
 from nutmegstep.platform_api.transport import HttpTransport
+from nutmegstep.settings.core import read_address
 
 __all__ = ['KIND_VMS', 'ObjectStore']
 
@@ -30,8 +31,10 @@
 _NO_POLL: Final = timedelta(0)
 _STATUS_OK: Final = 200
 _STATUS_REDIRECT: Final = 300
+_STATUS_MISSING: Final = 404
 _STATUS_CONFLICT: Final = 409
 _STATUS_GONE: Final = 410
+_ANSWERS: Final = frozenset((_STATUS_MISSING, _STATUS_CONFLICT, _STATUS_GONE))
 _JSON: Final = (('Content-Type', 'application/json'),)
 
 _Object = Mapping[str, Any]
@@ -104,23 +107,25 @@
     async def put_vm(
         self,
         name: str,
-        failure_domain: str,
-        renewal: int,
+        entry: VmEntry,
     ) -> Result[None, PlatformFailure]:
         """Create or renew the entry of this VM."""
-        spec = {'failure_domain': failure_domain, 'renewal': renewal}
-        meta = {'name': name}
-        body = orjson.dumps({'meta': meta, 'spec': spec})
+        spec = {
+            'failure_domain': entry.failure_domain,
+            'address': entry.address,
+            'renewal': entry.revision,
+        }
+        body = orjson.dumps({'meta': {'name': name}, 'spec': spec})
         path = _path(KIND_VMS, {})
-        create = HttpCall('POST', path, body, _JSON)
-        called = await self._call('create', create, is_write=True)
-        if not is_successful(called):
-            return Failure(called.failure())
-        if called.unwrap().status != _STATUS_CONFLICT:
+        replace_call = HttpCall('PUT', f'{path}/{quote(name)}', body, _JSON)
+        replaced = await self._call('replace', replace_call, is_write=True)
+        if not is_successful(replaced):
+            return Failure(replaced.failure())
+        if replaced.unwrap().status != _STATUS_MISSING:
             return Success(None)
-        replace = HttpCall('PUT', f'{path}/{quote(name)}', body, _JSON)
-        replaced = await self._call('replace', replace, is_write=True)
-        return replaced.map(lambda _: None)
+        create = HttpCall('POST', path, body, _JSON)
+        created = await self._call('create', create, is_write=True)
+        return created.map(lambda _: None)
 
     async def delete_vm(self, name: str) -> Result[None, PlatformFailure]:
         """Delete the entry of a VM that is gone."""
@@ -181,10 +186,10 @@
     http: HttpCall,
     reply: HttpReply,
 ) -> Result[HttpReply, PlatformFailure]:
-    # 410 and 409 are answers that the caller of the function decides on.
+    # These statuses are answers that the caller of the function decides on.
     if _STATUS_OK <= reply.status < _STATUS_REDIRECT:
         return Success(reply)
-    if reply.status in {_STATUS_CONFLICT, _STATUS_GONE}:
+    if reply.status in _ANSWERS:
         return Success(reply)
     detail = f'{http.method} {http.path}: status {reply.status}'
     return Failure(PlatformFailure(PlatformFailureKind.UNAVAILABLE, detail))
@@ -245,10 +250,22 @@
 
 def _read_vm_entry(one: _Object) -> VmEntry:
     spec = one.get('spec')
-    domain = spec.get('failure_domain') if isinstance(spec, dict) else ''
-    meta = one['meta']
-    revision = meta.get('rev') if isinstance(meta, dict) else 0
-    return VmEntry(str(domain), revision if isinstance(revision, int) else 0)
+    fields = spec if isinstance(spec, dict) else {}
+    revision = one['meta'].get('rev')
+    return VmEntry(
+        str(fields.get('failure_domain', '')),
+        _read_peer_address(fields.get('address')),
+        revision if isinstance(revision, int) else 0,
+    )
+
+
+def _read_peer_address(text: object) -> str:
+    # Another writer may have left anything in an entry.
+    try:
+        read_address(str(text))
+    except ValueError:
+        return ''
+    return str(text)
 
 
 def _has_name(one: object) -> bool:
--- /dev/null
+++ b/nutmegstep/relay/cache.py
@@ -0,0 +1,70 @@
+"""What a relay holds of one kind of objects."""
+
+import asyncio
+from collections import deque
+from typing import Final
+
+from nutmegstep.following import Change, Changes, HistoryGone, Listing
+
+__all__ = ['RelayCache']
+
+_CHANGES_MAX: Final = 1000
+"""Changes that are kept for watches; a storm of configurations and a release
+of all targets together make a few hundred."""
+
+
+class RelayCache:
+    """Objects of a kind, their latest changes, and who waits for more.
+
+    Attributes
+    ----------
+    changed : asyncio.Event
+        Replaced and set at each change.
+    """
+
+    def __init__(self) -> None:
+        self.changed = asyncio.Event()
+        self._documents_by_name: dict[str, object] = {}
+        self._log: deque[tuple[int, Change]] = deque(maxlen=_CHANGES_MAX)
+        self._first_revision = 0
+        self._revision = 0
+
+    def take_listing(self, listing: Listing) -> None:
+        """Start again from a listing."""
+        self._documents_by_name = dict(listing.documents_by_name)
+        self._log.clear()
+        self._first_revision = listing.revision
+        self._revision = listing.revision
+        self._wake()
+
+    def take_changes(self, found: Changes) -> None:
+        """Apply changes."""
+        self._revision = max(self._revision, found.revision)
+        for change in found.changes:
+            if len(self._log) == _CHANGES_MAX:
+                self._first_revision = self._log[0][0]
+            self._log.append((found.revision, change))
+            if change.is_deleted:
+                self._documents_by_name.pop(change.name, None)
+            else:
+                self._documents_by_name[change.name] = change.document
+        if found.changes:
+            self._wake()
+
+    def listing(self) -> Listing | None:
+        """Return all objects, or None before the first listing."""
+        if not self._revision:
+            return None
+        return Listing(dict(self._documents_by_name), self._revision)
+
+    def changes_after(self, revision: int) -> Changes | HistoryGone:
+        """Return the changes after a revision, if they are still known."""
+        if revision < self._first_revision:
+            return HistoryGone()
+        changes = tuple(change for at, change in self._log if at > revision)
+        return Changes(changes, max(self._revision, revision))
+
+    def _wake(self) -> None:
+        waiting = self.changed
+        self.changed = asyncio.Event()
+        waiting.set()
--- /dev/null
+++ b/nutmegstep/relay/reader.py
@@ -0,0 +1,87 @@
+"""Reads kinds of objects from a relay."""
+
+from datetime import timedelta
+from typing import Any, Final
+from urllib.parse import urlencode
+
+import orjson
+from returns.result import Failure, Result, Success
+
+from nutmegstep.following import Change, Changes, HistoryGone, Listing
+from nutmegstep.platform_api.connection import HttpCall, HttpReply
+from nutmegstep.platform_api.records import (
+    PlatformFailure,
+    PlatformFailureKind,
+)
+from nutmegstep.platform_api.transport import HttpTransport
+
+__all__ = ['RelayReader']
+
+_WAIT_DIVISOR: Final = 4
+"""A relay costs no priced calls, so it is asked more often than the store;
+a relay that stands still is noticed sooner."""
+_STATUS_OK: Final = 200
+_STATUS_GONE: Final = 410
+
+
+class RelayReader:
+    """Reader over the relay's HTTP interface.
+
+    Parameters
+    ----------
+    transport : HttpTransport
+        Carries the calls; its time-out is short, because relays are near.
+    """
+
+    def __init__(self, transport: HttpTransport) -> None:
+        self._transport = transport
+
+    async def list_kind(self, kind: str) -> Result[Listing, PlatformFailure]:
+        """Read all objects of a kind."""
+        called = await self._transport.call(HttpCall('GET', f'/kinds/{kind}'))
+        return called.bind(_read_listing)
+
+    async def watch_kind(
+        self,
+        kind: str,
+        revision: int,
+        wait: timedelta,
+    ) -> Result[Changes | HistoryGone, PlatformFailure]:
+        """Wait for changes after a revision."""
+        poll = wait / _WAIT_DIVISOR
+        query = {'watch': revision, 'wait_s': poll.total_seconds()}
+        call = HttpCall('GET', f'/kinds/{kind}?{urlencode(query)}')
+        called = await self._transport.call(call, poll=poll)
+        return called.bind(_read_changes)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._transport.close()
+
+
+def _read_listing(reply: HttpReply) -> Result[Listing, PlatformFailure]:
+    return _decode(reply).map(
+        lambda document: Listing(document['documents'], document['revision']),
+    )
+
+
+def _read_changes(
+    reply: HttpReply,
+) -> Result[Changes | HistoryGone, PlatformFailure]:
+    if reply.status == _STATUS_GONE:
+        return Success(HistoryGone())
+    return _decode(reply).map(
+        lambda document: Changes(
+            tuple(Change(*change) for change in document['changes']),
+            document['revision'],
+        ),
+    )
+
+
+def _decode(reply: HttpReply) -> Result[dict[str, Any], PlatformFailure]:
+    if reply.status != _STATUS_OK:
+        detail = f'relay answered {reply.status}'
+        return Failure(
+            PlatformFailure(PlatformFailureKind.UNAVAILABLE, detail),
+        )
+    return Success(orjson.loads(reply.body))
--- /dev/null
+++ b/nutmegstep/relay/switching.py
@@ -0,0 +1,116 @@
+"""Reads from relays while they answer, and from the store otherwise."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Final, TypeVar
+
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from nutmegstep.following import Changes, HistoryGone, Listing, StoreReader
+from nutmegstep.following.racing import unless
+from nutmegstep.platform_api.records import PlatformFailure
+from nutmegstep.relay.core import RelayChoice
+from nutmegstep.relay.reader import RelayReader
+
+__all__ = ['SwitchingReader']
+
+_LOG: Final = logging.getLogger(__name__)
+_Value = TypeVar('_Value')
+
+
+class SwitchingReader:
+    """Passes each call to the reader in use; the next one follows a failure.
+
+    Revisions are the store's own, so a watch goes on at another reader where
+    it ended.
+
+    Parameters
+    ----------
+    store : StoreReader
+        Reader of the store itself, the last resort.
+    connect : Callable
+        Returns the reader of a relay's address.
+
+    Attributes
+    ----------
+    on_relay : asyncio.Event
+        Set while a relay is in use; such a VM serves no others.
+    """
+
+    def __init__(
+        self,
+        store: StoreReader,
+        connect: Callable[[str], RelayReader],
+    ) -> None:
+        self.on_relay = asyncio.Event()
+        self._store = store
+        self._connect = connect
+        self._choice = RelayChoice(())
+        self._relays: list[RelayReader] = []
+        self._position = 0
+        self._moved = asyncio.Event()
+
+    def choose(self, choice: RelayChoice) -> None:
+        """Use relays, the first one first; an unchanged choice is kept.
+
+        A reader that has fallen back to the store tries the relays again.
+        """
+        is_exhausted = self._position >= len(self._relays)
+        if choice == self._choice and not is_exhausted:
+            return
+        for relay in self._relays:
+            relay.close()
+        self._choice = choice
+        self._relays = [self._connect(one) for one in choice.addresses]
+        self._move_to(0)
+
+    async def list_kind(self, kind: str) -> Result[Listing, PlatformFailure]:
+        """Read all objects of a kind."""
+        return await self._call(lambda reader: reader.list_kind(kind))
+
+    async def watch_kind(
+        self,
+        kind: str,
+        revision: int,
+        wait: timedelta,
+    ) -> Result[Changes | HistoryGone, PlatformFailure]:
+        """Wait for changes after a revision."""
+        return await self._call(
+            lambda reader: reader.watch_kind(kind, revision, wait),
+        )
+
+    async def _call(
+        self,
+        call: Callable[
+            [StoreReader],
+            Awaitable[Result[_Value, PlatformFailure]],
+        ],
+    ) -> Result[_Value, PlatformFailure]:
+        while self._position < len(self._relays):
+            position = self._position
+            moved = self._moved
+            called = await unless(moved, call(self._relays[position]))
+            if called is None:
+                continue
+            if is_successful(called):
+                return called
+            if not moved.is_set():
+                fields = {'detail': called.failure().detail}
+                _LOG.warning('relay left', extra=fields)
+                self._move_to(position + 1)
+        moved = self._moved
+        called = await unless(moved, call(self._store))
+        return await self._call(call) if called is None else called
+
+    def _move_to(self, position: int) -> None:
+        moved = self._moved
+        self._moved = asyncio.Event()
+        self._position = position
+        moved.set()
+        if position < len(self._relays):
+            self.on_relay.set()
+        else:
+            self.on_relay.clear()
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -55,6 +55,8 @@
         Where the balancer asks whether this VM takes callers.
     store_address : tuple of str and int
         The platform's store.
+    peers_address : tuple of str and int
+        Where other VMs read what this one has read from the store.
     metrics_port : int
         Port of the metrics on the callers' IP number; 0 serves none.
     grace : datetime.timedelta
@@ -92,6 +94,11 @@
         _ADDRESS,
         'address of the platform store',
     )
+    peers_address: tuple[str, int] = setting(
+        read_address,
+        _ADDRESS,
+        'where other VMs of the failure domain read',
+    )
     metrics_port: int = setting(
         _read_port,
         'a port',
--- /dev/null
+++ b/tests/following/test_core.py
@@ -0,0 +1,180 @@
+"""Listing, watching, lost history and lost contact."""
+
+import asyncio
+from collections import deque
+from datetime import timedelta
+from random import Random
+
+from returns.result import Failure, Result, Success
+
+from nutmegstep.clock import ManualClock
+from nutmegstep.following import (
+    Change,
+    Changes,
+    Follower,
+    HistoryGone,
+    Listing,
+    StoreContact,
+)
+from nutmegstep.following.core import Subscription
+from nutmegstep.platform_api.records import (
+    PlatformFailure,
+    PlatformFailureKind,
+)
+
+_AWAY = Failure(PlatformFailure(PlatformFailureKind.TIMEOUT, 'no reply'))
+_Reply = Result[Listing | Changes | HistoryGone, PlatformFailure]
+
+
+class _Script:
+    """Reader that gives scripted replies, then waits for good."""
+
+    def __init__(self, *replies: _Reply) -> None:
+        self.calls: list[tuple[str, int]] = []
+        self.done = asyncio.Event()
+        self._replies = deque(replies)
+
+    async def list_kind(self, kind: str) -> _Reply:
+        return await self._next('list', 0)
+
+    async def watch_kind(
+        self,
+        kind: str,
+        revision: int,
+        wait: timedelta,
+    ) -> _Reply:
+        return await self._next('watch', revision)
+
+    async def _next(self, operation: str, revision: int) -> _Reply:
+        self.calls.append((operation, revision))
+        if not self._replies:
+            self.done.set()
+            await asyncio.Event().wait()
+        return self._replies.popleft()
+
+
+class _Seen:
+    """What a subscriber was told."""
+
+    def __init__(self) -> None:
+        self.listings: list[Listing] = []
+        self.changes: list[Change] = []
+        self.subscription = Subscription(
+            'things',
+            timedelta(seconds=1),
+            timedelta(0),
+            self.listings.append,
+            lambda found: self.changes.extend(found.changes),
+        )
+
+
+async def _run(
+    script: _Script,
+    contact: StoreContact | None = None,
+    is_prober: bool = True,
+) -> _Seen:
+    seen = _Seen()
+    contact = contact or StoreContact(ManualClock(), lambda: None)
+    follower = Follower(
+        script,
+        contact,
+        seen.subscription,
+        Random(1),
+        is_prober,
+    )
+    task = asyncio.create_task(follower.run())
+    async with asyncio.timeout(5):
+        await script.done.wait()
+    task.cancel()
+    return seen
+
+
+async def test_watch_goes_on_where_the_listing_ended() -> None:
+    """Guards against changes between a listing and its watch being missed."""
+    change = Change('a', 1, is_deleted=False)
+    script = _Script(
+        Success(Listing({}, 5)),
+        Success(Changes((change,), 8)),
+    )
+    seen = await _run(script)
+    assert script.calls == [('list', 0), ('watch', 5), ('watch', 8)]
+    assert seen.changes == [change]
+
+
+async def test_lost_history_is_listed_again() -> None:
+    """Guards against a follower that stays behind after a compaction."""
+    script = _Script(
+        Success(Listing({}, 5)),
+        Success(HistoryGone()),
+        Success(Listing({'a': 1}, 20)),
+    )
+    seen = await _run(script)
+    assert [one.revision for one in seen.listings] == [5, 20]
+
+
+async def test_older_listing_is_passed_over() -> None:
+    """Guards against a lagging relay that brings back what was removed."""
+    script = _Script(
+        Success(Listing({}, 10)),
+        Success(HistoryGone()),
+        Success(Listing({'removed': 1}, 5)),
+        Success(Listing({}, 12)),
+    )
+    seen = await _run(script)
+    assert [one.revision for one in seen.listings] == [10, 12]
+
+
+async def test_contact_is_regained_once() -> None:
+    """Guards against a grace period that each further call extends."""
+    regained: list[bool] = []
+    contact = StoreContact(ManualClock(), lambda: regained.append(True))
+    script = _Script(
+        _AWAY, _AWAY, Success(Listing({}, 5)), Success(Changes((), 5))
+    )
+    await _run(script, contact)
+    assert regained == [True]
+
+
+async def test_only_the_prober_tries_a_lost_store() -> None:
+    """Guards against priced calls of all followers while the store is away."""
+    contact = StoreContact(ManualClock(), lambda: None)
+    contact.report_failure(_AWAY.failure())
+    script = _Script(Success(Listing({}, 5)))
+    seen = _Seen()
+    follower = Follower(
+        script,
+        contact,
+        seen.subscription,
+        Random(1),
+        is_prober=False,
+    )
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(0.05)
+    assert not script.calls
+    contact.report_success()
+    async with asyncio.timeout(1):
+        await script.done.wait()
+    task.cancel()
+    assert script.calls[0] == ('list', 0)
+
+
+async def test_waiting_watch_ends_with_the_contact() -> None:
+    """Guards against a watch that waits on a connection that went silent."""
+    contact = StoreContact(ManualClock(), lambda: None)
+    script = _Script(Success(Listing({}, 5)))
+    seen = _Seen()
+    follower = Follower(
+        script,
+        contact,
+        seen.subscription,
+        Random(1),
+        is_prober=False,
+    )
+    task = asyncio.create_task(follower.run())
+    await script.done.wait()
+    contact.report_failure(_AWAY.failure())
+    await asyncio.sleep(0.2)
+    contact.report_success()
+    await asyncio.sleep(0.05)
+    task.cancel()
+    assert script.calls == [('list', 0), ('watch', 5), ('watch', 5)]
