Give scarce hedges to requests that need them, and remember slow targets

Cause: on the grown deployment a VM sends less than one query a second to a shard. Its budget for a shard holds one or two hedges, which went to parts that the answer could do without, and a slow target was forgotten within two seconds, so nearly each query met it again.

A hedge without which an answer covers too little may use the whole budget; others leave half of the capacity. A hedge without budget is tried again after 30 ms. Slowness and failures are remembered with a half-life of 8 s. Budgets fill from the start of the process. A model of the fleet (nutmegstep.experiment) plays the dispatcher without a network.

--- a/nutmegstep/dispatch/budget.py
+++ b/nutmegstep/dispatch/budget.py
@@ -9,6 +9,9 @@
 _USED_SHARE: Final = 0.9
 """Part of the allowed ratio and slack that is used; the rest covers requests
 that are counted in another window than here."""
+_CAPACITY_SHARE: Final = 0.75
+"""Part of the slack that can be spent at once; the rest flows in over a
+window. Requests bring tokens too, so a busy service hardly needs the flow."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,8 +36,8 @@
 class RepeatBudget:
     """Tokens for extra sends of this VM to one service.
 
-    Half of the slack is the capacity and half flows in over a window, so the
-    sum over any window stays below the slack. A process starts without
+    Part of the slack is the capacity and the rest flows in over a window, so
+    the sum over any window stays below the slack. A process starts without
     tokens: the one it replaces may just have spent them.
 
     Parameters
@@ -80,14 +83,15 @@
         elapsed = max(0, now - self._updated)
         self._updated = now
         window = self._terms.window.total_seconds()
-        self._tokens += elapsed * self._share(vm_count) / window
+        flow = self._share(vm_count) * (1 - _CAPACITY_SHARE) / window
+        self._tokens += elapsed * flow
         self._cap(vm_count)
 
     def _share(self, vm_count: int) -> float:
-        return self._terms.slack * _USED_SHARE / 2 / vm_count
+        return self._terms.slack * _USED_SHARE / vm_count
 
     def _capacity(self, vm_count: int) -> float:
-        return max(1, self._share(vm_count))
+        return max(1, self._share(vm_count) * _CAPACITY_SHARE)
 
     def _cap(self, vm_count: int) -> None:
         self._tokens = min(self._tokens, self._capacity(vm_count))
--- a/nutmegstep/dispatch/health.py
+++ b/nutmegstep/dispatch/health.py
@@ -12,7 +12,7 @@
 """Largest sample of slowness; a single pause must not outweigh many replies."""
 _FAILURE_WEIGHT: Final = 0.25
 """Weight of one success or failure."""
-_HALF_LIFE: Final = 2.0
+_HALF_LIFE: Final = 8.0
 """Seconds after which a deviation counts half, so that a target that was
 avoided is tried again by ordinary traffic."""
 _FIRST_BACKOFF: Final = 0.1
--- a/nutmegstep/dispatch/sending.py
+++ b/nutmegstep/dispatch/sending.py
@@ -17,8 +17,11 @@
 """Target latencies after which a shard's target is not waited for."""
 _STALL_DELAYS: Final = 1.25
 """Hedge delays after which a target counts as stalled."""
-_HEDGE_RESERVE: Final = 0.3
-"""Share of the budget's capacity that hedges leave to repeats."""
+_SPARE_RESERVE: Final = 0.5
+"""Share of the budget's capacity that is left to repeats, and to hedges
+without which an answer would cover too little."""
+_BUDGET_PAUSE: Final = 0.03
+"""Seconds until a send that the budget did not allow is tried again."""
 _LIMIT_SHARE: Final = 0.8
 """Part of a target's connections that all VMs use together."""
 
@@ -30,7 +33,7 @@
     now: float,
 ) -> list[Effect]:
     """Send a part to the best target, or mark it as dead."""
-    state.budget_of(part.service, now).earn(now, state.vm_count)
+    state.budget_of(part.service).earn(now, state.vm_count)
     choice = choose_target(state, part.service, now)
     if choice is None:
         part.is_dead = True
@@ -50,14 +53,12 @@
     The part stays alive while another send is under way.
     """
     choice = _choose_other(state, open_request, part, now)
-    allowed = choice is not None and state.budget_of(
-        part.service,
-        now,
-    ).spend(now, state.vm_count)
-    if choice is None or not allowed:
+    if choice is None:
+        part.is_dead = not part.sends
+        return [_note(open_request, part, 'repeat_omitted', 'no_target')]
+    if not state.budget_of(part.service).spend(now, state.vm_count):
         part.is_dead = not part.sends
-        reason = 'no_target' if choice is None else 'no_budget'
-        return [_note(open_request, part, 'repeat_omitted', reason)]
+        return [_note(open_request, part, 'repeat_omitted', 'no_budget')]
     return [
         _note(open_request, part, 'repeat', choice.target.target_id),
         _send(state, open_request, part, choice, now),
@@ -75,9 +76,13 @@
     choice = _choose_other(state, open_request, part, now)
     if choice is None or choice.is_stalled:
         return [_note(open_request, part, 'hedge_omitted', 'no_target')]
-    budget = state.budget_of(part.service, now)
-    if not budget.spend(now, state.vm_count, _HEDGE_RESERVE):
-        return [_note(open_request, part, 'hedge_omitted', 'no_budget')]
+    budget = state.budget_of(part.service)
+    waiting = sum(one.reply is None for one in open_request.parts)
+    spare = len(open_request.parts) - open_request.required_parts
+    reserve = _SPARE_RESERVE if waiting <= spare else 0
+    if not budget.spend(now, state.vm_count, reserve):
+        part.hedge_at = now + _BUDGET_PAUSE
+        return [_note(open_request, part, 'hedge_delayed', 'no_budget')]
     return [
         _note(open_request, part, 'hedge', choice.target.target_id),
         _send(state, open_request, part, choice, now),
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -23,7 +23,7 @@
     'Send',
 ]
 
-_HEDGE_PROBABILITY: Final = 0.94
+_HEDGE_PROBABILITY: Final = 0.95
 """Quantile of latencies after which a second target is asked."""
 _MEDIAN: Final = 0.5
 _FIRST_MEDIAN_SHARE: Final = 0.2
@@ -193,6 +193,8 @@
         Bounds of the deployment.
     random : random.Random
         Source of randomness.
+    started : float, optional
+        Monotonic instant of the start; budgets fill from then on.
     """
 
     def __init__(
@@ -200,10 +202,12 @@
         own_domain: str,
         terms: DispatchTerms,
         random: Random,
+        started: float = 0,
     ) -> None:
         self.own_domain = own_domain
         self.terms = terms
         self.random = random
+        self._started = started
         self.configuration: Configuration | None = None
         self.roster = Roster()
         self.has_targets = False
@@ -245,11 +249,11 @@
             self.health_by_target[target.target_id] = health
         return health
 
-    def budget_of(self, service: str, now: float) -> RepeatBudget:
+    def budget_of(self, service: str) -> RepeatBudget:
         """Return the budget of repeats of a service."""
         budget = self._budget_by_service.get(service)
         if budget is None:
-            budget = RepeatBudget(self.terms.budget, now)
+            budget = RepeatBudget(self.terms.budget, self._started)
             self._budget_by_service[service] = budget
         return budget
 
--- /dev/null
+++ b/nutmegstep/experiment/__init__.py
@@ -0,0 +1,20 @@
+"""Model of VMs, targets and callers that plays the dispatcher's decisions."""
+
+from nutmegstep.experiment.core import run_experiment
+from nutmegstep.experiment.fleet import (
+    Disturbance,
+    Fleet,
+    QueryClass,
+    ShardGroup,
+)
+from nutmegstep.experiment.report import ClassResult, Report
+
+__all__ = [
+    'ClassResult',
+    'Disturbance',
+    'Fleet',
+    'QueryClass',
+    'Report',
+    'ShardGroup',
+    'run_experiment',
+]
--- /dev/null
+++ b/nutmegstep/experiment/examples.py
@@ -0,0 +1,107 @@
+"""Fleets of the two users, as they are and as they will grow."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+from types import MappingProxyType
+from typing import Final
+
+from nutmegstep.experiment.fleet import Fleet, QueryClass, ShardGroup
+
+__all__ = ['FLEETS']
+
+
+def _ms(milliseconds: float) -> timedelta:
+    return timedelta(milliseconds=milliseconds)
+
+
+def _catalogue(shards: int, slots: int, connections: int) -> ShardGroup:
+    return ShardGroup(
+        'catalogue',
+        shards,
+        slots,
+        pause=_ms(150),
+        pause_every=_ms(3600),
+        max_connections=connections,
+    )
+
+
+def _vidzeme_classes(
+    per_second: float,
+    min_coverage: tuple[float, float],
+) -> tuple[QueryClass, ...]:
+    sweep = QueryClass(
+        'sweep',
+        'catalogue',
+        is_gather=True,
+        per_second=per_second * 0.6,
+        work=_ms(22.5),
+        spread=0.35,
+        target_latency=_ms(145),
+        timeout=_ms(2000),
+        min_coverage=min_coverage[0],
+        tail_share=0.01,
+        tail_factor=5,
+        worth=2,
+    )
+    check = QueryClass(
+        'check',
+        'catalogue',
+        is_gather=True,
+        per_second=per_second * 0.2,
+        work=_ms(7.5),
+        spread=0.35,
+        target_latency=_ms(69),
+        timeout=_ms(1000),
+        min_coverage=min_coverage[1],
+        tail_share=0.01,
+        tail_factor=5,
+    )
+    fetch = QueryClass(
+        'fetch',
+        'orders',
+        is_gather=False,
+        per_second=per_second * 0.2,
+        work=_ms(130),
+        spread=0.5,
+        target_latency=_ms(540),
+        timeout=_ms(8000),
+        late_worth=0.3,
+    )
+    return (sweep, check, fetch)
+
+
+def _orders() -> ShardGroup:
+    return ShardGroup(
+        'orders',
+        1,
+        slots=6,
+        queue=24,
+        targets_per_domain=3,
+        connect=_ms(1),
+        max_connections=100,
+    )
+
+
+FLEETS: Final[Mapping[str, Fleet]] = MappingProxyType(
+    {
+        'vidzeme': Fleet(
+            domains=3,
+            vms=7,
+            groups=(_catalogue(10, 3, 31), _orders()),
+            classes=_vidzeme_classes(112, (0.89, 0.75)),
+            between_domains=_ms(1.4),
+            to_callers=_ms(3),
+            repeat_slack=54,
+        ),
+        'vidzeme-grown': Fleet(
+            domains=3,
+            vms=65,
+            groups=(_catalogue(36, 4, 64), _orders()),
+            classes=_vidzeme_classes(70, (0.95, 0.85)),
+            between_domains=_ms(1.4),
+            to_callers=_ms(3),
+            repeat_slack=170,
+        ),
+    },
+)
+"""Fleets by name; the figures are those of the users' pages."""
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -73,6 +73,7 @@
             settings.failure_domain,
             _terms_of(settings),
             self.random,
+            self.clock.monotonic(),
         )
         self.gateway = Gateway(
             self.state,
