--- a/nutmegstep/dispatch/choosing.py
+++ b/nutmegstep/dispatch/choosing.py
@@ -10,7 +10,7 @@
 
 __all__ = ['Choice', 'choose_target', 'is_usable', 'take_cold_token']
 
-_REMOTE_PENALTY: Final = 0.25
+_REMOTE_PENALTY: Final = 0.4
 """Medians of latency that the own failure domain is preferred by; bytes
 between failure domains are priced."""
 _FAILURE_PENALTY: Final = 4.0
--- a/nutmegstep/dispatch/health.py
+++ b/nutmegstep/dispatch/health.py
@@ -12,9 +12,12 @@
 """Largest sample of slowness; a single pause must not outweigh many replies."""
 _FAILURE_WEIGHT: Final = 0.25
 """Weight of one success or failure."""
-_HALF_LIFE: Final = 8.0
-"""Seconds after which a deviation counts half, so that a target that was
-avoided is tried again by ordinary traffic."""
+_HALF_LIFE_REQUESTS: Final = 20.0
+"""Requests for the service after which a deviation counts half, so that a
+target that was avoided is tried again by a small share of the traffic."""
+_HALF_LIFE_MIN: Final = 1.0
+_HALF_LIFE_MAX: Final = 8.0
+"""Bounds of that time in seconds."""
 _FIRST_BACKOFF: Final = 0.1
 """Seconds without sends after a first failed connection."""
 _LONGEST_BACKOFF: Final = 1.0
@@ -43,6 +46,8 @@
         Sends that the target may get while it is cold.
     cold_updated : float
         Monotonic instant of the latest change of `cold_tokens`.
+    half_life : float
+        Seconds after which a deviation counts half.
     """
 
     born: int
@@ -51,6 +56,7 @@
     blocked_until: float = 0
     cold_tokens: float = 1
     cold_updated: float = 0
+    half_life: float = _HALF_LIFE_MAX
     _slowness: float = 1
     _slowness_at: float = 0
     _failure_rate: float = 0
@@ -63,11 +69,11 @@
 
     def slowness(self, now: float) -> float:
         """Return the latency relative to that of the route's targets."""
-        return 1 + (self._slowness - 1) * _decay(now - self._slowness_at)
+        return 1 + (self._slowness - 1) * self._decay(now - self._slowness_at)
 
     def failure_rate(self, now: float) -> float:
         """Return the share of recent sends that failed."""
-        return self._failure_rate * _decay(now - self._failure_at)
+        return self._failure_rate * self._decay(now - self._failure_at)
 
     def is_stalled(self, now: float) -> bool:
         """Whether the oldest send waits for longer than is usual."""
@@ -80,6 +86,11 @@
             return True
         return self.failures > 0 and self.in_flight > 0
 
+    def set_pace(self, gap: float) -> None:
+        """Take the mean time in seconds between requests for the service."""
+        half_life = gap * _HALF_LIFE_REQUESTS
+        self.half_life = min(max(half_life, _HALF_LIFE_MIN), _HALF_LIFE_MAX)
+
     def observe_reply(self, ratio: float, now: float) -> None:
         """Take the latency of a reply, relative to the route's median."""
         sample = min(ratio, _RATIO_MAX)
@@ -107,6 +118,5 @@
         self._failure_rate = before + _FAILURE_WEIGHT * (failed - before)
         self._failure_at = now
 
-
-def _decay(seconds: float) -> float:
-    return math.exp2(-seconds / _HALF_LIFE)
+    def _decay(self, seconds: float) -> float:
+        return math.exp2(-seconds / self.half_life)
--- a/nutmegstep/dispatch/latency.py
+++ b/nutmegstep/dispatch/latency.py
@@ -2,13 +2,43 @@
 
 from typing import Final
 
-__all__ = ['RunningQuantile']
+__all__ = ['Pace', 'RunningQuantile']
 
 _STEP: Final = 0.05
 """Relative step of an estimate for each sample; about 60 samples cover a
 change by a factor of two at the 0.95 quantile's downward side."""
 
 
+_GAP_WEIGHT: Final = 0.1
+"""Weight of one gap between requests."""
+_FIRST_GAP: Final = 1.0
+"""Seconds between requests that are assumed at first."""
+
+
+class Pace:
+    """Mean time between requests.
+
+    Parameters
+    ----------
+    first : float
+        Monotonic instant of the first request.
+
+    Attributes
+    ----------
+    gap : float
+        Mean time in seconds.
+    """
+
+    def __init__(self, first: float) -> None:
+        self.gap = _FIRST_GAP
+        self._latest = first
+
+    def observe(self, now: float) -> None:
+        """Take a request."""
+        self.gap += _GAP_WEIGHT * (now - self._latest - self.gap)
+        self._latest = now
+
+
 class RunningQuantile:
     """Estimate of one quantile that follows a changing distribution.
 
--- a/nutmegstep/dispatch/sending.py
+++ b/nutmegstep/dispatch/sending.py
@@ -33,6 +33,7 @@
     now: float,
 ) -> list[Effect]:
     """Send a part to the best target, or mark it as dead."""
+    state.observe_request(part.service, now)
     state.budget_of(part.service).earn(now, state.vm_count)
     choice = choose_target(state, part.service, now)
     if choice is None:
@@ -114,6 +115,7 @@
     delay = state.latency_of(route).hedge_delay
     state.sends_by_id[send_id] = Send(open_request, part, target, now)
     health = state.health_of(target)
+    health.set_pace(state.gap_of(part.service))
     health.stalls_at_by_send[send_id] = now + delay * _STALL_DELAYS
     take_cold_token(state, target, now)
     part.sends.add(send_id)
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -11,7 +11,7 @@
 from nutmegstep.dispatch.budget import BudgetTerms, RepeatBudget
 from nutmegstep.dispatch.events import RoutedRequest, TargetReply
 from nutmegstep.dispatch.health import TargetHealth
-from nutmegstep.dispatch.latency import RunningQuantile
+from nutmegstep.dispatch.latency import Pace, RunningQuantile
 
 __all__ = [
     'ColdTerms',
@@ -220,6 +220,7 @@
         self.split_credits_by_route: dict[str, dict[str, float]] = {}
         self.next_send_id = 1
         self._budget_by_service: dict[str, RepeatBudget] = {}
+        self._pace_by_service: dict[str, Pace] = {}
         self._latency_by_route: dict[str, RouteLatency] = {}
 
     @property
@@ -257,6 +258,18 @@
             self._budget_by_service[service] = budget
         return budget
 
+    def observe_request(self, service: str, now: float) -> None:
+        """Take a request for a service into its pace."""
+        pace = self._pace_by_service.get(service)
+        if pace is None:
+            self._pace_by_service[service] = Pace(now)
+        else:
+            pace.observe(now)
+
+    def gap_of(self, service: str) -> float:
+        """Return the mean time in seconds between requests for a service."""
+        return self._pace_by_service[service].gap
+
     def latency_of(self, route: Route) -> RouteLatency:
         """Return the latencies of a route."""
         latency = self._latency_by_route.get(route.name)
--- a/nutmegstep/experiment/core.py
+++ b/nutmegstep/experiment/core.py
@@ -26,7 +26,12 @@
     TargetsListed,
     VmsCounted,
 )
-from nutmegstep.experiment.fleet import Fleet, QueryClass, ShardGroup
+from nutmegstep.experiment.fleet import (
+    Disturbance,
+    Fleet,
+    QueryClass,
+    ShardGroup,
+)
 from nutmegstep.experiment.report import ClassResult, Report
 from nutmegstep.experiment.target import ModelTarget
 from nutmegstep.experiment.vm import Delivery, ModelVm, Network
@@ -133,22 +138,34 @@
     def _build_targets(self) -> Iterator[ModelTarget]:
         for group in self.fleet.groups:
             targets = list(self._group_targets(group))
-            for disturbance in self.fleet.disturbances:
-                if disturbance.group != group.name:
-                    continue
-                hit = round(disturbance.share * len(targets))
-                chosen = self.random.sample(targets, hit)
-                if disturbance.service:
-                    chosen = [
-                        target
-                        for target in targets
-                        if target.record.service == disturbance.service
-                    ]
-                late = disturbance.starts + timedelta(seconds=_WARM_UP)
-                for target in chosen:
-                    target.disturb(replace(disturbance, starts=late))
+            disturbances = (
+                one
+                for one in self.fleet.disturbances
+                if one.group == group.name
+            )
+            for disturbance in disturbances:
+                self._disturb(disturbance, targets)
             yield from targets
 
+    def _disturb(
+        self,
+        disturbance: Disturbance,
+        targets: list[ModelTarget],
+    ) -> None:
+        hit = self.random.sample(
+            targets,
+            round(disturbance.share * len(targets)),
+        )
+        if disturbance.service:
+            hit = [
+                target
+                for target in targets
+                if target.record.service == disturbance.service
+            ]
+        starts = disturbance.starts + timedelta(seconds=_WARM_UP)
+        for target in hit:
+            target.disturb(replace(disturbance, starts=starts))
+
     def _group_targets(self, group: ShardGroup) -> Iterator[ModelTarget]:
         domains = range(self.fleet.domains * group.targets_per_domain)
         for number in range(group.count):
--- a/nutmegstep/experiment/target.py
+++ b/nutmegstep/experiment/target.py
@@ -126,8 +126,8 @@
         work.is_running = True
         self._busy += 1
         slow = self._trouble(Trouble.SLOW)
-        seconds = work.seconds * (slow.factor if slow else 1)
-        finish = self._finish_after_pauses(now, seconds)
+        factor = slow.factor if slow else 1
+        finish = self._finish_after_pauses(now, work.seconds * factor)
         answer = _DONE
         errors = self._trouble(Trouble.ERRORS)
         if errors and self._random.random() < errors.factor:
@@ -164,7 +164,9 @@
             begins, ends = self._next_pause(finish)
             ran = min(left, max(0, begins - finish))
             left -= ran
-            finish = ends if left > 0 else finish + ran
+            finish += ran
+            if left > 0:
+                finish = ends
         return finish
 
     def _next_pause(self, instant: float) -> tuple[float, float]:
--- a/nutmegstep/experiment/world.py
+++ b/nutmegstep/experiment/world.py
@@ -38,6 +38,7 @@
     def run(self, until: float) -> None:
         """Run all callbacks up to an instant."""
         while self._due and self._due[0][0] <= until:
-            self.now, _, callback = heapq.heappop(self._due)
+            instant, _, callback = heapq.heappop(self._due)
+            self.now = instant
             callback()
         self.now = until
--- a/nutmegstep/gateway/feeds.py
+++ b/nutmegstep/gateway/feeds.py
@@ -29,8 +29,11 @@
 the time in which a change must be in force while the store is unstable."""
 _LONG_WAIT: Final = timedelta(seconds=20)
 """Longest wait of the other watches; each call is priced."""
-_GATHER: Final = timedelta(milliseconds=200)
-"""Pause after a change; a tenth of the time in which it must be in force."""
+_GATHER: Final = timedelta(milliseconds=100)
+"""Pause after a change of the configuration or of the withdrawals."""
+_GATHER_TARGETS: Final = timedelta(milliseconds=500)
+"""Pause after a change of targets, which come in waves; a sixth of the time
+in which a leaving target must be left."""
 
 
 class Feeds:
@@ -71,7 +74,7 @@
             Subscription(
                 kinds.targets,
                 _LONG_WAIT,
-                _GATHER,
+                _GATHER_TARGETS,
                 self._list_targets,
                 _for_each(self._change_target),
             ),
--- /dev/null
+++ b/tests/dispatch/conftest.py
@@ -0,0 +1,179 @@
+"""A dispatcher with three targets a shard, without a network."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+from datetime import timedelta
+from itertools import count
+from random import Random
+from typing import TypeVar
+
+import pytest
+
+from nutmegstep.configuration import (
+    Configuration,
+    Route,
+    ServiceSpec,
+    WeightedService,
+)
+from nutmegstep.discovery import TargetRecord
+from nutmegstep.dispatch import (
+    ColdTerms,
+    DispatchState,
+    DispatchTerms,
+    reduce_event,
+)
+from nutmegstep.dispatch.budget import BudgetTerms
+from nutmegstep.dispatch.effects import Effect, SendRequest
+from nutmegstep.dispatch.events import (
+    ConfigurationChanged,
+    Event,
+    RequestArrived,
+    RoutedRequest,
+    TargetReplied,
+    TargetReply,
+    TargetsListed,
+)
+
+SHARDS = tuple(f'shard-{number}' for number in range(10))
+HOST = 'shop.example'
+_Kind = TypeVar('_Kind')
+
+
+def reply(
+    body: bytes = b'', status: int = 200, **fields: object
+) -> TargetReply:
+    """Return a reply of a target."""
+    made = TargetReply(status, (), body, 'signed')
+    return replace(made, **fields)  # type: ignore[arg-type]
+
+
+SHED = reply(status=503, signature='', was_executed=False)
+
+
+def configuration(version: int = 1) -> Configuration:
+    """Return a configuration with one route of each kind."""
+    base = Route(
+        'sweep',
+        HOST,
+        '/sweep/',
+        is_idempotent=True,
+        timeout=timedelta(seconds=2),
+        target_latency=timedelta(milliseconds=145),
+        priority=1,
+        attempts=2,
+        shards=SHARDS,
+        top_records=2,
+        min_coverage=0.89,
+    )
+    single = replace(
+        base,
+        shards=(),
+        destinations=(WeightedService('orders', 1),),
+        target_latency=timedelta(milliseconds=500),
+    )
+    routes = (
+        base,
+        replace(single, name='fetch', path_prefix='/fetch/'),
+        replace(
+            single,
+            name='order',
+            path_prefix='/order/',
+            is_idempotent=False,
+        ),
+        replace(
+            single,
+            name='split',
+            path_prefix='/split/',
+            destinations=(
+                WeightedService('orders', 3),
+                WeightedService('shard-0', 1),
+            ),
+        ),
+    )
+    names = (*SHARDS, 'orders')
+    services = {
+        name: ServiceSpec(name, 31, timedelta(seconds=3), 0) for name in names
+    }
+    by_prefix = {route.path_prefix: route for route in routes}
+    return Configuration(version, {HOST: by_prefix}, services)
+
+
+def records() -> dict[str, TargetRecord]:
+    """Return three targets of each service, one in each failure domain."""
+    made = (
+        TargetRecord(
+            f'{service}-{domain}',
+            service,
+            '10.0.0.1',
+            80,
+            domain,
+            3,
+            is_draining=False,
+            cold_until=0,
+            born=1,
+        )
+        for service in (*SHARDS, 'orders')
+        for domain in ('north', 'south', 'west')
+    )
+    return {record.target_id: record for record in made}
+
+
+class Dispatcher:
+    """Plays events at instants that the test sets."""
+
+    def __init__(self) -> None:
+        terms = DispatchTerms(
+            BudgetTerms(0.2, 54, timedelta(seconds=10)),
+            ColdTerms(1.5, 5),
+        )
+        self.state = DispatchState('north', terms, Random(1), started=0)
+        self.now = 100.0
+        self.effects: list[Effect] = []
+        self._ids = count(1)
+
+    def play(self, event: Event) -> list[Effect]:
+        """Reduce an event; return its effects."""
+        made = reduce_event(self.state, event, self.now)
+        self.effects.extend(made)
+        return made
+
+    def ask(self, path: str = '/sweep/x', **fields: object) -> RoutedRequest:
+        """Let a request arrive."""
+        request = RoutedRequest(
+            next(self._ids),
+            'caller-1',
+            b'GET',
+            path.encode(),
+            HOST,
+            path,
+            (),
+            b'',
+            2.0,
+            self.now,
+        )
+        made = replace(request, **fields)  # type: ignore[arg-type]
+        self.play(RequestArrived(made))
+        return made
+
+    def of(self, kind: type[_Kind]) -> list[_Kind]:
+        """Return all effects of a kind so far."""
+        return [one for one in self.effects if isinstance(one, kind)]
+
+    def answer(
+        self,
+        sends: Iterable[SendRequest],
+        answer: TargetReply | None = None,
+    ) -> None:
+        """Let targets answer."""
+        for send in sends:
+            self.play(TargetReplied(send.send_id, answer or reply(b'r' * 16)))
+
+
+@pytest.fixture
+def dispatcher() -> Dispatcher:
+    """Return a dispatcher that knows configuration and targets."""
+    made = Dispatcher()
+    made.play(ConfigurationChanged(configuration()))
+    made.play(TargetsListed(records()))
+    made.effects.clear()
+    return made
--- /dev/null
+++ b/tests/dispatch/test_control.py
@@ -0,0 +1,62 @@
+"""Versions that never go back, and requests under their own version."""
+
+from dataclasses import replace
+
+from nutmegstep.dispatch.effects import DeliverRefusal, DropTarget
+from nutmegstep.dispatch.events import (
+    ConfigurationChanged,
+    StoreRegained,
+    TargetAnnounced,
+    TargetDiscarded,
+    TargetsListed,
+)
+from nutmegstep.verdict import Reason, Verdict
+from tests.dispatch.conftest import Dispatcher, configuration, records
+
+
+def test_older_version_never_replaces_a_newer_one(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a stale read that brings back an old configuration."""
+    dispatcher.play(ConfigurationChanged(configuration(9)))
+    dispatcher.play(ConfigurationChanged(configuration(4)))
+    assert dispatcher.state.configuration is not None
+    assert dispatcher.state.configuration.version == 9
+
+
+def test_unready_vm_refuses_with_not_run() -> None:
+    """Guards against 404 from a VM that has not read the configuration."""
+    dispatcher = Dispatcher()
+    dispatcher.ask()
+    refusal = dispatcher.of(DeliverRefusal)[0].refusal
+    assert refusal.reason is Reason.NO_CONFIGURATION
+    assert refusal.verdict is Verdict.NOT_RUN
+
+
+def test_unknown_route_is_refused_as_such(dispatcher: Dispatcher) -> None:
+    """Guards against callers that repeat what no route allows."""
+    dispatcher.ask('/other/')
+    refusal = dispatcher.of(DeliverRefusal)[0].refusal
+    assert refusal.reason is Reason.UNKNOWN_ROUTE
+
+
+def test_connections_of_an_old_incarnation_are_dropped(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against requests on connections of a process that is gone."""
+    record = records()['orders-north']
+    dispatcher.play(TargetAnnounced(record))
+    assert not dispatcher.of(DropTarget)
+    dispatcher.play(TargetAnnounced(replace(record, born=2)))
+    assert dispatcher.of(DropTarget) == [DropTarget('orders-north')]
+
+
+def test_targets_survive_the_return_of_the_store(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against refusals while lapsed entries come back."""
+    dispatcher.play(StoreRegained())
+    dispatcher.play(TargetsListed({}))
+    dispatcher.play(TargetDiscarded('orders-north'))
+    dispatcher.ask()
+    assert not dispatcher.of(DeliverRefusal)
--- /dev/null
+++ b/tests/dispatch/test_merging.py
@@ -0,0 +1,23 @@
+"""Merging of parts."""
+
+from random import Random
+
+import pytest
+
+from nutmegstep.dispatch.merging import RECORD_BYTES, merge_records
+
+
+@pytest.mark.parametrize('top', [0, 1, 5, 1000])
+def test_merge_equals_sorting_all_records(top: int) -> None:
+    """Guards against records that are lost, doubled or out of order."""
+    random = Random(top)
+    records = [random.randbytes(RECORD_BYTES) for _ in range(300)]
+    records.extend(records[:20])
+    parts = [b''.join(records[start::7]) for start in range(7)]
+    expected = b''.join(sorted(records, reverse=True)[:top])
+    assert merge_records(parts, top) == expected
+
+
+def test_remainder_of_a_part_is_no_record() -> None:
+    """Guards against a truncated record in an answer."""
+    assert merge_records([b'a' * 16 + b'zzz', b'b' * 15], 5) == b'a' * 16
--- /dev/null
+++ b/tests/dispatch/test_sending.py
@@ -0,0 +1,184 @@
+"""Hedges, repeats and the choice of targets."""
+
+from dataclasses import replace
+
+import pytest
+
+from nutmegstep.dispatch.effects import Decision, SendRequest
+from nutmegstep.dispatch.events import (
+    DomainsWithdrawn,
+    FailureKind,
+    RequestDue,
+    SendFailed,
+    TargetAnnounced,
+    TargetDiscarded,
+)
+from tests.dispatch.conftest import SHED, Dispatcher, records, reply
+
+
+def _targets(dispatcher: Dispatcher, service: str) -> list[str]:
+    return [
+        send.target.target_id
+        for send in dispatcher.of(SendRequest)
+        if send.target.service == service
+    ]
+
+
+def test_own_failure_domain_is_preferred(dispatcher: Dispatcher) -> None:
+    """Guards against bytes between failure domains without need."""
+    dispatcher.ask()
+    domains = {
+        send.target.failure_domain for send in dispatcher.of(SendRequest)
+    }
+    assert domains == {'north'}
+
+
+def test_paused_target_is_hedged_elsewhere(dispatcher: Dispatcher) -> None:
+    """Guards against queries that wait for a pause of 150 ms."""
+    request = dispatcher.ask()
+    dispatcher.answer(dispatcher.of(SendRequest)[:9])
+    dispatcher.now += 0.06
+    dispatcher.play(RequestDue(request.request_id))
+    assert len(set(_targets(dispatcher, 'shard-9'))) == 2
+
+
+def test_next_query_avoids_the_paused_target(dispatcher: Dispatcher) -> None:
+    """Guards against a hedge for each query that meets the same pause."""
+    dispatcher.ask()
+    dispatcher.answer(dispatcher.of(SendRequest)[:9])
+    dispatcher.now += 0.09
+    dispatcher.ask()
+    first, second = _targets(dispatcher, 'shard-9')
+    assert first != second
+
+
+def test_hedge_of_one_request_keeps_to_the_attempts(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against more targets than a route allows."""
+    request = dispatcher.ask('/fetch/1')
+    for _ in range(20):
+        dispatcher.now += 0.05
+        dispatcher.play(RequestDue(request.request_id))
+    assert len(_targets(dispatcher, 'orders')) == 2
+
+
+def test_non_idempotent_request_is_never_hedged(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a second run of a slow order."""
+    request = dispatcher.ask('/order/1')
+    for _ in range(20):
+        dispatcher.now += 0.05
+        dispatcher.play(RequestDue(request.request_id))
+    assert len(_targets(dispatcher, 'orders')) == 1
+
+
+def test_rejection_does_not_count_as_an_attempt(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against requests that give up after two full queues."""
+    dispatcher.ask('/fetch/1')
+    for _ in range(2):
+        dispatcher.answer(dispatcher.of(SendRequest)[-1:], SHED)
+    assert len(set(_targets(dispatcher, 'orders'))) == 3
+
+
+def test_refusing_target_is_left_for_a_while(dispatcher: Dispatcher) -> None:
+    """Guards against each request being sent to a crashed target first."""
+    dispatcher.ask('/fetch/1')
+    first = dispatcher.of(SendRequest)[0]
+    dispatcher.play(SendFailed(first.send_id, FailureKind.CONNECT))
+    dispatcher.effects.clear()
+    for _ in range(3):
+        dispatcher.ask('/fetch/1')
+    assert first.target.target_id not in _targets(dispatcher, 'orders')
+
+
+def test_crashed_target_is_tried_again_by_ordinary_traffic(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a target that is never used again after a crash."""
+    dispatcher.ask('/fetch/1')
+    first = dispatcher.of(SendRequest)[0]
+    dispatcher.play(SendFailed(first.send_id, FailureKind.CONNECT))
+    dispatcher.now += 60
+    dispatcher.effects.clear()
+    for _ in range(9):
+        dispatcher.ask('/fetch/1')
+    assert first.target.target_id in _targets(dispatcher, 'orders')
+
+
+def test_address_of_another_target_is_left(dispatcher: Dispatcher) -> None:
+    """Guards against work for an address that another service uses now."""
+    dispatcher.ask('/fetch/1')
+    wrong = reply(status=421, was_executed=False, is_misdirected=True)
+    first = dispatcher.of(SendRequest)[0].target.target_id
+    dispatcher.answer(dispatcher.of(SendRequest)[:1], wrong)
+    dispatcher.now += 2
+    dispatcher.effects.clear()
+    for _ in range(9):
+        dispatcher.ask('/fetch/1')
+    assert first not in _targets(dispatcher, 'orders')
+
+
+def test_leaving_target_gets_no_new_work(dispatcher: Dispatcher) -> None:
+    """Guards against requests to a target that is about to exit."""
+    leaving = replace(records()['orders-north'], is_draining=True)
+    dispatcher.play(TargetAnnounced(leaving))
+    dispatcher.play(TargetDiscarded('orders-south'))
+    for _ in range(5):
+        dispatcher.ask('/fetch/1')
+    assert set(_targets(dispatcher, 'orders')) == {'orders-west'}
+
+
+def test_hedges_keep_away_from_a_withdrawn_domain(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against hedges into a failure domain that is taken out."""
+    request = dispatcher.ask('/fetch/1')
+    dispatcher.play(DomainsWithdrawn(frozenset(('south', 'north'))))
+    dispatcher.now += 0.4
+    dispatcher.play(RequestDue(request.request_id))
+    assert _targets(dispatcher, 'orders')[1:] == ['orders-west']
+
+
+@pytest.mark.parametrize('vm_count', [1, 7])
+def test_cold_target_gets_a_share_of_its_bound(
+    dispatcher: Dispatcher,
+    vm_count: int,
+) -> None:
+    """Guards against a cold target that all VMs send to at once."""
+    dispatcher.state.vm_count = vm_count
+    for record in records().values():
+        if record.service == 'orders':
+            dispatcher.play(TargetAnnounced(replace(record, cold_until=110)))
+    for _ in range(100):
+        dispatcher.now += 0.01
+        dispatcher.ask('/fetch/1')
+    sends = _targets(dispatcher, 'orders')
+    bound = 5 / vm_count + 1
+    counts = [sends.count(target) for target in set(sends)]
+    assert max(counts) <= bound
+
+
+def test_spent_budget_delays_hedges(dispatcher: Dispatcher) -> None:
+    """Guards against a slow service whose load the hedges double."""
+    requests = [dispatcher.ask('/fetch/1') for _ in range(40)]
+    for _ in range(10):
+        dispatcher.now += 0.05
+        for request in requests:
+            dispatcher.play(RequestDue(request.request_id))
+    extra = len(_targets(dispatcher, 'orders')) - 40
+    assert extra <= 0.2 * 40 + 54 / 8 + 1
+    names = {decision.name for decision in dispatcher.of(Decision)}
+    assert 'hedge_delayed' in names
+
+
+def test_split_follows_the_weights(dispatcher: Dispatcher) -> None:
+    """Guards against shares that drift from the declared weights."""
+    for _ in range(40):
+        dispatcher.ask('/split/1')
+    services = [send.target.service for send in dispatcher.of(SendRequest)]
+    assert services.count('orders') == 30
+    assert services.count('shard-0') == 10
--- /dev/null
+++ b/tests/gateway/test_pool.py
@@ -0,0 +1,238 @@
+"""Answers that are truncated, spoiled, unframed, doubled, late or missing."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from nutmegstep.clock import SystemClock
+from nutmegstep.discovery import TargetRecord
+from nutmegstep.dispatch.effects import SendRequest
+from nutmegstep.dispatch.events import FailureKind, RoutedRequest
+from nutmegstep.gateway.channel import Outcome
+from nutmegstep.gateway.codec import RawReply
+from nutmegstep.gateway.pool import ChannelPool
+from nutmegstep.platform.wire import CODEC
+from tests.platform.standin import Seen, TargetStandIn, respond
+
+_BODY = b'r' * 16
+
+
+class _Sender:
+    """A pool with one target."""
+
+    def __init__(self) -> None:
+        self.target = TargetStandIn(respond())
+        self.clock = SystemClock()
+        self.outcomes: asyncio.Queue[Outcome] = asyncio.Queue()
+        self.pool = ChannelPool(
+            self.clock,
+            CODEC,
+            lambda effect, outcome: self.outcomes.put_nowait(outcome),
+        )
+        self._next_id = 0
+
+    def send(
+        self,
+        seconds: float = 1,
+        limit: int = 4,
+        *,
+        is_repeatable: bool = True,
+        body: bytes = b'',
+    ) -> int:
+        self._next_id += 1
+        now = self.clock.monotonic()
+        request = RoutedRequest(
+            self._next_id,
+            f'caller-{self._next_id}',
+            b'POST' if body else b'GET',
+            b'/a/b?c=d',
+            'shop.example',
+            '/a/b',
+            (
+                (b'host', b'shop.example'),
+                (
+                    b'x-nutmegstep-attempt-id',
+                    b'caller-%d' % self._next_id,
+                ),
+            ),
+            body,
+            seconds,
+            now,
+        )
+        host, port = self.target.address
+        record = TargetRecord(
+            'i-1',
+            'shard',
+            host,
+            port,
+            'north',
+            3,
+            is_draining=False,
+            cold_until=0,
+            born=1,
+        )
+        self.pool.send(
+            SendRequest(
+                self._next_id,
+                request,
+                record,
+                now + seconds,
+                limit,
+                is_repeatable,
+            ),
+        )
+        return self._next_id
+
+    async def outcome(self) -> Outcome:
+        async with asyncio.timeout(3):
+            return await self.outcomes.get()
+
+
+@pytest.fixture
+async def sender() -> AsyncIterator[_Sender]:
+    """Return a pool with a target that answers."""
+    made = _Sender()
+    await made.target.start()
+    yield made
+    made.pool.close()
+    made.target.stop()
+
+
+async def test_request_reaches_the_target_unchanged(sender: _Sender) -> None:
+    """Guards against a changed path, query, body or identifier."""
+    sender.send(body=b'payload')
+    outcome = await sender.outcome()
+    seen = sender.target.seen[0]
+    assert isinstance(outcome, RawReply)
+    assert seen.head.startswith(b'POST /a/b?c=d HTTP/1.1\r\n')
+    assert seen.body == b'payload'
+    assert seen.headers['x-nutmegstep-expect-instance'] == 'i-1'
+    assert 0 < int(seen.headers['x-nutmegstep-deadline-ms']) <= 1000
+
+
+async def test_connection_is_reused(sender: _Sender) -> None:
+    """Guards against a new connection for each request."""
+    for _ in range(3):
+        sender.send()
+        await sender.outcome()
+    assert sender.target.connections == 1
+
+
+async def test_non_idempotent_request_takes_a_new_connection(
+    sender: _Sender,
+) -> None:
+    """Guards against a kept connection that the target closes meanwhile."""
+    sender.send()
+    await sender.outcome()
+    sender.send(is_repeatable=False)
+    await sender.outcome()
+    assert sender.target.connections == 2
+
+
+def _truncated(seen: Seen) -> bytes:
+    return respond()(seen)[:-5]
+
+
+def _spoiled(seen: Seen) -> bytes:
+    return b'\x00\x01garbage without sense\r\n\r\n'
+
+
+def _unframed(seen: Seen) -> bytes:
+    return b'HTTP/1.1 200 OK\r\n\r\n%b' % _BODY
+
+
+@pytest.mark.parametrize('script', [_truncated, _spoiled])
+async def test_broken_answer_is_a_failure(
+    sender: _Sender,
+    script: object,
+) -> None:
+    """Guards against part of an answer that looks complete."""
+    sender.target.script = script  # type: ignore[assignment]
+    sender.target.closes_after_answer = True
+    sender.send()
+    assert await sender.outcome() is FailureKind.INVALID
+
+
+async def test_answer_without_length_ends_with_its_connection(
+    sender: _Sender,
+) -> None:
+    """Guards against valid answers that are thrown away."""
+    sender.target.script = _unframed
+    sender.target.closes_after_answer = True
+    sender.send()
+    outcome = await sender.outcome()
+    assert isinstance(outcome, RawReply)
+    assert outcome.body == _BODY
+
+
+async def test_second_answer_is_not_taken_for_the_next_request(
+    sender: _Sender,
+) -> None:
+    """Guards against an answer that belongs to another request."""
+    script = respond()
+    sender.target.script = lambda seen: script(seen) * 2
+    sender.send()
+    await sender.outcome()
+    await asyncio.sleep(0.05)
+    sender.target.script = script
+    sender.send()
+    outcome = await sender.outcome()
+    assert isinstance(outcome, RawReply)
+    assert dict(outcome.headers)[b'x-nutmegstep-attempt-id'] == b'caller-2'
+
+
+async def test_closed_connection_may_have_run(sender: _Sender) -> None:
+    """Guards against a refusal that says nothing ran."""
+    sender.target.script = lambda seen: b''
+    sender.send()
+    outcome = await sender.outcome()
+    assert isinstance(outcome, FailureKind)
+    assert outcome.may_have_run
+
+
+async def test_refused_connection_has_not_run(sender: _Sender) -> None:
+    """Guards against a non-idempotent request that is given up needlessly."""
+    sender.target.stop()
+    sender.send()
+    assert await sender.outcome() is FailureKind.CONNECT
+
+
+async def test_silence_ends_with_the_deadline(sender: _Sender) -> None:
+    """Guards against requests that wait for a target that hangs."""
+    sender.target.script = None
+    sender.send(seconds=0.1)
+    assert await sender.outcome() is FailureKind.TIMEOUT
+
+
+async def test_cancelled_send_closes_its_connection(sender: _Sender) -> None:
+    """Guards against targets that work on after the caller has left."""
+    sender.target.script = None
+    send_id = sender.send()
+    await asyncio.sleep(0.05)
+    sender.pool.cancel(send_id)
+    assert await sender.outcome() is FailureKind.CANCELLED
+    await asyncio.sleep(0.05)
+    assert sender.target.lost == 1
+
+
+async def test_limit_holds_sends_back(sender: _Sender) -> None:
+    """Guards against more connections than the target accepts."""
+    for _ in range(12):
+        sender.send(limit=2)
+    for _ in range(12):
+        assert isinstance(await sender.outcome(), RawReply)
+    assert sender.target.connections <= 2
+
+
+async def test_send_cancelled_while_it_waits_is_reported_once(
+    sender: _Sender,
+) -> None:
+    """Guards against a waiting send that is lost or sent after all."""
+    sender.target.script = None
+    sender.send(limit=1)
+    waiting = sender.send(limit=1)
+    sender.pool.cancel(waiting)
+    assert await sender.outcome() is FailureKind.CANCELLED
+    await asyncio.sleep(0.05)
+    assert len(sender.target.seen) == 1
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,240 @@
+"""Stand-ins of the operators' store and targets, by their published pages."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from itertools import count
+
+import orjson
+
+from nutmegstep.web import HttpRequest, HttpResponse, HttpServer, serve_http
+
+_PAGE = 50
+
+
+class StoreStandIn:
+    """Objects by kind and name, with revisions, watches and an outage switch."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.is_away = False
+        self.calls: list[str] = []
+        self.first_revision = 0
+        self._objects: dict[str, dict[str, dict[str, object]]] = {}
+        self._events: list[tuple[int, str, dict[str, object], bool]] = []
+        self._changed = asyncio.Event()
+        self.http: HttpServer
+
+    async def start(self, port: int = 0) -> str:
+        """Listen; return the address."""
+        self.http = await serve_http(self._answer, '127.0.0.1', port)
+        return '127.0.0.1:{0}'.format(self.http.sockets[0].getsockname()[1])
+
+    def put(self, kind: str, name: str, spec: object) -> None:
+        """Write an object as the operator or a target does."""
+        self.revision += 1
+        known = self._objects.setdefault(kind, {}).get(name)
+        meta = {
+            'name': name,
+            'rev': self.revision,
+            'create_rev': self.revision,
+            'finalizers': [],
+            'deletion_pending': False,
+        }
+        if known is not None:
+            meta['create_rev'] = known['meta']['create_rev']  # type: ignore[index]
+        written = {'meta': meta, 'spec': spec, 'status': None}
+        self._objects[kind][name] = written
+        self._note(kind, written, is_deleted=False)
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        removed = self._objects.get(kind, {}).pop(name, None)
+        if removed is not None:
+            self.revision += 1
+            self._note(kind, removed, is_deleted=True)
+
+    def forget_history(self) -> None:
+        """Discard the history, so that watches must list again."""
+        self.first_revision = self.revision
+        self._events.clear()
+
+    def names(self, kind: str) -> set[str]:
+        """Return the names of a kind's objects."""
+        return set(self._objects.get(kind, {}))
+
+    def _note(
+        self,
+        kind: str,
+        changed: dict[str, object],
+        is_deleted: bool,
+    ) -> None:
+        self._events.append((self.revision, kind, changed, is_deleted))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        self.calls.append(f'{request.method} {request.path}')
+        if self.is_away:
+            return HttpResponse(503, b'{}')
+        kind, _, name = request.path.removeprefix('/v1/objects/').partition('/')
+        if request.method == 'POST':
+            return self._create(kind, orjson.loads(request.body))
+        if request.method == 'PUT':
+            return self._replace(kind, name, orjson.loads(request.body))
+        if request.method == 'DELETE':
+            self.delete(kind, name)
+            return HttpResponse(200, b'{}')
+        if 'watch' in request.query:
+            return await self._watch(kind, request)
+        return self._list(kind, request.query.get('after', ''))
+
+    def _create(self, kind: str, document: dict[str, object]) -> HttpResponse:
+        name = str(document['meta']['name'])  # type: ignore[index]
+        if name in self.names(kind):
+            return HttpResponse(409, b'{}')
+        self.put(kind, name, document['spec'])
+        return HttpResponse(200, b'{}')
+
+    def _replace(
+        self,
+        kind: str,
+        name: str,
+        document: dict[str, object],
+    ) -> HttpResponse:
+        if name not in self.names(kind):
+            return HttpResponse(404, b'{}')
+        self.put(kind, name, document['spec'])
+        return HttpResponse(200, b'{}')
+
+    def _list(self, kind: str, after: str) -> HttpResponse:
+        objects = self._objects.get(kind, {})
+        names = [name for name in sorted(objects) if name > after]
+        page = {
+            'items': [objects[name] for name in names[:_PAGE]],
+            'more': len(names) > _PAGE,
+            'at': self.revision,
+        }
+        return HttpResponse(200, orjson.dumps(page))
+
+    async def _watch(self, kind: str, request: HttpRequest) -> HttpResponse:
+        since = int(request.query['watch'])
+        if since < self.first_revision:
+            return HttpResponse(410, b'{}')
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + int(request.query['wait_ms']) / 1000
+        found = self._changes(kind, since)
+        while not found and loop.time() < ends:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(
+                    self._changed.wait(),
+                    ends - loop.time(),
+                )
+            if self.is_away:
+                return HttpResponse(503, b'{}')
+            if since < self.first_revision:
+                return HttpResponse(410, b'{}')
+            found = self._changes(kind, since)
+        reply = {'events': found, 'at': self.revision}
+        return HttpResponse(200, orjson.dumps(reply))
+
+    def _changes(self, kind: str, since: int) -> list[dict[str, object]]:
+        return [
+            {'object': changed, 'deleted': is_deleted}
+            for at, of_kind, changed, is_deleted in self._events
+            if of_kind == kind and at > since
+        ]
+
+
+@dataclass
+class Seen:
+    """A request that a target received."""
+
+    head: bytes
+    body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+_Answer = Callable[[Seen], bytes]
+
+
+def respond(
+    body: bytes = b'r' * 16,
+    status: int = 200,
+    headers: str = '',
+) -> _Answer:
+    """Return a script that answers with a signature and the caller's id."""
+    numbers = count(1)
+
+    def answer(seen: Seen) -> bytes:
+        caller = seen.headers.get('x-nutmegstep-attempt-id', '')
+        head = (
+            f'HTTP/1.1 {status} X\r\ncontent-length: {len(body)}\r\n'
+            f'x-nutmegstep-attempt-id: {caller}\r\n'
+            f'x-nutmegstep-server-stamp: s{next(numbers)}.{caller}\r\n'
+            f'{headers}\r\n'
+        )
+        return head.encode() + body
+
+    return answer
+
+
+class TargetStandIn:
+    """A server that answers each request with a script.
+
+    An empty answer closes the connection; None as script never answers.
+    """
+
+    def __init__(self, script: _Answer | None = None) -> None:
+        self.script = script
+        self.seen: list[Seen] = []
+        self.connections = 0
+        self.lost = 0
+        self.closes_after_answer = False
+        self.address = ('127.0.0.1', 0)
+        self._server: asyncio.Server
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.address = self._server.sockets[0].getsockname()[:2]
+
+    def stop(self) -> None:
+        """Refuse further connections."""
+        self._server.close()
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        try:
+            await self._serve_requests(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.lost += 1
+        finally:
+            writer.close()
+
+    async def _serve_requests(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            lines = head.decode().split('\r\n')
+            pairs = (line.split(': ', 1) for line in lines[1:] if line)
+            headers = {name.lower(): text for name, text in pairs}
+            length = int(headers.get('content-length', '0'))
+            seen = Seen(head, await reader.readexactly(length), headers)
+            self.seen.append(seen)
+            if self.script is None:
+                await reader.read(1)
+                raise ConnectionResetError
+            answer = self.script(seen)
+            writer.write(answer)
+            await writer.drain()
+            if not answer or self.closes_after_answer:
+                return
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,106 @@
+"""Calls of the store against a stand-in."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+import pytest
+from prometheus_client import CollectorRegistry, Counter
+from returns.pipeline import is_successful
+
+from nutmegstep.following import Changes, HistoryGone
+from nutmegstep.following.census import VmEntry
+from nutmegstep.platform.store import KIND_VMS, ObjectStore
+from nutmegstep.platform_api.transport import HttpTransport
+from tests.platform.standin import StoreStandIn
+
+_WAIT = timedelta(seconds=1)
+
+
+class _Pair:
+    def __init__(self, stand_in: StoreStandIn, store: ObjectStore) -> None:
+        self.stand_in = stand_in
+        self.store = store
+
+
+@pytest.fixture
+async def pair() -> AsyncIterator[_Pair]:
+    """Return a stand-in and a client that is connected to it."""
+    stand_in = StoreStandIn()
+    host, _, port = (await stand_in.start()).partition(':')
+    counter = Counter(
+        'calls',
+        'Calls.',
+        ('operation', 'outcome'),
+        registry=CollectorRegistry(),
+    )
+    store = ObjectStore(HttpTransport(host, int(port)), counter)
+    yield _Pair(stand_in, store)
+    store.close()
+    stand_in.http.close()
+
+
+async def test_all_pages_are_listed(pair: _Pair) -> None:
+    """Guards against targets beyond the first page that nobody knows."""
+    for number in range(120):
+        pair.stand_in.put('servers', f's{number:03d}', {'n': number})
+    listing = (await pair.store.list_kind('servers')).unwrap()
+    assert len(listing.documents_by_name) == 120
+    assert listing.documents_by_name['s119'] == {'n': 119}
+
+
+async def test_watch_returns_changes_and_deletions(pair: _Pair) -> None:
+    """Guards against removals that are taken for changes."""
+    pair.stand_in.put('servers', 'a', 1)
+    revision = (await pair.store.list_kind('servers')).unwrap().revision
+    pair.stand_in.put('servers', 'b', 2)
+    pair.stand_in.delete('servers', 'a')
+    found = (await pair.store.watch_kind('servers', revision, _WAIT)).unwrap()
+    assert isinstance(found, Changes)
+    assert [(one.name, one.is_deleted) for one in found.changes] == [
+        ('b', False),
+        ('a', True),
+    ]
+
+
+async def test_watch_waits_for_a_change(pair: _Pair) -> None:
+    """Guards against polling, which is priced."""
+    watch = asyncio.create_task(pair.store.watch_kind('servers', 1, _WAIT))
+    await asyncio.sleep(0.05)
+    pair.stand_in.put('servers', 'b', 2)
+    async with asyncio.timeout(0.5):
+        found = (await watch).unwrap()
+    assert isinstance(found, Changes)
+    assert found.changes
+
+
+async def test_discarded_history_is_told_apart(pair: _Pair) -> None:
+    """Guards against a gap in the history that looks like an outage."""
+    pair.stand_in.put('servers', 'a', 1)
+    pair.stand_in.forget_history()
+    found = await pair.store.watch_kind('servers', 1, _WAIT)
+    assert found.unwrap() == HistoryGone()
+
+
+async def test_outage_is_a_failure(pair: _Pair) -> None:
+    """Guards against an empty list of targets while the store is away."""
+    pair.stand_in.is_away = True
+    assert not is_successful(await pair.store.list_kind('servers'))
+
+
+async def test_entry_of_a_vm_is_created_and_renewed(pair: _Pair) -> None:
+    """Guards against VMs that are not counted after a restart."""
+    for renewal in (1, 2):
+        entry = VmEntry('north', '10.0.0.1:7740', renewal)
+        await pair.store.put_vm('vm-1', entry)
+        listed = (await pair.store.list_vms()).unwrap()
+        assert listed['vm-1'].address == '10.0.0.1:7740'
+    assert pair.stand_in.names(KIND_VMS) == {'vm-1'}
+
+
+@pytest.mark.parametrize('spec', [None, 5, {}, {'address': 'nowhere'}])
+async def test_foreign_entry_has_no_address(pair: _Pair, spec: object) -> None:
+    """Guards against a crash on entries that other writers left."""
+    pair.stand_in.put(KIND_VMS, 'foreign', spec)
+    listed = (await pair.store.list_vms()).unwrap()
+    assert listed['foreign'].address == ''
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,157 @@
+"""Headers of callers and targets."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+import pytest
+
+from nutmegstep.discovery import TargetRecord
+from nutmegstep.dispatch.effects import (
+    DeliverMerged,
+    DeliverRefusal,
+    SendRequest,
+)
+from nutmegstep.dispatch.events import RoutedRequest
+from nutmegstep.gateway.codec import RawReply
+from nutmegstep.platform.wire import CODEC
+from nutmegstep.verdict import Reason, Verdict, refuse
+from nutmegstep.web import HttpRequest
+
+_ITEMS = (
+    (b'host', b'shop.example'),
+    (b'x-nutmegstep-attempt-id', b'abc'),
+    (b'x-nutmegstep-deadline-ms', b'750'),
+    (b'x-nutmegstep-expect-instance', b'forged'),
+    (b'connection', b'keep-alive, X-Private'),
+    (b'x-private', b'1'),
+    (b'x-kept', b'2'),
+    (b'transfer-encoding', b'chunked'),
+)
+_HTTP = HttpRequest(
+    'POST',
+    '/a/b',
+    {},
+    {name.decode(): text.decode() for name, text in _ITEMS},
+    b'body',
+    b'/a/b?c',
+    _ITEMS,
+)
+_TARGET = TargetRecord(
+    'i-1',
+    'shard',
+    '10.0.0.1',
+    80,
+    'north',
+    3,
+    is_draining=False,
+    cold_until=0,
+    born=1,
+)
+
+
+def _request() -> RoutedRequest:
+    return CODEC.read_request(_HTTP, 7, 50)
+
+
+def _send() -> SendRequest:
+    return SendRequest(1, _request(), _TARGET, 51, 4, is_repeatable=True)
+
+
+def test_request_is_decoded_once() -> None:
+    """Guards against names of the platform inside the project."""
+    request = _request()
+    assert request.caller_id == 'abc'
+    assert request.time_left == pytest.approx(0.75)
+    assert request.headers == (
+        (b'host', b'shop.example'),
+        (b'x-nutmegstep-attempt-id', b'abc'),
+        (b'x-kept', b'2'),
+    )
+
+
+def test_send_names_the_target_and_the_time_left() -> None:
+    """Guards against a caller that names another target, and old deadlines."""
+    headers = dict(CODEC.request_headers(_send(), 0.25))
+    assert headers[b'x-nutmegstep-expect-instance'] == b'i-1'
+    assert headers[b'x-nutmegstep-deadline-ms'] == b'250'
+    assert headers[b'content-length'] == b'4'
+
+
+@pytest.mark.parametrize('text', ['', '-5', '1e3', 'soon'])
+def test_unreadable_deadline_is_none(text: str) -> None:
+    """Guards against a crash on a header that any caller can send."""
+    headers = {**_HTTP.headers, 'x-nutmegstep-deadline-ms': text}
+    request = CODEC.read_request(replace(_HTTP, headers=headers), 7, 50)
+    assert request.time_left is None
+
+
+def test_reply_to_another_attempt_is_not_taken() -> None:
+    """Guards against a late answer that is delivered to the wrong caller."""
+    raw = RawReply(200, ((b'x-nutmegstep-attempt-id', b'other'),), b'')
+    assert CODEC.read_reply(_send(), raw) is None
+
+
+def test_encoded_reply_is_not_taken() -> None:
+    """Guards against bytes that the caller cannot read."""
+    raw = RawReply(200, ((b'content-encoding', b'gzip'),), b'')
+    assert CODEC.read_reply(_send(), raw) is None
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'was_executed'),
+    [
+        (503, ((b'x-nutmegstep-not-executed', b'1'),), False),
+        (421, (), False),
+        (503, (), True),
+        (429, (), True),
+        (500, (), True),
+    ],
+)
+def test_only_the_header_proves_that_nothing_ran(
+    status: int,
+    headers: tuple[tuple[bytes, bytes], ...],
+    was_executed: bool,
+) -> None:
+    """Guards against a second run after a status that proves nothing."""
+    reply = CODEC.read_reply(_send(), RawReply(status, headers, b''))
+    assert reply is not None
+    assert reply.was_executed is was_executed
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'reason', 'status'),
+    [
+        (Verdict.NOT_RUN, Reason.NO_TARGET, 503),
+        (Verdict.NOT_RUN, Reason.DEADLINE_EXCEEDED, 503),
+        (Verdict.NOT_RUN, Reason.OVERLOADED, 429),
+        (Verdict.NOT_RUN, Reason.UNKNOWN_ROUTE, 404),
+        (Verdict.MAY_HAVE_RUN, Reason.DEADLINE_EXCEEDED, 504),
+        (Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED, 502),
+        (Verdict.MAY_HAVE_RUN, Reason.OVERLOADED, 502),
+    ],
+)
+def test_status_never_denies_what_may_have_run(
+    verdict: Verdict,
+    reason: Reason,
+    status: int,
+) -> None:
+    """Guards against 429 or 503 for a request that a target worked on."""
+    refusal = refuse(
+        verdict,
+        reason,
+        'detail',
+        retry_after=timedelta(milliseconds=40),
+    )
+    response = CODEC.write_response(_request(), DeliverRefusal(7, refusal))
+    assert response.status == status
+    assert ('Retry-After', '0.040') in response.headers
+
+
+def test_merged_answer_names_its_parts() -> None:
+    """Guards against an answer that does not say what it covers."""
+    merged = DeliverMerged(7, ('s1', 's2'), 1, b'r' * 16)
+    response = CODEC.write_response(_request(), merged)
+    headers = dict(response.headers)
+    assert headers['X-Nutmegstep-Part-Stamps'] == 's1, s2'
+    assert headers['X-Nutmegstep-Missing-Parts'] == '1'
+    assert response.body == b'r' * 16
