--- a/nutmegstep/cli/explain.py
+++ b/nutmegstep/cli/explain.py
@@ -58,7 +58,7 @@
     """Ask an entry VM, or read logs; return the exit code."""
     if arguments.log:
         return _explain_from_logs(arguments)
-    if not arguments.entry:
+    if not entry_addresses(arguments):
         detail = 'either --entry or --log is needed'
         return print_failure(
             arguments,
