Keep relays in use when a watch is cut

A cut watch is called again before the store counts as lost, and readers return to relays after 3 s.

--- a/nutmegstep/dispatch/health.py
+++ b/nutmegstep/dispatch/health.py
@@ -10,7 +10,7 @@
 """Weight of one latency sample."""
 _RATIO_MAX: Final = 5.0
 """Largest sample of slowness; a single pause must not outweigh many replies."""
-_FAILURE_WEIGHT: Final = 0.25
+_FAILURE_WEIGHT: Final = 0.4
 """Weight of one success or failure."""
 _HALF_LIFE_REQUESTS: Final = 20.0
 """Requests for the service after which a deviation counts half, so that a
--- a/nutmegstep/following/core.py
+++ b/nutmegstep/following/core.py
@@ -18,6 +18,10 @@
     Listing,
     StoreReader,
 )
+from nutmegstep.platform_api.records import (
+    PlatformFailure,
+    PlatformFailureKind,
+)
 
 __all__ = ['Follower', 'Subscription']
 
@@ -136,8 +140,7 @@
             self._subscription.wait,
         )
         if not is_successful(watched):
-            self._contact.report_failure(watched.failure())
-            return False
+            return self._take_cut(watched.failure())
         self._contact.report_success()
         found = watched.unwrap()
         if isinstance(found, HistoryGone):
@@ -151,6 +154,15 @@
             await asyncio.sleep(self._subscription.gather.total_seconds())
         return True
 
+    def _take_cut(self, failure: PlatformFailure) -> bool:
+        # A waiting watch may be cut off while the store goes on to answer.
+        # Only a second failure, or silence, shows that it does not.
+        is_first = self._failures == 0
+        if failure.kind is PlatformFailureKind.UNREACHABLE and is_first:
+            return False
+        self._contact.report_failure(failure)
+        return False
+
     def _advance(self, revision: int) -> None:
         self._revision = revision
         self._highest = max(self._highest, revision)
--- a/nutmegstep/relay/switching.py
+++ b/nutmegstep/relay/switching.py
@@ -18,6 +18,8 @@
 __all__ = ['SwitchingReader']
 
 _LOG: Final = logging.getLogger(__name__)
+_AWAY_SECONDS: Final = 3.0
+"""Seconds for which the store is read after no relay has answered."""
 _Value = TypeVar('_Value')
 
 
@@ -52,14 +54,11 @@
         self._relays: list[RelayReader] = []
         self._position = 0
         self._moved = asyncio.Event()
+        self._returns_at = float(0)
 
     def choose(self, choice: RelayChoice) -> None:
-        """Use relays, the first one first; an unchanged choice is kept.
-
-        A reader that has fallen back to the store tries the relays again.
-        """
-        is_exhausted = self._position >= len(self._relays)
-        if choice == self._choice and not is_exhausted:
+        """Use relays, the first one first; an unchanged choice is kept."""
+        if choice == self._choice:
             return
         for relay in self._relays:
             relay.close()
@@ -89,6 +88,7 @@
             Awaitable[Result[_Value, PlatformFailure]],
         ],
     ) -> Result[_Value, PlatformFailure]:
+        self._return_to_relays()
         while self._position < len(self._relays):
             position = self._position
             moved = self._moved
@@ -105,10 +105,19 @@
         called = await unless(moved, call(self._store))
         return await self._call(call) if called is None else called
 
+    def _return_to_relays(self) -> None:
+        if self._position < len(self._relays) or not self._relays:
+            return
+        now = asyncio.get_running_loop().time()
+        if now >= self._returns_at:
+            self._move_to(0)
+
     def _move_to(self, position: int) -> None:
         moved = self._moved
         self._moved = asyncio.Event()
         self._position = position
+        now = asyncio.get_running_loop().time()
+        self._returns_at = now + _AWAY_SECONDS
         moved.set()
         if position < len(self._relays):
             self.on_relay.set()
--- a/tests/following/test_core.py
+++ b/tests/following/test_core.py
@@ -178,3 +178,17 @@
     await asyncio.sleep(0.05)
     task.cancel()
     assert script.calls == [('list', 0), ('watch', 5), ('watch', 5)]
+
+
+async def test_cut_watch_is_no_lost_store() -> None:
+    """Guards against a relay that turns all its readers away for one cut."""
+    losses: list[bool] = []
+    contact = StoreContact(ManualClock(), lambda: losses.append(True))
+    cut = Failure(PlatformFailure(PlatformFailureKind.UNREACHABLE, 'closed'))
+    script = _Script(
+        Success(Listing({}, 5)),
+        cut,
+        Success(Changes((), 6)),
+    )
+    await _run(script, contact)
+    assert not losses
