--- /dev/null
+++ b/tests/logs/test_core.py
@@ -0,0 +1,66 @@
+"""Log lines without blocking, and what they tell about a request."""
+
+import json
+import logging
+import os
+
+from nutmegstep.logs import BufferedLines
+from nutmegstep.logs.explaining import (
+    entries_of_request,
+    read_entries,
+    sentence,
+)
+
+
+def _record(message: str) -> logging.LogRecord:
+    return logging.LogRecord('x', logging.INFO, '', 0, message, None, None)
+
+
+def test_reader_that_stops_reading_loses_lines_only() -> None:
+    """Guards against a process that waits for the reader of its output."""
+    reading, writing = os.pipe()
+    handler = BufferedLines(writing)
+    for number in range(20_000):
+        handler.emit(_record(f'line {number} {"x" * 80}'))
+    assert handler.dropped > 0
+    os.close(reading)
+    os.close(writing)
+
+
+def test_lines_stay_whole_when_the_reader_is_slow() -> None:
+    """Guards against lines that are cut where the pipe was full."""
+    reading, writing = os.pipe()
+    handler = BufferedLines(writing)
+    for number in range(1500):
+        handler.emit(_record(json.dumps({'number': number, 'x': 'y' * 90})))
+    received = b''
+    while received.count(b'\n') < 1500:
+        received += os.read(reading, 4096)
+        handler.flush()
+    numbers = [json.loads(line)['number'] for line in received.splitlines()]
+    assert numbers == list(range(1500))
+    os.close(reading)
+    os.close(writing)
+
+
+def test_closed_reader_does_not_stop_the_process() -> None:
+    """Guards against an exception in each place that logs."""
+    reading, writing = os.pipe()
+    os.close(reading)
+    handler = BufferedLines(writing)
+    handler.emit(_record('nobody reads'))
+    assert handler.dropped == 0
+    os.close(writing)
+
+
+def test_request_is_explained_in_order_of_time() -> None:
+    """Guards against an explanation that mixes requests or times."""
+    lines = [
+        '  1.5 front-1 {"time": "2", "message": "refused", "request_id": "a"}',
+        'not a log entry {',
+        '{"time": "1", "message": "hedge", "request_id": "a", "service": "s"}',
+        '{"time": "1", "message": "hedge", "request_id": "b"}',
+    ]
+    found = entries_of_request(read_entries(lines), 'a')
+    assert [one.message for one in found] == ['hedge', 'refused']
+    assert 'service s' in sentence(found[0])
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -6,7 +6,7 @@
 import socket
 import sys
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 from tests.platform.standin import StoreStandIn, TargetStandIn, respond
@@ -226,18 +226,7 @@
             ),
         )
         log_file = self.directory / f'gateway-{number}.log'
-        with log_file.open('ab') as log:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                'nutmegstep.platform',
-                stdout=log,
-                stderr=log,
-                env={
-                    **os.environ,
-                    'NUTMEGSTEP_NODE_FILE': str(settings_file),
-                },
-            )
+        process = await _spawn(settings_file, log_file)
         gateway = GatewayProcess(
             process,
             port,
@@ -248,6 +237,12 @@
         self.gateways.append(gateway)
         return gateway
 
+    async def restart_gateway(self, index: int) -> None:
+        """Start a gateway again with its settings."""
+        ended = self.gateways[index]
+        process = await _spawn(ended.settings_file, ended.log_file)
+        self.gateways[index] = replace(ended, process=process)
+
     async def stop(self) -> None:
         """End what was started."""
         for gateway in self.gateways:
@@ -257,3 +252,19 @@
         for target in self.targets.values():
             target.stop()
         self.store.http.close()
+
+
+async def _spawn(
+    settings_file: Path,
+    log_file: Path,
+) -> asyncio.subprocess.Process:
+    variables = {**os.environ, 'NUTMEGSTEP_NODE_FILE': str(settings_file)}
+    with log_file.open('ab') as log:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'nutmegstep.platform',
+            stdout=log,
+            stderr=log,
+            env=variables,
+        )
--- a/tests/processes/link.py
+++ b/tests/processes/link.py
@@ -6,6 +6,7 @@
 __all__ = ['LinkMode', 'PlatformLink']
 
 _READ_BYTES = 65536
+_DELAY_SECONDS = 0.2
 
 
 @enum.unique
@@ -16,6 +17,7 @@
     CUT = 'cut'
     SILENT = 'silent'
     LOSE_ANSWERS = 'lose_answers'
+    DELAY = 'delay'
 
 
 class PlatformLink:
@@ -26,10 +28,13 @@
     mode : LinkMode
         With `LOSE_ANSWERS` the platform receives a call and its answer is
         lost with the connection.
+    address : str
+        Where the link listens, once started.
     """
 
     def __init__(self, platform: str) -> None:
         self.mode = LinkMode.PASS
+        self.address = ''
         self._platform = platform
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -37,7 +42,8 @@
     async def start(self) -> str:
         """Listen and return the address for the entry process."""
         self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        return f'127.0.0.1:{self._server.sockets[0].getsockname()[1]}'
+        self.address = f'127.0.0.1:{self._server.sockets[0].getsockname()[1]}'
+        return self.address
 
     def switch(self, mode: LinkMode) -> None:
         """Change the mode; a cut closes what is open."""
@@ -83,6 +89,8 @@
             while chunk := await reader.read(_READ_BYTES):
                 if answers and self.mode is LinkMode.LOSE_ANSWERS:
                     break
+                if self.mode is LinkMode.DELAY:
+                    await asyncio.sleep(_DELAY_SECONDS)
                 if self.mode is not LinkMode.SILENT:
                     writer.write(chunk)
         except ConnectionError:
--- /dev/null
+++ b/tests/settings/test_gateway.py
@@ -0,0 +1,80 @@
+"""Settings of a gateway."""
+
+import argparse
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from nutmegstep.settings import (
+    GatewaySettings,
+    SettingsError,
+    read_environment_file,
+    read_settings,
+)
+
+_VARIABLES = {
+    'NUTMEGSTEP_VM_NAME': 'vm-1',
+    'NUTMEGSTEP_FAILURE_DOMAIN': 'north',
+    'NUTMEGSTEP_CALLERS_ADDRESS': '10.0.0.1:8080',
+    'NUTMEGSTEP_READY_ADDRESS': '10.0.0.1:8081',
+    'NUTMEGSTEP_STORE_ADDRESS': '10.0.0.9:8500',
+    'NUTMEGSTEP_PEERS_ADDRESS': '10.0.0.1:7740',
+}
+
+
+def _read(**changes: str) -> GatewaySettings:
+    variables = {**_VARIABLES, **changes}
+    return read_settings(GatewaySettings, argparse.Namespace(), variables)
+
+
+def test_settings_are_typed() -> None:
+    """Guards against texts and numbers without units inside."""
+    settings = _read(NUTMEGSTEP_GRACE='4.5')
+    assert settings.grace == timedelta(seconds=4.5)
+    assert settings.callers_address == ('10.0.0.1', 8080)
+
+
+@pytest.mark.parametrize(
+    ('name', 'text'),
+    [
+        ('NUTMEGSTEP_GRACE', '0'),
+        ('NUTMEGSTEP_GRACE', 'nan'),
+        ('NUTMEGSTEP_REPEAT_RATIO', '-1'),
+        ('NUTMEGSTEP_REPEAT_SLACK', 'inf'),
+        ('NUTMEGSTEP_CALLERS_ADDRESS', 'host:80'),
+        ('NUTMEGSTEP_METRICS_PORT', '70000'),
+        ('NUTMEGSTEP_VM_NAME', ' '),
+    ],
+)
+def test_invalid_setting_is_named(name: str, text: str) -> None:
+    """Guards against a start with settings that cannot be meant."""
+    with pytest.raises(SettingsError, match=name):
+        _read(**{name: text})
+
+
+def test_missing_setting_is_named() -> None:
+    """Guards against defaults for addresses."""
+    with pytest.raises(SettingsError, match='NUTMEGSTEP_STORE_ADDRESS'):
+        _read(NUTMEGSTEP_STORE_ADDRESS='')
+
+
+def test_file_is_read(tmp_path: Path) -> None:
+    """Guards against comments and empty values that count as settings."""
+    path = tmp_path / 'gateway.env'
+    path.write_text('# comment\n\nA=1\nB = two=2 \nC=\n')
+    assert read_environment_file(path) == {'A': '1', 'B': 'two=2'}
+
+
+def test_damaged_file_names_its_line(tmp_path: Path) -> None:
+    """Guards against an error that does not lead to the line."""
+    path = tmp_path / 'gateway.env'
+    path.write_text('A=1\nnonsense\n')
+    with pytest.raises(SettingsError, match='line 2'):
+        read_environment_file(path)
+
+
+def test_file_that_is_gone_is_an_error(tmp_path: Path) -> None:
+    """Guards against a start with defaults alone."""
+    with pytest.raises(SettingsError, match='cannot be read'):
+        read_environment_file(tmp_path / 'missing')
--- /dev/null
+++ b/tests/soak/test_core.py
@@ -0,0 +1,17 @@
+"""A short seeded run, and each seed that ever failed."""
+
+from pathlib import Path
+
+import pytest
+
+from tests.soak.core import soak
+
+_SEEDS = (1,)
+"""The first seed is the regular one; each further one has failed before."""
+
+
+@pytest.mark.timeout(180)
+@pytest.mark.parametrize('seed', _SEEDS)
+async def test_seed_keeps_the_promises(tmp_path: Path, seed: int) -> None:
+    """Guards against broken promises while processes and links fail."""
+    assert not await soak(seed, seconds=6, directory=tmp_path)
