Record spans of sampled requests in the gateway

Cause: a request on the platform had log lines but no trace. A sampled request has a span, and each of its sends one below it; with a ratio of 0, the default, no tracer is loaded.

--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -4,7 +4,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from itertools import count
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from nutmegstep.clock import Clock
 from nutmegstep.dispatch import DispatchState, reduce_event
@@ -36,6 +36,9 @@
 from nutmegstep.gateway.pool import ChannelPool
 from nutmegstep.web import HttpRequest, HttpResponse
 
+if TYPE_CHECKING:
+    from nutmegstep.gateway.tracing import Tracing
+
 __all__ = ['Gateway']
 
 
@@ -63,6 +66,8 @@
         Protocol of callers and targets.
     metrics : GatewayMetrics
         Takes counts and latencies.
+    tracing : Tracing, optional
+        Takes spans.
 
     Attributes
     ----------
@@ -76,6 +81,7 @@
         clock: Clock,
         codec: WireCodec,
         metrics: GatewayMetrics,
+        tracing: 'Tracing | None' = None,
     ) -> None:
         self.state = state
         self.pool = ChannelPool(clock, codec, self._report)
@@ -83,12 +89,13 @@
         self._clock = clock
         self._codec = codec
         self._metrics = metrics
+        self._tracing = tracing
         self._ids = count(1)
         self._events: deque[Event] = deque()
         self._is_dispatching = False
         self._waiter_by_request: dict[int, _Waiter] = {}
         perform: dict[type, Callable[[Any], None]] = {
-            SendRequest: self.pool.send,
+            SendRequest: self._send,
             CancelSend: self._cancel,
             DropTarget: self._drop,
             WakeAt: self._wake_at,
@@ -127,6 +134,9 @@
         request = self._codec.read_request(http_request, next(self._ids), now)
         waiter = _Waiter(request)
         self._waiter_by_request[request.request_id] = waiter
+        delivery: Delivery | None = None
+        if self._tracing is not None:
+            self._tracing.start_request(request)
         try:
             self.dispatch(RequestArrived(request))
             delivery = await waiter.answer
@@ -134,13 +144,19 @@
             self.dispatch(CallerLeft(request.request_id))
             raise
         finally:
-            self._waiter_by_request.pop(request.request_id)
-            if waiter.timer is not None:
-                waiter.timer.cancel()
+            self._forget(waiter, delivery)
         seconds = self._clock.monotonic() - now
         self._metrics.count_request(delivery, seconds)
         return self._codec.write_response(request, delivery)
 
+    def _forget(self, waiter: _Waiter, delivery: Delivery | None) -> None:
+        request_id = waiter.request.request_id
+        self._waiter_by_request.pop(request_id)
+        if waiter.timer is not None:
+            waiter.timer.cancel()
+        if self._tracing is not None:
+            self._tracing.end_request(request_id, delivery)
+
     def _drain_events(self) -> None:
         while self._events:
             now = self._clock.monotonic()
@@ -151,6 +167,11 @@
     def _perform(self, effect: Effect) -> None:
         self._perform_by_effect[type(effect)](effect)
 
+    def _send(self, effect: SendRequest) -> None:
+        if self._tracing is not None:
+            self._tracing.start_send(effect)
+        self.pool.send(effect)
+
     def _cancel(self, effect: CancelSend) -> None:
         self.pool.cancel(effect.send_id)
 
@@ -198,4 +219,6 @@
                 else TargetReplied(effect.send_id, reply)
             )
         self._metrics.count_send(event)
+        if self._tracing is not None:
+            self._tracing.end_send(event)
         self.dispatch(event)
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 from datetime import timedelta
 from random import Random
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
@@ -42,6 +42,9 @@
     serve_http,
 )
 
+if TYPE_CHECKING:
+    from nutmegstep.gateway.tracing import Tracing
+
 __all__ = ['ReadSettings', 'serve']
 
 ReadSettings = Callable[[], GatewaySettings]
@@ -80,6 +83,7 @@
             self.clock,
             adapter.codec,
             self.metrics,
+            _tracing_of(settings),
         )
         self.contact = StoreContact(
             self.clock,
@@ -298,6 +302,16 @@
     return stop, hup
 
 
+def _tracing_of(settings: GatewaySettings) -> 'Tracing | None':
+    if not settings.trace_ratio:
+        return None
+    # A process without traces starts faster and smaller.
+    from nutmegstep.gateway.tracing import Tracing
+    from nutmegstep.telemetry.spans import LogSpanExporter, build_tracer
+
+    return Tracing(build_tracer(LogSpanExporter(), settings.trace_ratio))
+
+
 def _terms_of(settings: GatewaySettings) -> DispatchTerms:
     return DispatchTerms(
         BudgetTerms(
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -28,6 +28,13 @@
     return number
 
 
+def _read_ratio(text: str) -> float:
+    ratio = _read_number(text)
+    if ratio > 1:
+        raise ValueError(text)
+    return ratio
+
+
 def _read_seconds(text: str) -> timedelta:
     seconds = _read_number(text)
     if not seconds:
@@ -69,6 +76,8 @@
     cold_overshoot, cold_slack : float
         Load of a cold target over all VMs: factor on its declared rate, and
         requests per second in addition.
+    trace_ratio : float
+        Share of requests whose spans are recorded; 0 loads no tracer.
     log_level : str
         Least severe level that is logged.
     """
@@ -141,6 +150,12 @@
         'requests per second to a cold target in addition',
         5,
     )
+    trace_ratio: float = setting(
+        _read_ratio,
+        'a number from 0 to 1',
+        'share of requests whose spans are recorded',
+        0,
+    )
     log_level: str = setting(
         read_level,
         'debug, info, warning or error',
--- a/tests/platform/test_core.py
+++ b/tests/platform/test_core.py
@@ -1,6 +1,7 @@
 """Gateway processes from the start to the stop."""
 
 import asyncio
+import json
 import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -246,3 +247,19 @@
     text = (await ask(port, '/metrics')).body.decode()
     assert 'nutmegstep_requests_total{outcome="complete"} 1.0' in text
     assert 'nutmegstep_store_calls_total' in text
+
+
+async def test_sampled_request_has_a_span_for_each_hop(
+    deployment: Deployment,
+) -> None:
+    """Guards against traces that end at the gateway."""
+    gateway = await deployment.start_gateway(TRACE_RATIO='1')
+    await gateway.wait_ready()
+    await ask(gateway.port, '/sweep/1')
+    await asyncio.sleep(0.5)
+    lines = gateway.log_file.read_text().splitlines()
+    spans = [json.loads(line) for line in lines if '"span"' in line]
+    names = [span['span'] for span in spans]
+    assert names.count('request') == 1
+    assert names.count('target request') == 3
+    assert len({span['trace_id'] for span in spans}) == 1
