Settle a query only when a reply can decide it

Cause: each reply looked at all parts of its query, 1,296 looks for a query over 36 shards. A reply below the required number changes no decision and returns at once; merged records are sorted in one step.

Kept for larger queries, because the work no longer grows with the square of the shards.

--- a/nutmegstep/dispatch/answering.py
+++ b/nutmegstep/dispatch/answering.py
@@ -38,6 +38,11 @@
     if reply.is_success:
         send.part.reply = reply
         send.part.replied_at = now
+        send.open_request.answered += 1
+        # With fewer answers than required, one more changes no decision; a
+        # query over many shards would otherwise look at all of them each time.
+        if send.open_request.answered < send.open_request.required:
+            return []
         return settle(state, send.open_request, now)
     send.part.failure = reply
     note = Decision(
--- a/nutmegstep/dispatch/arriving.py
+++ b/nutmegstep/dispatch/arriving.py
@@ -25,6 +25,8 @@
 """Seconds in addition for a caller that has just connected."""
 _DEADLINE_MARGIN: Final = 0.01
 """Seconds before the deadline at which the final answer is sent."""
+_ROUNDING: Final = 1e-9
+"""Keeps a product such as 0.75 x 4 from being rounded up."""
 _PAUSE_SHARE: Final = 1 / 3
 """Largest share of the time left for which callers wait on request."""
 
@@ -86,9 +88,14 @@
         answer_by=request.arrived + latency - margin,
         deadline=request.arrived
         + max(0, min(timeout, time_left) - _DEADLINE_MARGIN),
+        required=_required_parts(route, len(services)),
     )
 
 
+def _required_parts(route: Route, parts: int) -> int:
+    return max(1, math.ceil(route.min_coverage * parts - _ROUNDING))
+
+
 def _pick_destination(state: DispatchState, route: Route) -> str:
     # Smooth weighted round robin: each destination earns its weight, and the
     # chosen one pays the sum.
@@ -117,7 +124,7 @@
         )
         for part in open_request.parts
     )
-    return covered >= open_request.required_parts
+    return covered >= open_request.required
 
 
 def _longest_pause(open_request: OpenRequest) -> timedelta:
--- a/nutmegstep/dispatch/finishing.py
+++ b/nutmegstep/dispatch/finishing.py
@@ -94,7 +94,7 @@
 ) -> list[Effect] | None:
     parts = open_request.parts
     answered = [part for part in parts if part.reply is not None]
-    required = open_request.required_parts
+    required = open_request.required
     if len(answered) == len(parts):
         return _deliver(state, open_request, answered, now)
     dead = sum(part.is_dead and part.reply is None for part in parts)
--- a/nutmegstep/dispatch/merging.py
+++ b/nutmegstep/dispatch/merging.py
@@ -1,7 +1,6 @@
 """Merging of parts into one answer."""
 
-import heapq
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from itertools import chain
 from typing import Final
 
@@ -26,13 +25,14 @@
     >>> merge_records([b'a' * 16 + b'c' * 16, b'b' * 20], 2)[::16]
     b'cb'
     """
-    records = chain.from_iterable(_split(part) for part in parts)
-    return b''.join(heapq.nlargest(top, records))
+    records = list(chain.from_iterable(_split(part) for part in parts))
+    records.sort(reverse=True)
+    return b''.join(records[:top])
 
 
-def _split(part: bytes) -> Iterator[bytes]:
+def _split(part: bytes) -> list[bytes]:
     whole = len(part) - len(part) % RECORD_BYTES
-    return (
+    return [
         part[start : start + RECORD_BYTES]
         for start in range(0, whole, RECORD_BYTES)
-    )
+    ]
--- a/nutmegstep/dispatch/sending.py
+++ b/nutmegstep/dispatch/sending.py
@@ -82,7 +82,7 @@
         return [_note(open_request, part, 'hedge_omitted', 'no_target')]
     budget = state.budget_of(part.service)
     waiting = sum(one.reply is None for one in open_request.parts)
-    spare = len(open_request.parts) - open_request.required_parts
+    spare = len(open_request.parts) - open_request.required
     reserve = _SPARE_RESERVE if waiting <= spare else 0
     if not budget.spend(now, state.vm_count, reserve):
         part.hedge_at = now + _BUDGET_PAUSE
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -157,6 +157,10 @@
         Monotonic instant until which a partial answer is held back.
     deadline : float
         Monotonic instant of the final answer at the latest.
+    required : int
+        Smallest number of parts of an answer.
+    answered : int
+        Parts with a usable answer.
     """
 
     request: RoutedRequest
@@ -164,12 +168,8 @@
     parts: tuple[Part, ...]
     answer_by: float
     deadline: float
-
-    @property
-    def required_parts(self) -> int:
-        """Smallest number of parts of an answer."""
-        share = self.route.min_coverage * len(self.parts)
-        return max(1, math.ceil(share - 1e-9))
+    required: int
+    answered: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/gateway/channel.py
+++ b/nutmegstep/gateway/channel.py
@@ -113,12 +113,11 @@
         except h11.LocalProtocolError:
             self.fail(FailureKind.INVALID)
             return
-        encoded = (
-            self._http.send(head),
-            self._http.send(h11.Data(data=request.body)),
-            self._http.send(h11.EndOfMessage()),
-        )
-        self._transport.write(b''.join(part or b'' for part in encoded))
+        events: list[h11.Event] = [head, h11.EndOfMessage()]
+        if request.body:
+            events.insert(1, h11.Data(data=request.body))
+        encoded = (self._http.send(event) or b'' for event in events)
+        self._transport.write(b''.join(encoded))
 
     def fail(self, kind: FailureKind) -> None:
         """Close the connection; the request in flight ends with `kind`."""
