--- a/nutmegstep/node/alarms.py
+++ b/nutmegstep/node/alarms.py
@@ -19,7 +19,7 @@
 
     Notes
     -----
-    `docs/operations.md` lists each text with what to do.
+    `docs/OPERATIONS.md` lists each text with what to do.
     """
     return (
         *_configuration_alarms(state),
--- a/tests/cli/test_documented_commands.py
+++ b/tests/cli/test_documented_commands.py
@@ -57,7 +57,7 @@
     monkeypatch.setenv('NUTMEGSTEP_PLATFORM', platform.address)
     entries = f'{first.address},{second.address}'
     monkeypatch.setenv('NUTMEGSTEP_ENTRY', entries)
-    commands = _commands('operations.md')
+    commands = _commands('OPERATIONS.md')
     assert len(commands) >= 10
     for argv in commands:
         code = await asyncio.to_thread(_run, argv)
