Split large modules, and stop a process that loses one of its tasks

settings.declaring reads texts, gateway.reading reads the store and serves neighbours. A process whose task fails logs it and stops, so that it is started again.

--- a/nutmegstep/configuration/core.py
+++ b/nutmegstep/configuration/core.py
@@ -58,7 +58,7 @@
         Services that are queried together; empty for a single destination.
     top_records : int
         Number of records of a merged answer.
-    min_coverage : float
+    required_coverage : float
         Smallest share of the shards that an answer may cover.
     """
 
@@ -73,7 +73,7 @@
     destinations: tuple[WeightedService, ...] = ()
     shards: tuple[str, ...] = ()
     top_records: int = 0
-    min_coverage: float = 1
+    required_coverage: float = 1
 
     @property
     def is_gather(self) -> bool:
--- a/nutmegstep/dispatch/arriving.py
+++ b/nutmegstep/dispatch/arriving.py
@@ -93,7 +93,7 @@
 
 
 def _required_parts(route: Route, parts: int) -> int:
-    return max(1, math.ceil(route.min_coverage * parts - _ROUNDING))
+    return max(1, math.ceil(route.required_coverage * parts - _ROUNDING))
 
 
 def _pick_destination(state: DispatchState, route: Route) -> str:
--- a/nutmegstep/experiment/core.py
+++ b/nutmegstep/experiment/core.py
@@ -288,5 +288,5 @@
         destinations=destinations,
         shards=services if one.is_gather else (),
         top_records=5,
-        min_coverage=one.min_coverage,
+        required_coverage=one.required_coverage,
     )
--- a/nutmegstep/experiment/examples.py
+++ b/nutmegstep/experiment/examples.py
@@ -27,7 +27,7 @@
 
 def _vidzeme_classes(
     per_second: float,
-    min_coverage: tuple[float, float],
+    required_coverage: tuple[float, float],
 ) -> tuple[QueryClass, ...]:
     sweep = QueryClass(
         'sweep',
@@ -38,7 +38,7 @@
         spread=0.35,
         target_latency=_ms(145),
         timeout=_ms(2000),
-        min_coverage=min_coverage[0],
+        required_coverage=required_coverage[0],
         tail_share=0.01,
         tail_factor=5,
         worth=2,
@@ -52,7 +52,7 @@
         spread=0.35,
         target_latency=_ms(69),
         timeout=_ms(1000),
-        min_coverage=min_coverage[1],
+        required_coverage=required_coverage[1],
         tail_share=0.01,
         tail_factor=5,
     )
--- a/nutmegstep/experiment/fleet.py
+++ b/nutmegstep/experiment/fleet.py
@@ -66,7 +66,7 @@
         Time within which an answer is worth most, as callers see it.
     timeout : datetime.timedelta
         Time for which callers wait.
-    min_coverage : float
+    required_coverage : float
         Smallest share of the shards that an answer may cover.
     tail_share : float
         Share of the requests with much longer work.
@@ -88,7 +88,7 @@
     spread: float
     target_latency: timedelta
     timeout: timedelta
-    min_coverage: float = 1
+    required_coverage: float = 1
     tail_share: float = 0
     tail_factor: float = 1
     worth: float = 1
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -5,9 +5,8 @@
 import secrets
 import signal
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import replace
-from datetime import timedelta
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Final
 
@@ -16,23 +15,12 @@
 from nutmegstep.clock import SystemClock
 from nutmegstep.dispatch import ColdTerms, DispatchState, DispatchTerms
 from nutmegstep.dispatch.budget import BudgetTerms
-from nutmegstep.dispatch.events import HousekeepingDue, StoreRegained
-from nutmegstep.following import Changes, Follower, Listing, StoreContact
-from nutmegstep.following.census import VmEntry
-from nutmegstep.following.core import Subscription
+from nutmegstep.dispatch.events import HousekeepingDue
 from nutmegstep.gateway.adapter import Adapter
 from nutmegstep.gateway.core import Gateway
-from nutmegstep.gateway.counting import CensusReports, VmCounter
-from nutmegstep.gateway.feeds import Feeds
 from nutmegstep.gateway.lifecycle import drain
 from nutmegstep.gateway.metrics import GatewayMetrics
-from nutmegstep.platform_api.transport import HttpTransport
-from nutmegstep.relay import (
-    RelayCache,
-    RelayReader,
-    RelayServer,
-    SwitchingReader,
-)
+from nutmegstep.gateway.reading import ReadingParts, StoreReading
 from nutmegstep.settings import GatewaySettings, SettingsError
 from nutmegstep.web import (
     HttpLimits,
@@ -55,10 +43,6 @@
 _HOUSEKEEPING_SECONDS: Final = 0.5
 _RELOAD_SECONDS: Final = 2.0
 """Settings may change without a signal, and are read again so often."""
-_RELAY_TIMEOUT: Final = timedelta(milliseconds=500)
-"""Longest call to a relay, which is a millisecond or two away."""
-_CENSUS_TIMEOUT: Final = 1.0
-"""Seconds for which the first read of the VMs is waited for."""
 _CONNECTIONS: Final = 2000
 """Most connections of callers; half of the descriptors of a small VM."""
 
@@ -85,16 +69,11 @@
             self.metrics,
             _tracing_of(settings),
         )
-        self.contact = StoreContact(
-            self.clock,
-            lambda: self.gateway.dispatch(StoreRegained()),
-        )
         self.store = adapter.open_store(
             settings.store_address,
             self.clock,
             self.metrics.store_calls,
         )
-        self.reader = SwitchingReader(self.store, self._connect_relay)
         self.is_draining = False
 
     async def answer_ready(self, request: HttpRequest) -> HttpResponse:
@@ -148,12 +127,6 @@
             hup.clear()
             self._take_settings(read)
 
-    def _connect_relay(self, address: str) -> RelayReader:
-        host, _, port = address.rpartition(':')
-        return RelayReader(
-            HttpTransport(host, int(port), self.clock, _RELAY_TIMEOUT),
-        )
-
     def _take_settings(self, read: ReadSettings) -> None:
         try:
             settings = read()
@@ -197,7 +170,9 @@
             settings.callers_address[0],
             settings.metrics_port,
         )
-    tasks = await _start_tasks(process, callers, read, hup)
+    tasks = _start_tasks(process, callers, read, hup)
+    for task in tasks:
+        task.add_done_callback(partial(_stop_on_failure, stop))
     fields = {'vm': settings.vm_name, 'domain': settings.failure_domain}
     _LOG.info('started', extra=fields)
     await stop.wait()
@@ -217,79 +192,36 @@
     return answered
 
 
-async def _start_tasks(
+def _start_tasks(
     process: _Process,
     callers: HttpServer,
     read: ReadSettings,
     hup: asyncio.Event,
 ) -> list[asyncio.Task[None]]:
-    settings = process.settings
-    feeds = Feeds(process.adapter, process.clock, process.gateway.dispatch)
-    caches = {one.kind: RelayCache() for one in feeds.subscriptions()}
-    subscriptions = [
-        _with_cache(one, caches[one.kind]) for one in feeds.subscriptions()
-    ]
-    relay = RelayServer(caches, process.contact.lost, process.reader.on_relay)
-    await serve_http(relay.answer, *settings.peers_address)
-    counter = VmCounter(
+    parts = ReadingParts(
+        process.adapter,
         process.store,
         process.clock,
-        settings.vm_name,
-        VmEntry(
-            settings.failure_domain,
-            '{0}:{1}'.format(*settings.peers_address),
-            revision=0,
-        ),
-        CensusReports(process.gateway.dispatch, process.reader.choose),
+        process.random,
+        process.gateway.dispatch,
     )
-    counting = counter.run(process.contact, process.random)
     coroutines = (
-        counting,
-        _follow(process, subscriptions, counter.first_read),
+        StoreReading(parts, process.settings).run(),
         process.keep_house(callers),
         process.reload(read, hup),
     )
     return [asyncio.create_task(one) for one in coroutines]
 
 
-async def _follow(
-    process: _Process,
-    subscriptions: list[Subscription],
-    first_read: asyncio.Event,
+def _stop_on_failure(
+    stop: asyncio.Event,
+    task: asyncio.Task[None],
 ) -> None:
-    # Knowing the relays first saves most VMs their calls to the store.
-    with suppress(TimeoutError):
-        await asyncio.wait_for(first_read.wait(), _CENSUS_TIMEOUT)
-    followers = [
-        Follower(
-            process.reader,
-            process.contact,
-            subscription,
-            process.random,
-            is_prober=number == 0,
-        ).run()
-        for number, subscription in enumerate(subscriptions)
-    ]
-    await asyncio.gather(*followers)
-
-
-def _with_cache(
-    subscription: Subscription,
-    cache: RelayCache,
-) -> Subscription:
-    def take_listing(listing: Listing) -> None:
-        cache.take_listing(listing)
-        subscription.on_listing(listing)
-
-    def take_changes(found: Changes) -> None:
-        cache.take_changes(found)
-        subscription.on_changes(found)
-
-    return replace(
-        subscription,
-        on_listing=take_listing,
-        on_changes=take_changes,
-    )
+    # Without one of its tasks a process would serve what it no longer keeps
+    # current; a restart is the safer answer.
+    if not task.cancelled() and task.exception() is not None:
+        _LOG.error('task failed, stopping', exc_info=task.exception())
+        stop.set()
 
 
 def _listen_to_signals() -> tuple[asyncio.Event, asyncio.Event]:
--- a/nutmegstep/platform/core.py
+++ b/nutmegstep/platform/core.py
@@ -12,6 +12,7 @@
 from nutmegstep.clock import Clock
 from nutmegstep.gateway.adapter import Adapter, KindNames, Store
 from nutmegstep.gateway.process import ReadSettings, serve
+from nutmegstep.logs import configure_buffered_logs
 from nutmegstep.platform.documents import read_configuration, read_target
 from nutmegstep.platform.store import ObjectStore
 from nutmegstep.platform.wire import CODEC
@@ -22,7 +23,6 @@
     read_environment_file,
     read_settings,
 )
-from nutmegstep.logs import configure_buffered_logs
 
 __all__ = ['ADAPTER', 'main', 'run_gateway']
 
--- a/nutmegstep/platform/documents.py
+++ b/nutmegstep/platform/documents.py
@@ -189,7 +189,7 @@
         destinations=destinations,
         shards=tuple(read.gather),
         top_records=read.top_k,
-        min_coverage=read.min_coverage,
+        required_coverage=read.min_coverage,
     )
 
 
--- a/nutmegstep/platform/store.py
+++ b/nutmegstep/platform/store.py
@@ -20,7 +20,7 @@
     PlatformFailureKind,
 )
 from nutmegstep.platform_api.transport import HttpTransport
-from nutmegstep.settings.core import read_address
+from nutmegstep.settings.declaring import read_address
 
 __all__ = ['KIND_VMS', 'ObjectStore']
 
--- a/nutmegstep/settings/core.py
+++ b/nutmegstep/settings/core.py
@@ -1,12 +1,25 @@
 """Reads flags and environment variables into one frozen data class."""
 
 import argparse
-from collections.abc import Callable, Mapping
-from dataclasses import MISSING, Field, dataclass, field, fields
-from ipaddress import ip_address
+from collections.abc import Mapping
+from dataclasses import MISSING, Field, dataclass, fields
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
+from nutmegstep.settings.declaring import (
+    LEVELS,
+    PORT_MAX,
+    read_address,
+    read_count,
+    read_ip,
+    read_level,
+    read_name,
+    read_port,
+    read_ratio,
+    read_seeds,
+    setting,
+)
+
 if TYPE_CHECKING:
     from _typeshed import DataclassInstance
 
@@ -15,99 +28,18 @@
     'SettingsError',
     'add_arguments',
     'load_settings',
-    'read_address',
-    'read_level',
-    'read_name',
     'read_settings',
-    'setting',
 ]
 
 _Kind = TypeVar('_Kind', bound='DataclassInstance')
 
 _PREFIX: Final = 'NUTMEGSTEP_'
-_PORT_MAX: Final = 65535
-_LEVELS: Final = ('debug', 'info', 'warning', 'error')
 
 
 class SettingsError(Exception):
     """A setting is missing or not valid; the text names flag and variable."""
 
 
-def _read_ip(text: str) -> str:
-    return str(ip_address(text))
-
-
-def _read_port(text: str) -> int:
-    port = int(text)
-    if not 0 <= port <= _PORT_MAX:
-        raise ValueError(text)
-    return port
-
-
-def read_address(text: str) -> tuple[str, int]:
-    """Return IP number and port of an address."""
-    host, _, port = text.rpartition(':')
-    return _read_ip(host.strip('[]')), _read_port(port)
-
-
-def _read_seeds(text: str) -> tuple[str, ...]:
-    parts = [part.strip() for part in text.split(',') if part.strip()]
-    for part in parts:
-        read_address(part)
-    return tuple(parts)
-
-
-def read_name(text: str) -> str:
-    """Return a text that is not blank."""
-    if not text.strip():
-        raise ValueError(text)
-    return text
-
-
-def _read_ratio(text: str) -> float:
-    ratio = float(text)
-    if not 0 <= ratio <= 1:
-        raise ValueError(text)
-    return ratio
-
-
-def _read_count(text: str) -> int:
-    count = int(text)
-    if count < 1:
-        raise ValueError(text)
-    return count
-
-
-def read_level(text: str) -> str:
-    """Return the name of a logging level."""
-    if text not in _LEVELS:
-        raise ValueError(text)
-    return text
-
-
-def setting(
-    read: Callable[[str], Any],
-    expected: str,
-    text: str,
-    default: Any = MISSING,
-) -> Any:
-    """Declare a field of a settings class.
-
-    Parameters
-    ----------
-    read : Callable
-        Returns the value of a text or raises ValueError.
-    expected : str
-        What a valid text is.
-    text : str
-        Help.
-    default : object, optional
-        Value when neither flag nor variable is given.
-    """
-    metadata = {'read': read, 'expected': expected, 'help': text}
-    return field(default=default, metadata=metadata)
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
     """Settings of the entry process.
@@ -159,14 +91,14 @@
         'failure domain of this VM',
     )
     host: str = setting(
-        _read_ip,
+        read_ip,
         'an IP number',
         'IP number of the callers port',
         '127.0.0.1',
     )
     port: int = setting(
-        _read_port,
-        f'a port from 0 to {_PORT_MAX}',
+        read_port,
+        f'a port from 0 to {PORT_MAX}',
         'callers port; 0 lets the kernel choose',
         0,
     )
@@ -177,14 +109,14 @@
         None,
     )
     operator_host: str = setting(
-        _read_ip,
+        read_ip,
         'an IP number',
         'IP number of the operators HTTP port',
         '127.0.0.1',
     )
     operator_port: int = setting(
-        _read_port,
-        f'a port from 0 to {_PORT_MAX}',
+        read_port,
+        f'a port from 0 to {PORT_MAX}',
         'operators HTTP port; 0 lets the kernel choose',
         0,
     )
@@ -195,14 +127,14 @@
         'entry-vm',
     )
     peer_host: str = setting(
-        _read_ip,
+        read_ip,
         'an IP number',
         'IP number for peers and operators (gRPC)',
         '127.0.0.1',
     )
     peer_port: int = setting(
-        _read_port,
-        f'a port from 0 to {_PORT_MAX}',
+        read_port,
+        f'a port from 0 to {PORT_MAX}',
         'gRPC port for peers and operators; 0 lets the kernel choose',
         0,
     )
@@ -213,7 +145,7 @@
         None,
     )
     seeds: tuple[str, ...] = setting(
-        _read_seeds,
+        read_seeds,
         'addresses separated by commas, as in 127.0.0.1:9000,127.0.0.2:9000',
         'peers that are asked while no other VM is known',
         (),
@@ -237,20 +169,20 @@
         None,
     )
     caller_connections: int = setting(
-        _read_count,
+        read_count,
         'an integer of at least 1',
         'most open connections of callers',
         1000,
     )
     sampling_ratio: float = setting(
-        _read_ratio,
+        read_ratio,
         'a number from 0 to 1',
         'share of new traces that are recorded',
         0.01,
     )
     log_level: str = setting(
         read_level,
-        f'one of {", ".join(_LEVELS)}',
+        f'one of {", ".join(LEVELS)}',
         'least severe level that is logged',
         'info',
     )
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -6,11 +6,14 @@
 from pathlib import Path
 from typing import Final
 
-from nutmegstep.settings.core import (
-    SettingsError,
+from nutmegstep.settings.core import SettingsError
+from nutmegstep.settings.declaring import (
+    LEVELS,
     read_address,
     read_level,
     read_name,
+    read_port,
+    read_ratio,
     setting,
 )
 
@@ -28,13 +31,6 @@
     return number
 
 
-def _read_ratio(text: str) -> float:
-    ratio = _read_number(text)
-    if ratio > 1:
-        raise ValueError(text)
-    return ratio
-
-
 def _read_seconds(text: str) -> timedelta:
     seconds = _read_number(text)
     if not seconds:
@@ -42,10 +38,6 @@
     return timedelta(seconds=seconds)
 
 
-def _read_port(text: str) -> int:
-    return read_address(f'127.0.0.1:{text}')[1]
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewaySettings:
     """Settings of one gateway process.
@@ -109,7 +101,7 @@
         'where other VMs of the failure domain read',
     )
     metrics_port: int = setting(
-        _read_port,
+        read_port,
         'a port',
         'port of the metrics; 0 serves none',
         0,
@@ -151,14 +143,14 @@
         5,
     )
     trace_ratio: float = setting(
-        _read_ratio,
+        read_ratio,
         'a number from 0 to 1',
         'share of requests whose spans are recorded',
         0,
     )
     log_level: str = setting(
         read_level,
-        'debug, info, warning or error',
+        f'one of {", ".join(LEVELS)}',
         'least severe level that is logged',
         'info',
     )
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -63,7 +63,7 @@
         attempts=2,
         shards=SHARDS,
         top_records=2,
-        min_coverage=0.89,
+        required_coverage=0.89,
     )
     single = replace(
         base,
--- a/tests/platform/test_core.py
+++ b/tests/platform/test_core.py
@@ -263,3 +263,16 @@
     assert names.count('request') == 1
     assert names.count('target request') == 3
     assert len({span['trace_id'] for span in spans}) == 1
+
+
+async def test_process_without_its_port_for_neighbours_stops(
+    deployment: Deployment,
+) -> None:
+    """Guards against a process that serves without reading the store."""
+    gateway = await deployment.start_gateway(
+        PEERS_ADDRESS=deployment.store_address,
+        GRACE='3',
+    )
+    async with asyncio.timeout(10):
+        await gateway.process.wait()
+    assert 'task failed, stopping' in gateway.log_file.read_text()
