Send nothing after a freeze, and survive foreign replies of a relay

Causes: a VM that woke after a request's deadline still hedged and repeated it; a process that took over a relay's address could end its readers with a reply that is no document; a path that begins with two slashes was read as a host. Seven tests failed before.

--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -82,10 +82,13 @@
     open_request = state.open_by_id.get(event.request_id)
     if open_request is None:
         return []
+    # A VM that was frozen wakes after the deadline; nothing is sent then.
     due = (
         part
         for part in open_request.parts
-        if part.reply is None and not part.is_dead and part.hedge_at <= now
+        if part.reply is None
+        and not part.is_dead
+        and part.hedge_at <= now < open_request.deadline
     )
     hedges = chain.from_iterable(
         hedge(state, open_request, part, now) for part in due
--- a/nutmegstep/dispatch/sending.py
+++ b/nutmegstep/dispatch/sending.py
@@ -56,6 +56,9 @@
 
     The part stays alive while another send is under way.
     """
+    if now >= open_request.deadline:
+        part.is_dead = not part.sends
+        return [_note(open_request, part, 'repeat_omitted', 'too_late')]
     choice = _choose_other(state, open_request, part, now)
     if choice is None:
         part.is_dead = not part.sends
--- a/nutmegstep/platform/wire.py
+++ b/nutmegstep/platform/wire.py
@@ -69,7 +69,7 @@
         method=http_request.method.encode(),
         target=http_request.target,
         host=http_request.headers.get('host', ''),
-        path=http_request.path,
+        path=http_request.target.partition(b'?')[0].decode('latin-1'),
         headers=tuple(item for item in items if item[0] not in dropped),
         body=http_request.body,
         time_left=_read_deadline(
--- a/nutmegstep/platform_api/transport.py
+++ b/nutmegstep/platform_api/transport.py
@@ -132,7 +132,7 @@
         except OSError as error:
             kind = PlatformFailureKind.UNREACHABLE
             return attempt.fail(kind, str(error), sent=connection.bytes_sent)
-        except h11.RemoteProtocolError as error:
+        except h11.ProtocolError as error:
             kind = PlatformFailureKind.INVALID_REPLY
             return attempt.fail(kind, str(error), sent=connection.bytes_sent)
         finally:
--- a/nutmegstep/relay/reader.py
+++ b/nutmegstep/relay/reader.py
@@ -1,7 +1,8 @@
 """Reads kinds of objects from a relay."""
 
+from collections.abc import Callable
 from datetime import timedelta
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 from urllib.parse import urlencode
 
 import orjson
@@ -22,6 +23,7 @@
 a relay that stands still is noticed sooner."""
 _STATUS_OK: Final = 200
 _STATUS_GONE: Final = 410
+_Read = TypeVar('_Read')
 
 
 class RelayReader:
@@ -60,8 +62,12 @@
 
 
 def _read_listing(reply: HttpReply) -> Result[Listing, PlatformFailure]:
-    return _decode(reply).map(
-        lambda document: Listing(document['documents'], document['revision']),
+    return _decode(
+        reply,
+        lambda document: Listing(
+            dict(document['documents']),
+            int(document['revision']),
+        ),
     )
 
 
@@ -70,18 +76,29 @@
 ) -> Result[Changes | HistoryGone, PlatformFailure]:
     if reply.status == _STATUS_GONE:
         return Success(HistoryGone())
-    return _decode(reply).map(
+    return _decode(
+        reply,
         lambda document: Changes(
             tuple(Change(*change) for change in document['changes']),
-            document['revision'],
+            int(document['revision']),
         ),
     )
 
 
-def _decode(reply: HttpReply) -> Result[dict[str, Any], PlatformFailure]:
+def _decode(
+    reply: HttpReply,
+    read: Callable[[Any], _Read],
+) -> Result[_Read, PlatformFailure]:
     if reply.status != _STATUS_OK:
         detail = f'relay answered {reply.status}'
         return Failure(
             PlatformFailure(PlatformFailureKind.UNAVAILABLE, detail),
         )
-    return Success(orjson.loads(reply.body))
+    # The address of a relay that is gone may belong to another process now.
+    try:
+        return Success(read(orjson.loads(reply.body)))
+    except (KeyError, TypeError, ValueError) as error:
+        detail = f'malformed reply: {error!r}'
+        return Failure(
+            PlatformFailure(PlatformFailureKind.INVALID_REPLY, detail),
+        )
--- a/tests/dispatch/test_finishing.py
+++ b/tests/dispatch/test_finishing.py
@@ -179,3 +179,23 @@
     dispatcher.ask()
     wake = dispatcher.of(WakeAt)[-1]
     assert 100 < wake.instant < 100.07
+
+
+def test_nothing_is_sent_after_a_freeze(dispatcher: Dispatcher) -> None:
+    """Guards against old work of a VM that wakes after the deadline."""
+    request = dispatcher.ask('/fetch/1')
+    send = dispatcher.of(SendRequest)[0]
+    dispatcher.now += 30
+    dispatcher.play(SendFailed(send.send_id, FailureKind.TIMEOUT))
+    dispatcher.play(RequestDue(request.request_id))
+    assert len(dispatcher.of(SendRequest)) == 1
+    assert dispatcher.of(DeliverRefusal)
+
+
+def test_hedge_is_not_sent_after_a_freeze(dispatcher: Dispatcher) -> None:
+    """Guards against hedges of a VM that wakes after the deadline."""
+    request = dispatcher.ask()
+    sends = len(dispatcher.of(SendRequest))
+    dispatcher.now += 30
+    dispatcher.play(RequestDue(request.request_id))
+    assert len(dispatcher.of(SendRequest)) == sends
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -69,6 +69,12 @@
     )
 
 
+def test_path_is_taken_as_it_was_sent() -> None:
+    """Guards against a path whose first part is read as a host."""
+    http = replace(_HTTP, target=b'//a/b?c', path='/b')
+    assert CODEC.read_request(http, 7, 50).path == '//a/b'
+
+
 def test_send_names_the_target_and_the_time_left() -> None:
     """Guards against a caller that names another target, and old deadlines."""
     headers = dict(CODEC.request_headers(_send(), 0.25))
--- a/tests/relay/test_switching.py
+++ b/tests/relay/test_switching.py
@@ -19,7 +19,12 @@
     RelayServer,
     SwitchingReader,
 )
-from nutmegstep.web import HttpServer, serve_http
+from nutmegstep.web import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    serve_http,
+)
 
 _KIND = 'things'
 _WAIT = timedelta(seconds=2)
@@ -176,3 +181,19 @@
     cache = RelayCache()
     cache.take_listing(Listing({}, 5))
     assert cache.changes_after(9) == Changes((), 9)
+
+
+@pytest.mark.parametrize('body', [b'', b'[]', b'{"documents": 5}', b'text'])
+async def test_other_process_at_a_relay_address_is_left(body: bytes) -> None:
+    """Guards against replies of a process that took over the address."""
+
+    async def answer(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, body)
+
+    http = await serve_http(answer, '127.0.0.1', 0)
+    store = _Store()
+    reader = SwitchingReader(store, _connect)
+    port = http.sockets[0].getsockname()[1]
+    reader.choose(RelayChoice((f'127.0.0.1:{port}',)))
+    assert (await reader.list_kind(_KIND)).unwrap().revision == 7
+    http.close()
