--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
+from itertools import count, islice
 from pathlib import Path
 
 from tests.platform.standin import StoreStandIn, TargetStandIn, respond
@@ -14,6 +15,13 @@
 HOST = 'shop.example'
 SHARDS = ('shard-0', 'shard-1', 'shard-2')
 DOMAINS = ('north', 'south', 'west')
+_FIRST_PORT = 10_000
+_PORT_RANGE = 20_000
+_PORTS_OF_A_RUN = 199
+_PORTS = (
+    _FIRST_PORT + (os.getpid() * _PORTS_OF_A_RUN + number) % _PORT_RANGE
+    for number in count()
+)
 
 
 def configuration(version: int = 1, **routes: object) -> dict[str, object]:
@@ -87,12 +95,21 @@
 
 
 def free_ports(count: int) -> tuple[int, ...]:
-    """Return ports that nothing listens on at the moment."""
-    sockets = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
-    ports = tuple(one.getsockname()[1] for one in sockets)
-    for one in sockets:
-        one.close()
-    return ports
+    """Return ports that nothing listens on.
+
+    They lie below the range from which the kernel takes ports of outgoing
+    connections, and runs of this module begin at different ones, so that no
+    other process takes them before the gateway does.
+    """
+    return tuple(islice(filter(_is_free, _PORTS), count))
+
+
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server(('127.0.0.1', port)).close()
+    except OSError:
+        return False
+    return True
 
 
 @dataclass
