Remove repeated conditions and reads from the gateway

Found while reading the whole change: the condition of a part that still waits stood in three places (now Part.is_waiting), a relay's address was parsed beside read_address, the settings were read three times at a start, and Channel.is_busy had no user.

--- a/nutmegstep/cli/gateway.py
+++ b/nutmegstep/cli/gateway.py
@@ -58,7 +58,7 @@
     # Other commands start faster without the gateway's modules.
     from nutmegstep.platform.core import run_gateway
 
-    return run_gateway(lambda: _read(arguments))
+    return run_gateway(settings, lambda: _read(arguments))
 
 
 def _read(arguments: argparse.Namespace) -> GatewaySettings:
--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -86,9 +86,7 @@
     due = (
         part
         for part in open_request.parts
-        if part.reply is None
-        and not part.is_dead
-        and part.hedge_at <= now < open_request.deadline
+        if part.is_waiting and part.hedge_at <= now < open_request.deadline
     )
     hedges = chain.from_iterable(
         hedge(state, open_request, part, now) for part in due
--- a/nutmegstep/dispatch/finishing.py
+++ b/nutmegstep/dispatch/finishing.py
@@ -43,7 +43,7 @@
         done = _settle_single(state, open_request, now)
     if done is not None:
         return done
-    instants = [part.hedge_at for part in open_request.parts if _waits(part)]
+    instants = [part.hedge_at for part in open_request.parts if part.is_waiting]
     if now < open_request.answer_by:
         instants.append(open_request.answer_by)
     instants.append(open_request.deadline)
@@ -101,7 +101,7 @@
     if len(parts) - dead < required:
         return give_up(state, open_request, _incomplete(open_request, dead))
     is_late = now >= open_request.answer_by
-    has_hope = any(_waits(part) and not part.is_weak for part in parts)
+    has_hope = any(part.is_waiting and not part.is_weak for part in parts)
     if len(answered) >= required and (is_late or not has_hope):
         return _deliver(state, open_request, answered, now)
     if now >= open_request.deadline:
@@ -184,10 +184,6 @@
     return Decision('answered', open_request.request.caller_id, inputs)
 
 
-def _waits(part: Part) -> bool:
-    return part.reply is None and not part.is_dead
-
-
 def _verdict(open_request: OpenRequest) -> Verdict:
     may_have_run = any(part.runs for part in open_request.parts)
     return Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -140,6 +140,11 @@
     is_weak: bool = False
     is_dead: bool = False
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether an answer of the part can still come."""
+        return self.reply is None and not self.is_dead
+
 
 @dataclass(slots=True)
 class OpenRequest:
--- a/nutmegstep/gateway/channel.py
+++ b/nutmegstep/gateway/channel.py
@@ -73,11 +73,6 @@
         self._exchange: _Exchange | None = None
         self._transport: asyncio.Transport | None = None
 
-    @property
-    def is_busy(self) -> bool:
-        """Whether a request is in flight."""
-        return self._exchange is not None
-
     def is_reusable(self, now: float) -> bool:
         """Whether the target still keeps the connection at an instant."""
         if self._transport is None or self._transport.is_closing():
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -140,23 +140,28 @@
         _LOG.info('settings reloaded')
 
 
-async def serve(adapter: Adapter, read: ReadSettings) -> bool:
+async def serve(
+    adapter: Adapter,
+    settings: GatewaySettings,
+    read: ReadSettings,
+) -> bool:
     """Run a gateway until SIGTERM or SIGINT.
 
     Parameters
     ----------
     adapter : Adapter
         Translation for the platform.
+    settings : GatewaySettings
+        Settings at the start.
     read : ReadSettings
-        Reads the settings, at the start and later again.
+        Reads the settings again later.
 
     Returns
     -------
     bool
         Whether every request was answered at the stop.
     """
-    process = _Process(adapter, read())
-    settings = process.settings
+    process = _Process(adapter, settings)
     stop, hup = _listen_to_signals()
     callers = await serve_http(
         process.gateway.handle,
--- a/nutmegstep/gateway/reading.py
+++ b/nutmegstep/gateway/reading.py
@@ -24,6 +24,7 @@
     SwitchingReader,
 )
 from nutmegstep.settings import GatewaySettings
+from nutmegstep.settings.declaring import read_address
 from nutmegstep.web import serve_http
 
 __all__ = ['ReadingParts', 'StoreReading']
@@ -122,9 +123,9 @@
         await asyncio.gather(*(follower.run() for follower in followers))
 
     def _connect_relay(self, address: str) -> RelayReader:
-        host, _, port = address.rpartition(':')
+        host, port = read_address(address)
         return RelayReader(
-            HttpTransport(host, int(port), self._parts.clock, _RELAY_TIMEOUT),
+            HttpTransport(host, port, self._parts.clock, _RELAY_TIMEOUT),
         )
 
 
--- a/nutmegstep/platform/core.py
+++ b/nutmegstep/platform/core.py
@@ -58,23 +58,25 @@
 def main() -> int:
     """Run until the process is stopped; return the exit code."""
     try:
-        _read()
+        settings = _read()
     except SettingsError as error:
         print(f'nutmegstep: {error}', file=sys.stderr)
         return _EXIT_USAGE
-    return run_gateway(_read)
+    return run_gateway(settings, _read)
 
 
-def run_gateway(read: ReadSettings) -> int:
-    """Run a gateway with valid settings; return the exit code.
+def run_gateway(settings: GatewaySettings, read: ReadSettings) -> int:
+    """Run a gateway until it is stopped; return the exit code.
 
     Parameters
     ----------
+    settings : GatewaySettings
+        Settings at the start.
     read : ReadSettings
-        Reads the settings, at the start and later again.
+        Reads the settings again later.
     """
-    logs = configure_buffered_logs(read().log_level, sys.stdout.fileno())
-    answered = asyncio.run(serve(ADAPTER, read))
+    logs = configure_buffered_logs(settings.log_level, sys.stdout.fileno())
+    answered = asyncio.run(serve(ADAPTER, settings, read))
     logs.flush()
     return 0 if answered else _EXIT_CUT
 
