Count VMs per domain, reload budgets in use, wait for good hedges

Cause, found by reading: count_vms ignores a new number of VMs in the own failure domain while the total is unchanged; a reload of the settings does not reach the budgets of services that were already asked; a part stays marked as weak when its hedge goes to a target that answers, so the query may go out without it.

Each case has a test that failed before.

--- a/nutmegstep/dispatch/budget.py
+++ b/nutmegstep/dispatch/budget.py
@@ -46,17 +46,22 @@
         Bound over all VMs.
     now : float
         Monotonic instant of the start.
+
+    Attributes
+    ----------
+    terms : BudgetTerms
+        Bound in force; a reload of the settings replaces it.
     """
 
     def __init__(self, terms: BudgetTerms, now: float) -> None:
-        self._terms = terms
+        self.terms = terms
         self._tokens = float(0)
         self._updated = now
 
     def earn(self, now: float, vm_count: int) -> None:
         """Count a request for the service."""
         self._refill(now, vm_count)
-        self._tokens += self._terms.ratio * _USED_SHARE
+        self._tokens += self.terms.ratio * _USED_SHARE
         self._cap(vm_count)
 
     def spend(self, now: float, vm_count: int, reserve: float = 0) -> bool:
@@ -82,13 +87,13 @@
     def _refill(self, now: float, vm_count: int) -> None:
         elapsed = max(0, now - self._updated)
         self._updated = now
-        window = self._terms.window.total_seconds()
+        window = self.terms.window.total_seconds()
         flow = self._share(vm_count) * (1 - _CAPACITY_SHARE) / window
         self._tokens += elapsed * flow
         self._cap(vm_count)
 
     def _share(self, vm_count: int) -> float:
-        return self._terms.slack * _USED_SHARE / vm_count
+        return self.terms.slack * _USED_SHARE / vm_count
 
     def _capacity(self, vm_count: int) -> float:
         return max(1, self._share(vm_count) * _CAPACITY_SHARE)
--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -119,11 +119,13 @@
     now: float,
 ) -> list[Effect]:
     """Take the number of VMs that share targets."""
-    if event.count == state.vm_count:
+    known = (state.vm_count, state.vms_in_domain)
+    if (event.count, event.in_domain) == known:
         return []
     state.vm_count = event.count
     state.vms_in_domain = event.in_domain
-    return [Decision('vms_counted', '', {'count': event.count})]
+    inputs = {'count': event.count, 'in_domain': event.in_domain}
+    return [Decision('vms_counted', '', inputs)]
 
 
 def keep_house(
--- a/nutmegstep/dispatch/sending.py
+++ b/nutmegstep/dispatch/sending.py
@@ -42,7 +42,6 @@
     if choice is None:
         part.is_dead = True
         return []
-    part.is_weak = choice.is_stalled
     return [_send(state, open_request, part, choice, now)]
 
 
@@ -124,6 +123,8 @@
     health.set_pace(state.gap_of(part.service))
     health.stalls_at_by_send[send_id] = now + delay * _STALL_DELAYS
     take_cold_token(state, target, now)
+    has_better = bool(part.sends) and not part.is_weak
+    part.is_weak = choice.is_stalled and not has_better
     part.sends.add(send_id)
     part.tried.add(target.target_id)
     part.runs += 1
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -255,6 +255,12 @@
             self.health_by_target[target.target_id] = health
         return health
 
+    def change_terms(self, terms: DispatchTerms) -> None:
+        """Put other bounds in force, for budgets in use too."""
+        self.terms = terms
+        for budget in self._budget_by_service.values():
+            budget.terms = terms.budget
+
     def budget_of(self, service: str) -> RepeatBudget:
         """Return the budget of repeats of a service."""
         budget = self._budget_by_service.get(service)
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -136,7 +136,7 @@
         if settings == self.settings:
             return
         self.settings = settings
-        self.state.terms = _terms_of(settings)
+        self.state.change_terms(_terms_of(settings))
         _LOG.info('settings reloaded')
 
 
--- a/tests/dispatch/test_control.py
+++ b/tests/dispatch/test_control.py
@@ -1,7 +1,9 @@
 """Versions that never go back, and requests under their own version."""
 
 from dataclasses import replace
+from datetime import timedelta
 
+from nutmegstep.dispatch.budget import BudgetTerms
 from nutmegstep.dispatch.effects import DeliverRefusal, DropTarget
 from nutmegstep.dispatch.events import (
     ConfigurationChanged,
@@ -9,6 +11,7 @@
     TargetAnnounced,
     TargetDiscarded,
     TargetsListed,
+    VmsCounted,
 )
 from nutmegstep.verdict import Reason, Verdict
 from tests.dispatch.conftest import Dispatcher, configuration, records
@@ -60,3 +63,22 @@
     dispatcher.play(TargetDiscarded('orders-north'))
     dispatcher.ask()
     assert not dispatcher.of(DeliverRefusal)
+
+
+def test_vms_that_change_domain_are_counted(dispatcher: Dispatcher) -> None:
+    """Guards against shares of an old number of VMs in the own domain."""
+    state = dispatcher.state
+    dispatcher.play(VmsCounted(state.vm_count, 5))
+    assert state.vms_in_domain == 5
+
+
+def test_reload_changes_budgets_in_use(dispatcher: Dispatcher) -> None:
+    """Guards against an old bound on repeats until the process restarts."""
+    state = dispatcher.state
+    budget = state.budget_of('orders')
+    while budget.spend(dispatcher.now, 1):
+        continue
+    terms = BudgetTerms(0.2, 0, timedelta(seconds=10))
+    state.change_terms(replace(state.terms, budget=terms))
+    dispatcher.now += 60
+    assert not budget.spend(dispatcher.now, 1)
--- a/tests/dispatch/test_finishing.py
+++ b/tests/dispatch/test_finishing.py
@@ -199,3 +199,33 @@
     dispatcher.now += 30
     dispatcher.play(RequestDue(request.request_id))
     assert len(dispatcher.of(SendRequest)) == sends
+
+
+def test_part_with_a_good_hedge_is_waited_for(dispatcher: Dispatcher) -> None:
+    """Guards against an answer without a shard whose hedge is under way,
+    because its first target had stalled.
+    """
+    for _ in range(3):
+        dispatcher.ask()
+        dispatcher.now += 0.1
+    stalled = {
+        send.target.target_id: send
+        for send in dispatcher.of(SendRequest)
+        if send.target.service == 'shard-9'
+    }
+    assert len(stalled) == 3
+    dispatcher.effects.clear()
+    request = dispatcher.ask()
+    sends = dispatcher.of(SendRequest)
+    dispatcher.answer(sends[:8])
+    returned = next(
+        send
+        for target, send in stalled.items()
+        if target != sends[9].target.target_id
+    )
+    dispatcher.answer([returned])
+    dispatcher.now += 0.06
+    dispatcher.play(RequestDue(request.request_id))
+    dispatcher.answer(sends[8:9])
+    delivered = dispatcher.of(DeliverMerged)
+    assert request.request_id not in [one.request_id for one in delivered]
