Check the head of a query once for all its shards

Cause: a query over 36 shards builds and validates 36 request heads that differ in the expected target only; replies that are merged have their headers filtered for nobody.

Change: a connection on which the expected target has answered leads to that target until it closes, so the header is sent on new connections only, and the other sends of a query share one head. Deadlines are rounded down to 10 ms so that they share it. Headers of a reply are filtered when it is passed on.

--- a/nutmegstep/gateway/codec.py
+++ b/nutmegstep/gateway/codec.py
@@ -40,7 +40,9 @@
         Takes a caller's request, its identifier within this process and the
         monotonic instant of its arrival.
     request_headers : Callable
-        Returns all headers of a send, given the seconds that are left.
+        Returns all headers of a send: takes the request, the milliseconds that
+        are left, and the target that must answer, or an empty text when the
+        connection shows which one it is.
     read_reply : Callable
         Returns None when a response does not belong to the send.
     write_response : Callable
@@ -48,6 +50,6 @@
     """
 
     read_request: Callable[[HttpRequest, int, float], RoutedRequest]
-    request_headers: Callable[[SendRequest, float], HeaderItems]
+    request_headers: Callable[[RoutedRequest, int, str], HeaderItems]
     read_reply: Callable[[SendRequest, RawReply], TargetReply | None]
     write_response: Callable[[RoutedRequest, Delivery], HttpResponse]
--- a/nutmegstep/gateway/pool.py
+++ b/nutmegstep/gateway/pool.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import h11
+
 from nutmegstep.clock import Clock
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.effects import SendRequest
-from nutmegstep.dispatch.events import FailureKind
+from nutmegstep.dispatch.events import FailureKind, RoutedRequest
 from nutmegstep.gateway.channel import Channel, Outcome
 from nutmegstep.gateway.codec import WireCodec
 
@@ -17,6 +19,11 @@
 Report = Callable[[SendRequest, Outcome], None]
 """Takes the outcome of a send, exactly once."""
 
+_MILLISECONDS: Final = 1000
+_LONG_MILLISECONDS: Final = 100
+_STEP_MILLISECONDS: Final = 10
+"""A tenth of the shortest time that is rounded, in which a VM sends a query to
+all its shards."""
 _CONNECT_TIMEOUT: Final = 0.25
 """Seconds for a new connection; a few round trips and the target's work on
 it take less than a tenth of this."""
@@ -68,6 +75,8 @@
         self._group_by_address: dict[tuple[str, str, int], _Group] = {}
         self._pending_by_id: dict[int, _Pending] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._shared_key = (0, 0)
+        self._shared_head: h11.Request | None = None
 
     def send(self, effect: SendRequest) -> None:
         """Send now, or as soon as a connection is free."""
@@ -178,13 +187,53 @@
     def _hand_over(self, channel: Channel, pending: _Pending) -> None:
         effect = pending.effect
         pending.channel = channel
-        seconds_left = effect.expires - self._clock.monotonic()
+        head = self._head_of(effect, channel)
+        if head is None:
+            channel.fail(FailureKind.CANCELLED)
+            self._finish(effect.send_id, FailureKind.INVALID)
+            return
         channel.send(
-            effect,
-            self._codec.request_headers(effect, seconds_left),
+            head,
+            effect.request.body,
             lambda outcome: self._finish(effect.send_id, outcome),
         )
 
+    def _head_of(
+        self,
+        effect: SendRequest,
+        channel: Channel,
+    ) -> h11.Request | None:
+        # The sends of a query over many shards differ in the expected target
+        # only, and a connection on which it has answered cannot lead to
+        # another one. So most of them share a head that is checked once.
+        seconds_left = effect.expires - self._clock.monotonic()
+        milliseconds = _round_down(seconds_left)
+        key = (effect.request.request_id, milliseconds)
+        if channel.has_answered and key == self._shared_key:
+            return self._shared_head
+        expected = '' if channel.has_answered else effect.target.target_id
+        head = self._build_head(effect.request, milliseconds, expected)
+        if channel.has_answered:
+            self._shared_key = key
+            self._shared_head = head
+        return head
+
+    def _build_head(
+        self,
+        request: RoutedRequest,
+        milliseconds: int,
+        expected: str,
+    ) -> h11.Request | None:
+        headers = self._codec.request_headers(request, milliseconds, expected)
+        try:
+            return h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=list(headers),
+            )
+        except h11.LocalProtocolError:
+            return None
+
     def _closed(self, group: _Group, channel: Channel) -> None:
         group.open_count -= 1
         if channel in group.idle:
@@ -227,6 +276,14 @@
         self._group_by_address.pop(_address_of(group.target), None)
 
 
+def _round_down(seconds_left: float) -> int:
+    """Return milliseconds; long times in steps that many sends share."""
+    milliseconds = max(1, int(seconds_left * _MILLISECONDS))
+    if milliseconds < _LONG_MILLISECONDS:
+        return milliseconds
+    return milliseconds - milliseconds % _STEP_MILLISECONDS
+
+
 def _address_of(target: TargetRecord) -> tuple[str, str, int]:
     return (target.target_id, target.host, target.port)
 
--- a/nutmegstep/platform/wire.py
+++ b/nutmegstep/platform/wire.py
@@ -80,17 +80,17 @@
     )
 
 
-def _request_headers(effect: SendRequest, seconds_left: float) -> HeaderItems:
-    request = effect.request
-    deadline = max(1, int(seconds_left * _MILLISECONDS))
-    own = (
-        (_DEADLINE, b'%d' % deadline),
-        (_EXPECTED_TARGET, effect.target.target_id.encode()),
-    )
-    if request.method in _BODILESS and not request.body:
-        return (*request.headers, *own)
-    length = (b'content-length', b'%d' % len(request.body))
-    return (*request.headers, *own, length)
+def _request_headers(
+    request: RoutedRequest,
+    milliseconds_left: int,
+    expected_target: str,
+) -> HeaderItems:
+    own = [(_DEADLINE, b'%d' % milliseconds_left)]
+    if expected_target:
+        own.append((_EXPECTED_TARGET, expected_target.encode()))
+    if request.body or request.method not in _BODILESS:
+        own.append((b'content-length', b'%d' % len(request.body)))
+    return (*request.headers, *own)
 
 
 def _read_reply(effect: SendRequest, raw: RawReply) -> TargetReply | None:
@@ -103,10 +103,9 @@
     if b'content-encoding' in header_by_name:
         return None
     is_misdirected = raw.status == _STATUS_MISDIRECTED
-    dropped = _connection_options(raw.headers)
     return TargetReply(
         status=raw.status,
-        headers=tuple(item for item in raw.headers if item[0] not in dropped),
+        headers=raw.headers,
         body=raw.body,
         signature=header_by_name.get(_SIGNATURE, b'').decode('latin-1'),
         was_executed=not is_misdirected and _NOT_EXECUTED not in header_by_name,
@@ -126,9 +125,11 @@
 
 
 def _pass_on(reply: TargetReply) -> HttpResponse:
+    dropped = _connection_options(reply.headers)
     headers = tuple(
         (name.decode('latin-1'), text.decode('latin-1'))
         for name, text in reply.headers
+        if name not in dropped
     )
     return HttpResponse(reply.status, reply.body, headers, content_type='')
 
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -119,6 +119,68 @@
     assert sender.target.connections == 1
 
 
+async def test_new_connection_names_the_target(sender: _Sender) -> None:
+    """Guards against work for another target at a reused address."""
+    sender.target.closes_after_answer = True
+    for _ in range(3):
+        sender.send()
+        await sender.outcome()
+        await asyncio.sleep(0.05)
+    named = [
+        seen.headers.get('x-nutmegstep-expect-instance')
+        for seen in sender.target.seen
+    ]
+    assert named == ['i-1'] * 3
+
+
+async def test_target_is_named_until_it_has_answered(sender: _Sender) -> None:
+    """Guards against a connection to another target that is taken as proven."""
+    sender.target.script = respond(status=421)
+    for _ in range(2):
+        sender.send()
+        await sender.outcome()
+    sender.target.script = respond()
+    for _ in range(2):
+        sender.send()
+        await sender.outcome()
+    named = [
+        'x-nutmegstep-expect-instance' in seen.headers
+        for seen in sender.target.seen
+    ]
+    assert named == [True, True, True, False]
+    assert sender.target.connections == 1
+
+
+async def test_shared_head_belongs_to_one_request(sender: _Sender) -> None:
+    """Guards against the identifier of another request on a connection."""
+    sent = []
+    for _ in range(4):
+        sent.append(sender.send())
+        await sender.outcome()
+    ids = [
+        seen.headers['x-nutmegstep-attempt-id'] for seen in sender.target.seen
+    ]
+    assert ids == [f'caller-{number}' for number in sent]
+
+
+async def test_deadline_is_never_longer_than_the_time_left(
+    sender: _Sender,
+) -> None:
+    """Guards against targets that work when the caller has left."""
+    for seconds in (0.05, 0.2345, 0.9):
+        sender.send(seconds)
+        await sender.outcome()
+    stated = [
+        int(seen.headers['x-nutmegstep-deadline-ms'])
+        for seen in sender.target.seen
+    ]
+    left = (50, 234, 900)
+    assert all(
+        one <= most and one >= 0.8 * most
+        for one, most in zip(stated, left, strict=True)
+    )
+
+
 async def test_non_idempotent_request_takes_a_new_connection(
     sender: _Sender,
 ) -> None:
