Choose relays once all VMs of a first start are known

Cause: VMs that start together read the entries of the few that were faster, take them as relays, are turned away, and read the store at a price; a VM without an entry makes two calls to write it.

Change: on the first start of the system (the platform says so) the list of VMs is read 2.5 s after the own entry was written. An entry is created first and replaced when it exists.

--- a/nutmegstep/gateway/counting.py
+++ b/nutmegstep/gateway/counting.py
@@ -22,6 +22,9 @@
 _LOG: Final = logging.getLogger(__name__)
 _FIRST_READ: Final = timedelta(milliseconds=500)
 """VMs that start together have written their entries by then."""
+_START_SPREAD: Final = timedelta(seconds=2.5)
+"""Time after which all VMs of a first start have written their entries, and a
+stale read shows them. Choosing relays from fewer entries costs calls."""
 _SECOND_READ: Final = timedelta(seconds=4)
 """The first read may be some seconds old."""
 _READ_EVERY: Final = timedelta(seconds=25)
@@ -61,6 +64,8 @@
         What the others read about this VM.
     reports : CensusReports
         Who is told.
+    is_first_start : bool
+        Whether all VMs start together and have no entries yet.
     """
 
     def __init__(
@@ -70,6 +75,7 @@
         name: str,
         entry: VmEntry,
         reports: CensusReports,
+        is_first_start: bool,
     ) -> None:
         self.first_read = asyncio.Event()
         self._store = store
@@ -77,6 +83,7 @@
         self._name = name
         self._entry = entry
         self._reports = reports
+        self._is_first_start = is_first_start
         self._census = VmCensus(name, entry.failure_domain)
 
     async def run(self, contact: StoreContact, random: Random) -> None:
@@ -115,6 +122,8 @@
             fields = {'detail': written.failure().detail}
             _LOG.warning('entry of this VM not written', extra=fields)
             return False
+        if self._is_first_start and not self.first_read.is_set():
+            await asyncio.sleep(_START_SPREAD.total_seconds())
         return await self._read()
 
     async def _read(self) -> bool:
--- a/nutmegstep/gateway/reading.py
+++ b/nutmegstep/gateway/reading.py
@@ -33,6 +33,8 @@
 """Longest call to a relay, which is a millisecond or two away."""
 _CENSUS_TIMEOUT: Final = 1.0
 """Seconds for which the first read of the VMs is waited for."""
+_FIRST_CENSUS_TIMEOUT: Final = 4.0
+"""The same when all VMs start for the first time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +81,11 @@
         )
         self._reader = SwitchingReader(parts.store, self._connect_relay)
         self._address = settings.peers_address
+        self._census_timeout = (
+            _FIRST_CENSUS_TIMEOUT
+            if settings.is_first_start
+            else _CENSUS_TIMEOUT
+        )
         host, port = settings.peers_address
         self._counter = VmCounter(
             parts.store,
@@ -86,6 +93,7 @@
             settings.vm_name,
             VmEntry(settings.failure_domain, f'{host}:{port}', revision=0),
             CensusReports(parts.dispatch, self._reader.choose),
+            settings.is_first_start,
         )
 
     async def run(self) -> None:
@@ -108,7 +116,7 @@
         with suppress(TimeoutError):
             await asyncio.wait_for(
                 self._counter.first_read.wait(),
-                _CENSUS_TIMEOUT,
+                self._census_timeout,
             )
         followers = [
             Follower(
--- a/nutmegstep/platform/store.py
+++ b/nutmegstep/platform/store.py
@@ -64,6 +64,7 @@
     def __init__(self, transport: HttpTransport, counter: Counter) -> None:
         self._transport = transport
         self._counter = counter
+        self._has_written = False
 
     async def list_kind(self, kind: str) -> Result[Listing, PlatformFailure]:
         """Read all objects of a kind at the revision of the first page."""
@@ -117,15 +118,22 @@
         }
         body = orjson.dumps({'meta': {'name': name}, 'spec': spec})
         path = _path(KIND_VMS, {})
-        replace_call = HttpCall('PUT', f'{path}/{quote(name)}', body, _JSON)
-        replaced = await self._call('replace', replace_call, is_write=True)
-        if not is_successful(replaced):
-            return Failure(replaced.failure())
-        if replaced.unwrap().status != _STATUS_MISSING:
-            return Success(None)
         create = HttpCall('POST', path, body, _JSON)
-        created = await self._call('create', create, is_write=True)
-        return created.map(lambda _: None)
+        update = HttpCall('PUT', f'{path}/{quote(name)}', body, _JSON)
+        # A process that starts is mostly one of a VM without an entry.
+        order = [('create', create), ('replace', update)]
+        if self._has_written:
+            order.reverse()
+        called = await self._call(*order[0], is_write=True)
+        if _misses(called):
+            called = await self._call(*order[1], is_write=True)
+        if _misses(called):
+            detail = f'the entry of {name} was changed meanwhile'
+            return Failure(
+                PlatformFailure(PlatformFailureKind.UNAVAILABLE, detail),
+            )
+        self._has_written = is_successful(called)
+        return called.map(lambda _: None)
 
     async def delete_vm(self, name: str) -> Result[None, PlatformFailure]:
         """Delete the entry of a VM that is gone."""
@@ -182,6 +190,12 @@
         return checked
 
 
+def _misses(called: Result[HttpReply, PlatformFailure]) -> bool:
+    # The object exists already, or does not exist any more.
+    missed = (_STATUS_CONFLICT, _STATUS_MISSING)
+    return is_successful(called) and called.unwrap().status in missed
+
+
 def _check(
     http: HttpCall,
     reply: HttpReply,
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -21,6 +21,7 @@
 
 _ADDRESS: Final = 'an IP number and a port, as in 127.0.0.1:8080'
 _SECONDS: Final = 'a number of seconds above 0'
+_FLAGS: Final = frozenset(('true', 'false'))
 _NUMBER: Final = 'a number of at least 0'
 
 
@@ -31,6 +32,12 @@
     return number
 
 
+def _read_flag(text: str) -> bool:
+    if text not in _FLAGS:
+        raise ValueError(text)
+    return text == 'true'
+
+
 def _read_seconds(text: str) -> timedelta:
     seconds = _read_number(text)
     if not seconds:
@@ -56,6 +63,8 @@
         The platform's store.
     peers_address : tuple of str and int
         Where other VMs read what this one has read from the store.
+    is_first_start : bool
+        Whether all VMs of the system start for the first time.
     metrics_port : int
         Port of the metrics on the callers' IP number; 0 serves none.
     grace : datetime.timedelta
@@ -100,6 +109,12 @@
         _ADDRESS,
         'where other VMs of the failure domain read',
     )
+    is_first_start: bool = setting(
+        _read_flag,
+        'true or false',
+        'whether all VMs start for the first time',
+        default=False,
+    )
     metrics_port: int = setting(
         read_port,
         'a port',
--- /dev/null
+++ b/tests/gateway/idle_store.py
@@ -0,0 +1,45 @@
+"""A store that no test of its user should call."""
+
+from datetime import timedelta
+
+from returns.result import Result
+
+from nutmegstep.following import Changes, HistoryGone, Listing
+from nutmegstep.following.census import VmEntry
+from nutmegstep.platform_api.records import PlatformFailure
+
+
+class IdleStore:
+    """Base of stores that answer some calls."""
+
+    async def list_kind(self, kind: str) -> Result[Listing, PlatformFailure]:
+        """Fail the test."""
+        raise NotImplementedError
+
+    async def watch_kind(
+        self,
+        kind: str,
+        revision: int,
+        wait: timedelta,
+    ) -> Result[Changes | HistoryGone, PlatformFailure]:
+        """Fail the test."""
+        raise NotImplementedError
+
+    async def list_vms(self) -> Result[dict[str, VmEntry], PlatformFailure]:
+        """Fail the test."""
+        raise NotImplementedError
+
+    async def put_vm(
+        self,
+        name: str,
+        entry: VmEntry,
+    ) -> Result[None, PlatformFailure]:
+        """Fail the test."""
+        raise NotImplementedError
+
+    async def delete_vm(self, name: str) -> Result[None, PlatformFailure]:
+        """Fail the test."""
+        raise NotImplementedError
+
+    def close(self) -> None:
+        """Nothing is open."""
--- /dev/null
+++ b/tests/gateway/test_counting.py
@@ -0,0 +1,88 @@
+"""When a VM reads which others there are."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+
+import pytest
+from returns.result import Result, Success
+
+from nutmegstep.clock import SystemClock
+from nutmegstep.dispatch.events import VmsCounted
+from nutmegstep.following import StoreContact
+from nutmegstep.following.census import VmEntry
+from nutmegstep.gateway.counting import CensusReports, VmCounter
+from nutmegstep.platform_api.records import PlatformFailure
+from tests.gateway.idle_store import IdleStore
+
+_SPREAD = 'nutmegstep.gateway.counting._START_SPREAD'
+_OWN = VmEntry('north', '10.0.0.1:7740', 0)
+
+
+class _Store(IdleStore):
+    """Entries that appear as VMs write them."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, VmEntry] = {}
+
+    async def list_vms(self) -> Result[dict[str, VmEntry], PlatformFailure]:
+        return Success(dict(self.entries))
+
+    async def put_vm(
+        self,
+        name: str,
+        entry: VmEntry,
+    ) -> Result[None, PlatformFailure]:
+        self.entries[name] = entry
+        return Success(None)
+
+
+async def _count(
+    *,
+    is_first_start: bool,
+    meanwhile: Callable[[_Store], None],
+) -> list[VmsCounted]:
+    """Start a counter; others write their entries soon after."""
+    store = _Store()
+    counts: list[VmsCounted] = []
+    reports = CensusReports(counts.append, lambda choice: None)
+    counter = VmCounter(
+        store,
+        SystemClock(),
+        'vm-1',
+        _OWN,
+        reports,
+        is_first_start,
+    )
+    contact = StoreContact(SystemClock(), lambda: None)
+    task = asyncio.create_task(counter.run(contact, Random(1)))
+    await asyncio.sleep(0)
+    meanwhile(store)
+    await asyncio.wait_for(counter.first_read.wait(), 5)
+    task.cancel()
+    return counts
+
+
+def _others_write(store: _Store) -> None:
+    for number in range(2, 23):
+        store.entries[f'vm-{number}'] = _OWN
+
+
+async def test_first_start_waits_for_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against relays that are chosen among the few VMs that were
+    fastest, while the others read the store at a price.
+    """
+    spread = timedelta(milliseconds=50)
+    monkeypatch.setattr(_SPREAD, spread)
+    counts = await _count(is_first_start=True, meanwhile=_others_write)
+    assert counts == [VmsCounted(22, 22)]
+
+
+async def test_restart_reads_at_once() -> None:
+    """Guards against a restarted VM that takes callers seconds later."""
+    start = asyncio.get_running_loop().time()
+    await _count(is_first_start=False, meanwhile=lambda store: None)
+    assert asyncio.get_running_loop().time() - start < 0.5
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -98,6 +98,30 @@
     assert pair.stand_in.names(KIND_VMS) == {'vm-1'}
 
 
+async def test_first_entry_takes_one_call(pair: _Pair) -> None:
+    """Guards against priced calls of a VM that has no entry yet."""
+    entry = VmEntry('north', '10.0.0.1:7740', 1)
+    await pair.store.put_vm('vm-1', entry)
+    assert len(pair.stand_in.calls) == 1
+
+
+async def test_process_that_restarts_renews_its_entry(pair: _Pair) -> None:
+    """Guards against an entry with the address before the restart."""
+    pair.stand_in.put(KIND_VMS, 'vm-1', {'address': '10.0.0.9:1'})
+    await pair.store.put_vm('vm-1', VmEntry('north', '10.0.0.1:7740', 1))
+    listed = (await pair.store.list_vms()).unwrap()
+    assert listed['vm-1'].address == '10.0.0.1:7740'
+
+
+async def test_deleted_entry_is_created_again(pair: _Pair) -> None:
+    """Guards against a VM that is forgotten although it runs."""
+    entry = VmEntry('north', '10.0.0.1:7740', 1)
+    await pair.store.put_vm('vm-1', entry)
+    pair.stand_in.delete(KIND_VMS, 'vm-1')
+    await pair.store.put_vm('vm-1', entry)
+    assert pair.stand_in.names(KIND_VMS) == {'vm-1'}
+
+
 @pytest.mark.parametrize('spec', [None, 5, {}, {'address': 'nowhere'}])
 async def test_foreign_entry_has_no_address(pair: _Pair, spec: object) -> None:
     """Guards against a crash on entries that other writers left."""
--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -45,6 +45,7 @@
         ('NUTMEGSTEP_CALLERS_ADDRESS', 'host:80'),
         ('NUTMEGSTEP_METRICS_PORT', '70000'),
         ('NUTMEGSTEP_VM_NAME', ' '),
+        ('NUTMEGSTEP_IS_FIRST_START', 'maybe'),
     ],
 )
 def test_invalid_setting_is_named(name: str, text: str) -> None:
