Read replies that have arrived before hedging

Cause, suspected: a VM that is busy finds the timer of a query due while replies wait in the kernel, and hedges targets that have answered.

Change: a due request is looked at two passes of the event loop later.

Conclusion: not the cause of the queries that hedge most of their shards. Kept, because such a hedge only costs; tests/gateway/test_core.py fails before it.

--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -41,6 +41,10 @@
 
 __all__ = ['Gateway']
 
+_READ_PASSES: Final = 2
+"""Passes of the event loop before a due request is looked at: what one pass
+finds readable is read by the time the second one ends."""
+
 
 class _Waiter:
     """A caller that waits for its answer."""
@@ -203,7 +207,11 @@
             waiter,
         )
 
-    def _wake(self, waiter: _Waiter) -> None:
+    def _wake(self, waiter: _Waiter, passes: int = _READ_PASSES) -> None:
+        # Replies that have arrived but are not read yet must not be hedged.
+        if passes:
+            asyncio.get_running_loop().call_soon(self._wake, waiter, passes - 1)
+            return
         waiter.timer = None
         self.dispatch(RequestDue(waiter.request.request_id))
 
