--- a/nutmegstep/engine/__init__.py
+++ b/nutmegstep/engine/__init__.py
@@ -2,7 +2,8 @@
 
 from nutmegstep.engine.admitting import refusal_at_head
 from nutmegstep.engine.core import reduce
-from nutmegstep.engine.explaining import Explanation, explanations_of
+from nutmegstep.engine.explaining import explanations_of
+from nutmegstep.engine.explanation import Explanation
 from nutmegstep.engine.state import EngineState
 from nutmegstep.engine.warming import wanted_cold_targets
 
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -3,9 +3,10 @@
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from nutmegstep.admission import Admission
+from nutmegstep.engine.explanation import Explanation
 from nutmegstep.hedging import (
     HEDGE_SHARE,
     RESTART_SHARE,
@@ -27,8 +28,6 @@
 from nutmegstep.snapshot import HeldVersions, ShardMaps
 from nutmegstep.warmup import Warmup
 
-if TYPE_CHECKING:
-    from nutmegstep.engine.explaining import Explanation
 
 __all__ = [
     'AttemptState',
@@ -209,7 +208,7 @@
     last_attempt_id: int = 0
     draining: bool = False
     drain_finished: bool = False
-    explanations: deque['Explanation'] = field(
+    explanations: deque[Explanation] = field(
         default_factory=lambda: deque(maxlen=_KEPT_EXPLANATIONS),
     )
     leaving_until_by_target: dict[str, float] = field(default_factory=dict)
--- a/nutmegstep/warmup/core.py
+++ b/nutmegstep/warmup/core.py
@@ -6,6 +6,13 @@
 from typing import Final
 
 from nutmegstep.model import Target
+from nutmegstep.warmup.warmth import (
+    TargetWarmth,
+    hold_of,
+    make_warm,
+    restart,
+    set_cold,
+)
 
 __all__ = ['COLD_REQUEST_SECONDS', 'EARLY_REPORT_SECONDS', 'Warmup']
 
@@ -13,80 +20,11 @@
 # grants the target again; no request to a cold target may outlast that.
 COLD_REQUEST_SECONDS: Final = 2
 
-_RECENT_ANSWERS: Final = 8
-_RECENT_MASK: Final = (1 << _RECENT_ANSWERS) - 1
-_BAD_OF_RECENT: Final = 5
-_JUMP_FACTOR: Final = 4
-# Step of the running median, as a share of its value.
-_MEDIAN_STEP: Final = 0.05
-# A median of a few answers of a warming target is too high or too low.
-_MEDIAN_ANSWERS: Final = 32
-
-
-# A VM without a promise depends on a report of the VM that warms the target
-# up. When that one has seen nothing, no report comes, and the target would be
-# lost to this VM for good; after this time it tries with one request.
-_HOLD_SECONDS: Final = 10
-_SPARE_STEPS: Final = 2
-
-# Late reports about earlier processes of a target must not make it warm.
-_KEPT_BOOT_IDS: Final = 4
-
 # Two heartbeats. A report that arrives earlier after the loss of all
 # connections may have been sent before the restart that closed them.
 EARLY_REPORT_SECONDS: Final = 1
 
 
-@dataclass(slots=True)
-class _TargetWarmth:
-    warm_boot_id: str = ''
-    past_boot_ids: tuple[str, ...] = ()
-    boot_id: str = ''
-    recent: int = 0
-    median: float = 0
-    answers: int = 0
-    allowed: int = 0
-    next_step: float = 0
-    unconfirmed_boot_id: str = ''
-    lost_at: float = -math.inf
-    unseen: bool = False
-    suspended_boot_id: str = ''
-    retry_at: float = math.inf
-    hold: float = _HOLD_SECONDS
-
-    def note(self, *, bad: bool) -> bool:
-        """Shift in an outcome; return whether too many were bad."""
-        self.recent = (self.recent << 1 | bad) & _RECENT_MASK
-        return self.recent.bit_count() >= _BAD_OF_RECENT
-
-    def suspend(self, now: float) -> None:
-        """Take the target as cold for a while; nothing restarted."""
-        boot_id = self.warm_boot_id
-        _set_cold(self)
-        self.suspended_boot_id = boot_id
-        self.retry_at = now + self.hold
-
-    def reconsider(self, now: float) -> None:
-        """Use the target again when nobody has confirmed it in time.
-
-        The next request goes alone and shows the boot identifier.
-        """
-        boot_id = self.suspended_boot_id or self.unconfirmed_boot_id
-        if now >= self.retry_at and boot_id:
-            _make_warm(self)
-            self.unseen = True
-
-    def jumped(self, seconds: float) -> bool:
-        """Return whether a latency is far above the running median."""
-        self.answers += 1
-        if not self.median:
-            self.median = seconds
-        bad = seconds > self.median * _JUMP_FACTOR
-        step = self.median * _MEDIAN_STEP
-        self.median += step if seconds > self.median else -step
-        return bad and self.answers > _MEDIAN_ANSWERS
-
-
 @dataclass(slots=True)
 class Warmup:
     """What this VM knows about warm and cold targets.
@@ -111,7 +49,7 @@
     """
 
     until_by_target: Mapping[str, float] = field(default_factory=dict)
-    by_target: dict[str, _TargetWarmth] = field(default_factory=dict)
+    by_target: dict[str, TargetWarmth] = field(default_factory=dict)
 
     def is_warm(self, target: str) -> bool:
         """Return whether a target is known as warm; unknown is cold."""
@@ -180,8 +118,8 @@
         if early and known.boot_id in {'', boot_id}:
             return
         if known.boot_id != boot_id:
-            _restart(known, boot_id)
-        _make_warm(known)
+            restart(known, boot_id)
+        make_warm(known)
 
     def lose(
         self,
@@ -201,7 +139,7 @@
         known = self._of(target)
         known.lost_at = now
         boot_id = known.warm_boot_id or known.unconfirmed_boot_id
-        _set_cold(known)
+        set_cold(known)
         known.unconfirmed_boot_id = boot_id
         known.retry_at = now + retry_after
         # A report may make it warm while this VM has no connection.
@@ -239,7 +177,7 @@
             return False
         if known.unconfirmed_boot_id != boot_id:
             return False
-        _make_warm(known)
+        make_warm(known)
         return True
 
     def answered(
@@ -258,10 +196,10 @@
         """
         known = self._of(target.name)
         if known.boot_id != boot_id:
-            _restart(known, boot_id)
+            restart(known, boot_id)
         if known.warm_boot_id:
             if known.note(bad=known.jumped(seconds)):
-                known.hold = _hold_of(target)
+                known.hold = hold_of(target)
                 known.suspend(now)
             return False
         return self._ramped(known, target, now)
@@ -270,7 +208,7 @@
         """Count a request that a target refused to execute."""
         known = self._of(target)
         if boot_id and known.boot_id != boot_id:
-            _restart(known, boot_id)
+            restart(known, boot_id)
         if known.note(bad=True) and known.warm_boot_id:
             known.suspend(now)
         # A shed during the ramp shows that the step was too large.
@@ -281,16 +219,16 @@
         kept = self.by_target.keys() & targets
         self.by_target = {name: self.by_target[name] for name in sorted(kept)}
 
-    def _of(self, target: str) -> _TargetWarmth:
+    def _of(self, target: str) -> TargetWarmth:
         known = self.by_target.get(target)
         if known is None:
-            known = _TargetWarmth()
+            known = TargetWarmth()
             self.by_target[target] = known
         return known
 
     def _ramped(
         self,
-        known: _TargetWarmth,
+        known: TargetWarmth,
         target: Target,
         now: float,
     ) -> bool:
@@ -303,42 +241,8 @@
         if now < known.next_step:
             return False
         if known.allowed >= target.slots:
-            _make_warm(known)
+            make_warm(known)
             return True
         known.allowed = min(target.slots, known.allowed * 2)
         known.next_step = now + step
         return False
-
-
-def _restart(known: _TargetWarmth, boot_id: str) -> None:
-    if known.boot_id:
-        past = (*known.past_boot_ids, known.boot_id)
-        known.past_boot_ids = past[-_KEPT_BOOT_IDS:]
-    known.boot_id = boot_id
-    _set_cold(known)
-    known.median = 0
-    known.answers = 0
-
-
-def _hold_of(target: Target) -> float:
-    """Return the seconds after which another VM has warmed a target up."""
-    doublings = math.ceil(math.log2(target.slots / target.cold_slots))
-    ramp = target.ramp_step.total_seconds() * (doublings + _SPARE_STEPS)
-    return max(_HOLD_SECONDS, ramp)
-
-
-def _make_warm(known: _TargetWarmth) -> None:
-    known.warm_boot_id = known.boot_id
-    known.unconfirmed_boot_id = ''
-    known.suspended_boot_id = ''
-    known.retry_at = math.inf
-    known.recent = 0
-
-
-def _set_cold(known: _TargetWarmth) -> None:
-    known.warm_boot_id = ''
-    known.unconfirmed_boot_id = ''
-    known.suspended_boot_id = ''
-    known.retry_at = math.inf
-    known.recent = 0
-    known.allowed = 0
