--- a/nutmegstep/node/core.py
+++ b/nutmegstep/node/core.py
@@ -18,7 +18,7 @@
     prune,
     record_tick,
 )
-from nutmegstep.node import exchange, handlers, loops, relay
+from nutmegstep.node import exchange, handlers, loops, relay, warm_reports
 from nutmegstep.node.documents import encode_registers
 from nutmegstep.node.links import PeerLinks
 from nutmegstep.node.ports import ControlPlatform
@@ -173,11 +173,11 @@
     def report_warm(self, target: str, boot_id: str) -> None:
         """Tell all peers that a target is warm under a boot identifier."""
         report = WarmReport(target, boot_id)
-        exchange.record_warm(self.state, report, self._clock.monotonic())
+        warm_reports.record_warm(self.state, report, self._clock.monotonic())
 
     def forget_warm(self, target: str) -> None:
         """Forget that a target is warm, when its connections were lost."""
-        exchange.forget_warm(self.state, target, self._clock.monotonic())
+        warm_reports.forget_warm(self.state, target, self._clock.monotonic())
 
     async def claim_status(self, incarnation: int, key: bytes) -> ClaimReport:
         """Ask the claimer; an unknown or silent one gives `UNKNOWN`."""
--- a/nutmegstep/platform_api/connection.py
+++ b/nutmegstep/platform_api/connection.py
@@ -8,6 +8,8 @@
 
 import h11
 
+from nutmegstep.web.sockets import bound_unacknowledged
+
 __all__ = ['HttpCall', 'HttpReply', 'PlatformConnection']
 
 _READ_BYTES: Final = 65536
@@ -157,10 +159,11 @@
         (socket.TCP_KEEPIDLE, _PROBE_SECONDS),
         (socket.TCP_KEEPINTVL, _PROBE_SECONDS),
         (socket.TCP_KEEPCNT, _PROBES),
-        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
     )
     for option, number in options:
         connected.setsockopt(socket.IPPROTO_TCP, option, number)
+    bound_unacknowledged(connected, _USER_TIMEOUT_MS)
+    bound_unacknowledged(connected, _USER_TIMEOUT_MS)
 
 
 def _take(reply: HttpReply, event: h11.Event) -> None:
--- a/nutmegstep/targets/connection.py
+++ b/nutmegstep/targets/connection.py
@@ -1,7 +1,6 @@
 """One HTTP/1.1 connection to a target."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -16,6 +15,7 @@
     encode_request,
     read_outcome,
 )
+from nutmegstep.web.sockets import bound_unacknowledged
 
 __all__ = ['OutcomeCallback', 'TargetConnection']
 
@@ -93,11 +93,8 @@
         """Keep the transport and bound the time for unacknowledged bytes."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.get_extra_info('socket').setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            _USER_TIMEOUT_MS,
-        )
+        connection = transport.get_extra_info('socket')
+        bound_unacknowledged(connection, _USER_TIMEOUT_MS)
 
     def send(
         self,
--- a/nutmegstep/telemetry/operators.py
+++ b/nutmegstep/telemetry/operators.py
@@ -1,9 +1,8 @@
 """HTTP port for operators: metrics and liveness."""
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-
 from nutmegstep.telemetry.metrics import Metrics
 from nutmegstep.web import HttpRequest, HttpResponse, HttpServer, serve_http
+from nutmegstep.web.exposition import expose_metrics
 
 __all__ = ['serve_operators']
 
@@ -30,7 +29,6 @@
             return HttpResponse(200, b'{"live":true}')
         if request.path != '/metrics':
             return HttpResponse(404, b'{}')
-        text = generate_latest(metrics.registry)
-        return HttpResponse(200, text, content_type=CONTENT_TYPE_LATEST)
+        return expose_metrics(metrics.registry)
 
     return await serve_http(handle, host, port)
--- a/tests/node/test_exchange.py
+++ b/tests/node/test_warm_reports.py
@@ -3,8 +3,8 @@
 from nutmegstep.allowance import AllowanceState
 from nutmegstep.engine.events import Event, TargetWarm
 from nutmegstep.membership import Identity, ListedVm, MembershipState
-from nutmegstep.node.exchange import forget_warm, learn_warm, record_warm
 from nutmegstep.node.state import NodeState
+from nutmegstep.node.warm_reports import forget_warm, learn_warm, record_warm
 from nutmegstep.peers import Process, WarmReport
 
 REPORT = WarmReport('t', 'boot-1')
