Report slow targets to neighbours, and leave domains that are cut off

Cause: with 65 VMs a VM sends less than one request a second to a shard and learns each slow, silent or refusing target for itself, and each target behind a cut failure domain alone.

Change: VMs of a failure domain report replies beyond the longest pause of a healthy target, and losses, to each other in datagrams; two reporters make a target less preferred for 5 s. A failure domain to which more than half of the recent sends brought no reply is less preferred as a whole.

--- a/nutmegstep/dispatch/answering.py
+++ b/nutmegstep/dispatch/answering.py
@@ -10,11 +10,17 @@
     TargetReply,
 )
 from nutmegstep.dispatch.finishing import settle
+from nutmegstep.dispatch.reporting import report_target
 from nutmegstep.dispatch.sending import repeat
 from nutmegstep.dispatch.state import DispatchState, Send
 
 __all__ = ['take_failure', 'take_reply']
 
+_SLOW_SECONDS: Final = 0.18
+"""Latency of a reply that neighbours are told about: the longest pause of a
+healthy target, 150 ms, and its usual work."""
+_SLOW_RATIO: Final = 4.0
+"""Medians of the route that such a reply takes at least."""
 _MISDIRECTED_PAUSE: Final = 3.0
 """Seconds for which an address that answered for another target is left; the
 list of targets is corrected within this time."""
@@ -30,11 +36,11 @@
     if send is None:
         return []
     reply = event.reply
-    _learn(state, send, reply, now)
+    reports = _learn(state, send, reply, now)
     if not reply.was_executed:
         send.part.runs -= 1
     if send.part.reply is not None or not _is_open(state, send):
-        return []
+        return reports
     if reply.is_success:
         send.part.reply = reply
         send.part.replied_at = now
@@ -42,8 +48,8 @@
         # With fewer answers than required, one more changes no decision; a
         # query over many shards would otherwise look at all of them each time.
         if send.open_request.answered < send.open_request.required:
-            return []
-        return settle(state, send.open_request, now)
+            return reports
+        return [*reports, *settle(state, send.open_request, now)]
     send.part.failure = reply
     note = Decision(
         'target_rejected',
@@ -55,7 +61,7 @@
         },
     )
     may_repeat = send.open_request.route.is_idempotent or not reply.was_executed
-    return [note, *_go_on(state, send, may_repeat, now)]
+    return [*reports, note, *_go_on(state, send, may_repeat, now)]
 
 
 def take_failure(
@@ -67,12 +73,11 @@
     send = _close_send(state, event.send_id)
     if send is None:
         return []
-    if event.kind is not FailureKind.CANCELLED:
-        state.health_of(send.target).observe_loss(now)
+    reports = _learn_loss(state, send, event.kind, now)
     if not event.kind.may_have_run:
         send.part.runs -= 1
     if send.part.reply is not None or not _is_open(state, send):
-        return []
+        return reports
     note = Decision(
         'send_failed',
         send.open_request.request.caller_id,
@@ -85,7 +90,7 @@
     may_repeat = (
         send.open_request.route.is_idempotent or not event.kind.may_have_run
     )
-    return [note, *_go_on(state, send, may_repeat, now)]
+    return [*reports, note, *_go_on(state, send, may_repeat, now)]
 
 
 def _go_on(
@@ -119,17 +124,38 @@
     send: Send,
     reply: TargetReply,
     now: float,
-) -> None:
+) -> list[Effect]:
     health = state.health_of(send.target)
+    state.reachability_of(send.target.failure_domain).observe_reply(now)
     if reply.is_success:
         latency = state.latency_of(send.open_request.route)
         seconds = now - send.sent
-        health.observe_reply(seconds / latency.median, now)
+        ratio = seconds / latency.median
+        health.observe_reply(ratio, now)
         latency.observe(seconds)
-        return
+        is_slow = seconds >= _SLOW_SECONDS and ratio >= _SLOW_RATIO
+        return report_target(state, send.target, now) if is_slow else []
     health.observe_rejection(now)
     if reply.is_misdirected:
         health.blocked_until = now + _MISDIRECTED_PAUSE
+    return []
+
+
+def _learn_loss(
+    state: DispatchState,
+    send: Send,
+    kind: FailureKind,
+    now: float,
+) -> list[Effect]:
+    if kind is FailureKind.CANCELLED:
+        return []
+    effects: list[Effect] = []
+    state.health_of(send.target).observe_loss(now)
+    domain = send.target.failure_domain
+    if state.reachability_of(domain).observe_loss(now):
+        effects.append(Decision('domain_unreachable', '', {'domain': domain}))
+    effects.extend(report_target(state, send.target, now))
+    return effects
 
 
 def _is_open(state: DispatchState, send: Send) -> bool:
--- a/nutmegstep/dispatch/budget.py
+++ b/nutmegstep/dispatch/budget.py
@@ -77,13 +77,17 @@
             Share of the capacity beyond one token that must remain for more
             urgent sends.
         """
-        self._refill(now, vm_count)
-        kept = reserve * (self._capacity(vm_count) - 1)
-        if self._tokens < 1 + kept:
+        if not self.can_spend(now, vm_count, reserve):
             return False
         self._tokens -= 1
         return True
 
+    def can_spend(self, now: float, vm_count: int, reserve: float = 0) -> bool:
+        """Whether `spend` would return True."""
+        self._refill(now, vm_count)
+        kept = reserve * (self._capacity(vm_count) - 1)
+        return self._tokens >= 1 + kept
+
     def _refill(self, now: float, vm_count: int) -> None:
         elapsed = max(0, now - self._updated)
         self._updated = now
--- a/nutmegstep/dispatch/choosing.py
+++ b/nutmegstep/dispatch/choosing.py
@@ -7,18 +7,25 @@
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.health import TargetHealth
 from nutmegstep.dispatch.state import DispatchState
+from nutmegstep.dispatch.suspicion import trial_probability
 
 __all__ = ['Choice', 'choose_target', 'is_usable', 'take_cold_token']
 
 _REMOTE_PENALTY: Final = 0.4
 """Medians of latency that the own failure domain is preferred by; bytes
 between failure domains are priced."""
+_LOST_DOMAIN_PENALTY: Final = 6.0
+"""Medians of latency that a target is worse by while its failure domain cannot
+be reached; more than a suspected target of the own one."""
 _FAILURE_PENALTY: Final = 4.0
 """Medians of latency that a target is worse by when each send fails."""
 _COLD_PENALTY: Final = 3.0
 """Medians of latency that a cold target is worse by."""
 _STALLED_PENALTY: Final = 100.0
 """Puts targets that do not answer behind all others."""
+_SUSPECTED_PENALTY: Final = 3.0
+"""Medians of latency that a target is worse by while VMs of the failure
+domain report it."""
 _JITTER: Final = 0.2
 """Spread of scores, so that VMs do not choose alike."""
 _COLD_SHARE: Final = 0.7
@@ -79,15 +86,15 @@
     excluded : collection of str, optional
         Targets that are not asked again.
     """
-    score_by_target = {
-        target: _score(state, target, now)
+    scored = [
+        (_score(state, target, now), target.target_id, target)
         for target in state.roster.of_service(service)
         if target.target_id not in excluded and is_usable(state, target, now)
-    }
-    if not score_by_target:
+    ]
+    if not scored:
         return None
-    target = min(score_by_target, key=score_by_target.__getitem__)
-    return Choice(target, score_by_target[target] >= _STALLED_PENALTY)
+    score, _, target = min(scored)
+    return Choice(target, score >= _STALLED_PENALTY)
 
 
 def take_cold_token(
@@ -107,13 +114,30 @@
     score += _FAILURE_PENALTY * health.failure_rate(now)
     if target.failure_domain != state.own_domain:
         score += _REMOTE_PENALTY
+        if state.reachability_of(target.failure_domain).is_lost(now):
+            score += _LOST_DOMAIN_PENALTY
     if now < target.cold_until:
         score += _COLD_PENALTY
+    if health.suspicion.holds(now) and not _is_trial(state, target, now):
+        score += _SUSPECTED_PENALTY
     if health.is_stalled(now):
         score += _STALLED_PENALTY
     return score + _JITTER * state.random.random()
 
 
+def _is_trial(
+    state: DispatchState,
+    target: TargetRecord,
+    now: float,
+) -> bool:
+    gap = state.gap_of(target.service)
+    share = trial_probability(gap, state.vms_in_domain)
+    if state.random.random() >= share:
+        return False
+    # The trial is likely to need a hedge.
+    return state.budget_of(target.service).can_spend(now, state.vm_count)
+
+
 def _refill_cold(
     state: DispatchState,
     target: TargetRecord,
--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -9,8 +9,10 @@
     TargetAnnounced,
     TargetDiscarded,
     TargetsListed,
+    TargetsSuspected,
     VmsCounted,
 )
+from nutmegstep.dispatch.reporting import note_report
 from nutmegstep.dispatch.state import DispatchState
 
 __all__ = [
@@ -21,6 +23,7 @@
     'keep_house',
     'list_targets',
     'regain_store',
+    'suspect_targets',
     'withdraw_domains',
 ]
 
@@ -128,6 +131,22 @@
     return [Decision('vms_counted', '', inputs)]
 
 
+def suspect_targets(
+    state: DispatchState,
+    event: TargetsSuspected,
+    now: float,
+) -> list[Effect]:
+    """Take the reports of another VM; unknown targets are passed over."""
+    return [
+        note
+        for target_id in event.target_ids
+        if target_id in state.roster.by_id
+        for note in note_report(
+            state, state.roster.by_id[target_id], now, event.reporter
+        )
+    ]
+
+
 def keep_house(
     state: DispatchState,
     event: HousekeepingDue,
--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -23,6 +23,7 @@
     TargetDiscarded,
     TargetReplied,
     TargetsListed,
+    TargetsSuspected,
     VmsCounted,
 )
 from nutmegstep.dispatch.finishing import close_request, settle
@@ -108,6 +109,7 @@
         DomainsWithdrawn: control.withdraw_domains,
         StoreRegained: control.regain_store,
         VmsCounted: control.count_vms,
+        TargetsSuspected: control.suspect_targets,
         HousekeepingDue: control.keep_house,
     },
 )
--- a/nutmegstep/dispatch/effects.py
+++ b/nutmegstep/dispatch/effects.py
@@ -15,6 +15,7 @@
     'DeliverReply',
     'DropTarget',
     'Effect',
+    'ReportSuspect',
     'SendRequest',
     'WakeAt',
 ]
@@ -60,6 +61,13 @@
     target_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class ReportSuspect:
+    """Tell the neighbours about a target that does not answer in time."""
+
+    target_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class WakeAt:
     """Report `RequestDue` at an instant; replaces an earlier one."""
@@ -129,6 +137,7 @@
     SendRequest
     | CancelSend
     | DropTarget
+    | ReportSuspect
     | WakeAt
     | DeliverReply
     | DeliverMerged
--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -25,6 +25,7 @@
     'TargetReplied',
     'TargetReply',
     'TargetsListed',
+    'TargetsSuspected',
     'VmsCounted',
 ]
 
@@ -216,6 +217,22 @@
     in_domain: int
 
 
+@dataclass(frozen=True, slots=True)
+class TargetsSuspected:
+    """Another VM waited too long for targets.
+
+    Parameters
+    ----------
+    target_ids : tuple of str
+        Targets.
+    reporter : str
+        Address of the other VM.
+    """
+
+    target_ids: tuple[str, ...]
+    reporter: str
+
+
 @dataclass(frozen=True, slots=True)
 class HousekeepingDue:
     """Time to drop entries that lapsed for good."""
@@ -234,5 +251,6 @@
     | DomainsWithdrawn
     | StoreRegained
     | VmsCounted
+    | TargetsSuspected
     | HousekeepingDue
 )
--- a/nutmegstep/dispatch/health.py
+++ b/nutmegstep/dispatch/health.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from nutmegstep.dispatch.suspicion import Suspicion
+
 __all__ = ['TargetHealth']
 
 _LATENCY_WEIGHT: Final = 0.2
@@ -48,6 +50,8 @@
         Monotonic instant of the latest change of `cold_tokens`.
     half_life : float
         Seconds after which a deviation counts half.
+    suspicion : Suspicion
+        What the VMs of the failure domain report.
     """
 
     born: int
@@ -57,6 +61,7 @@
     cold_tokens: float = 1
     cold_updated: float = 0
     half_life: float = _HALF_LIFE_MAX
+    suspicion: Suspicion = field(default_factory=Suspicion)
     _slowness: float = 1
     _slowness_at: float = 0
     _failure_rate: float = 0
--- a/nutmegstep/dispatch/latency.py
+++ b/nutmegstep/dispatch/latency.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-__all__ = ['Pace', 'RunningQuantile']
+__all__ = ['FIRST_GAP', 'Pace', 'RunningQuantile']
 
 _STEP: Final = 0.05
 """Relative step of an estimate for each sample; about 60 samples cover a
@@ -11,7 +11,7 @@
 
 _GAP_WEIGHT: Final = 0.1
 """Weight of one gap between requests."""
-_FIRST_GAP: Final = 1.0
+FIRST_GAP: Final = 1.0
 """Seconds between requests that are assumed at first."""
 
 
@@ -30,12 +30,17 @@
     """
 
     def __init__(self, first: float) -> None:
-        self.gap = _FIRST_GAP
+        self.gap = FIRST_GAP
         self._latest = first
+        self._gaps = 0
 
     def observe(self, now: float) -> None:
         """Take a request."""
-        self.gap += _GAP_WEIGHT * (now - self._latest - self.gap)
+        self._gaps += 1
+        # The first gaps count as much as each other, so that a busy VM does
+        # not take itself for a quiet one.
+        weight = max(_GAP_WEIGHT, 1 / self._gaps)
+        self.gap += weight * (now - self._latest - self.gap)
         self._latest = now
 
 
--- /dev/null
+++ b/nutmegstep/dispatch/reporting.py
@@ -0,0 +1,50 @@
+"""Reports about targets, sent to neighbours and taken from them."""
+
+from typing import Final
+
+from nutmegstep.discovery import TargetRecord
+from nutmegstep.dispatch.effects import Decision, Effect, ReportSuspect
+from nutmegstep.dispatch.state import DispatchState
+from nutmegstep.dispatch.suspicion import is_worth_reporting
+
+__all__ = ['note_report', 'report_target']
+
+
+_OWN: Final = ''
+"""Name of this VM as a reporter; neighbours have addresses."""
+_SHORTEST_GAP: Final = 1e-6
+"""Seconds; keeps the rate finite for requests that arrive together."""
+
+
+def report_target(
+    state: DispatchState,
+    target: TargetRecord,
+    now: float,
+) -> list[Effect]:
+    """Report one target, if this VM asks its service rarely."""
+    if not is_worth_reporting(state.gap_of(target.service)):
+        return []
+    if state.health_of(target).suspicion.was_just_reported(now):
+        return []
+    report = ReportSuspect(target.target_id)
+    return [report, *note_report(state, target, now, _OWN)]
+
+
+def note_report(
+    state: DispatchState,
+    target: TargetRecord,
+    now: float,
+    reporter: str,
+) -> list[Effect]:
+    """Take a report of this VM or of another one."""
+    rate = state.vms_in_domain / max(
+        state.gap_of(target.service), _SHORTEST_GAP
+    )
+    if not state.health_of(target).suspicion.observe_report(
+        now,
+        rate,
+        reporter,
+    ):
+        return []
+    inputs = {'target': target.target_id, 'service': target.service}
+    return [Decision('target_suspected', '', inputs)]
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -11,7 +11,8 @@
 from nutmegstep.dispatch.budget import BudgetTerms, RepeatBudget
 from nutmegstep.dispatch.events import RoutedRequest, TargetReply
 from nutmegstep.dispatch.health import TargetHealth
-from nutmegstep.dispatch.latency import Pace, RunningQuantile
+from nutmegstep.dispatch.latency import FIRST_GAP, Pace, RunningQuantile
+from nutmegstep.dispatch.reachability import DomainReachability
 
 __all__ = [
     'ColdTerms',
@@ -227,6 +228,7 @@
         self._budget_by_service: dict[str, RepeatBudget] = {}
         self._pace_by_service: dict[str, Pace] = {}
         self._latency_by_route: dict[str, RouteLatency] = {}
+        self._reachability_by_domain: dict[str, DomainReachability] = {}
 
     @property
     def is_ready(self) -> bool:
@@ -279,7 +281,16 @@
 
     def gap_of(self, service: str) -> float:
         """Return the mean time in seconds between requests for a service."""
-        return self._pace_by_service[service].gap
+        pace = self._pace_by_service.get(service)
+        return FIRST_GAP if pace is None else pace.gap
+
+    def reachability_of(self, failure_domain: str) -> DomainReachability:
+        """Return whether a failure domain can be reached."""
+        known = self._reachability_by_domain.get(failure_domain)
+        if known is None:
+            known = DomainReachability()
+            self._reachability_by_domain[failure_domain] = known
+        return known
 
     def latency_of(self, route: Route) -> RouteLatency:
         """Return the latencies of a route."""
--- /dev/null
+++ b/nutmegstep/dispatch/suspicion.py
@@ -0,0 +1,113 @@
+"""What the VMs of a failure domain tell each other about targets.
+
+A VM of a large fleet sends less than one request a second to a shard, so it
+would learn a slow target only after some queries have waited for it. VMs
+therefore report a target that does not answer in time to their neighbours.
+Reports never keep a target from being used; they make others preferred.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import Final
+
+__all__ = ['Suspicion', 'is_worth_reporting', 'trial_probability']
+
+_WINDOW: Final = 1.0
+"""Seconds over which reports are counted."""
+_REPORTS_MIN: Final = 2.0
+"""Reports, of two VMs at least, that start a suspicion."""
+_REPORTED_SHARE: Final = 0.1
+"""The same as a share of the requests of the failure domain in the window. A
+healthy target takes too long for less than one request in a hundred."""
+_DECAY: Final = 0.8
+"""Part of the reports within a window that its decay leaves."""
+_HOLD: Final = 5.0
+"""Seconds for which a confirmed suspicion lasts after the latest report."""
+_REPEAT_AFTER: Final = 0.5
+"""Seconds after a report of a suspected target before the next one is worth
+a message."""
+_TRIAL_EVERY: Final = 2.0
+"""Seconds between requests of a failure domain that try a suspected target;
+two of them fit within `_HOLD`."""
+_QUIET_GAP: Final = 0.2
+"""Seconds between requests for a service from which on a VM reports. One that
+sends more learns as fast by itself."""
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """Reports about one target, this VM's own ones included.
+
+    Attributes
+    ----------
+    until : float
+        Monotonic instant at which the suspicion lapses.
+    """
+
+    until: float = -math.inf
+    _latest: float = -math.inf
+    _count: float = 0
+    _reporter: str = ''
+
+    def holds(self, now: float) -> bool:
+        """Whether other targets are preferred."""
+        return now < self.until
+
+    def was_just_reported(self, now: float) -> bool:
+        """Whether another report would tell the neighbours nothing."""
+        return self.holds(now) and now < self.until - _HOLD + _REPEAT_AFTER
+
+    def observe_report(self, now: float, rate: float, reporter: str) -> bool:
+        """Take a report; return whether it starts the suspicion.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic instant.
+        rate : float
+            Requests per second of the failure domain for the service.
+        reporter : str
+            Name of the VM.
+        """
+        if self.holds(now):
+            self.until = now + _HOLD
+            return False
+        is_first = now - self._latest > _WINDOW
+        is_same = not is_first and reporter == self._reporter
+        self._count = 1 + self._count * math.exp((self._latest - now) / _WINDOW)
+        self._latest = now
+        self._reporter = reporter
+        needed = max(_REPORTS_MIN, _REPORTED_SHARE * rate * _WINDOW)
+        if is_first or is_same or self._count < needed * _DECAY:
+            return False
+        self.until = now + _HOLD
+        return True
+
+
+def is_worth_reporting(gap: float) -> bool:
+    """Return whether neighbours need reports about a service's targets.
+
+    Parameters
+    ----------
+    gap : float
+        Mean time in seconds between this VM's requests for the service.
+    """
+    return gap >= _QUIET_GAP
+
+
+def trial_probability(gap: float, vms_in_domain: int) -> float:
+    """Return the share of requests that ignore a suspicion.
+
+    Parameters
+    ----------
+    gap : float
+        Mean time in seconds between a VM's requests for the service.
+    vms_in_domain : int
+        Number of VMs that share the suspicion.
+
+    Examples
+    --------
+    >>> trial_probability(2.0, 20)
+    0.05
+    """
+    return min(1, gap / (vms_in_domain * _TRIAL_EVERY))
--- a/nutmegstep/engine/state.py
+++ b/nutmegstep/engine/state.py
@@ -28,7 +28,6 @@
 from nutmegstep.snapshot import HeldVersions, ShardMaps
 from nutmegstep.warmup import Warmup
 
-
 __all__ = [
     'AttemptState',
     'EngineState',
--- a/nutmegstep/experiment/core.py
+++ b/nutmegstep/experiment/core.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 from itertools import count
 from random import Random
 from typing import Final
@@ -24,6 +25,7 @@
     DomainsWithdrawn,
     RoutedRequest,
     TargetsListed,
+    TargetsSuspected,
     VmsCounted,
 )
 from nutmegstep.experiment.fleet import (
@@ -80,6 +82,8 @@
             target.record.target_id: target for target in self._build_targets()
         }
         self.vms = [self._build_vm(number) for number in range(fleet.vms)]
+        for vm in self.vms:
+            vm.on_report = partial(self._spread, vm)
         self.results_by_class = {
             one.name: ClassResult() for one in fleet.classes
         }
@@ -217,6 +221,17 @@
         vm.dispatch(VmsCounted(self.fleet.vms, in_domain))
         return vm
 
+    def _spread(self, origin: ModelVm, target_id: str) -> None:
+        event = TargetsSuspected((target_id,), str(id(origin)))
+        domain = origin.state.own_domain
+        neighbours = (
+            vm
+            for vm in self.vms
+            if vm is not origin and vm.state.own_domain == domain
+        )
+        for vm in neighbours:
+            self.world.after(_WITHIN_DOMAIN, partial(vm.dispatch, event))
+
     def _draw_work(self, request: RoutedRequest) -> float:
         one = self.class_by_name[request.path.strip('/')]
         drawn = self.random.lognormvariate(-(one.spread**2) / 2, one.spread)
--- a/nutmegstep/experiment/vm.py
+++ b/nutmegstep/experiment/vm.py
@@ -4,14 +4,18 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import partial
+from typing import Any
 
 from nutmegstep.dispatch import DispatchState, reduce_event
 from nutmegstep.dispatch.effects import (
     CancelSend,
+    Decision,
     DeliverMerged,
     DeliverRefusal,
     DeliverReply,
+    DropTarget,
     Effect,
+    ReportSuspect,
     SendRequest,
     WakeAt,
 )
@@ -88,6 +92,7 @@
     ) -> None:
         self.state = state
         self.decisions: Counter[str] = Counter()
+        self.on_report: Callable[[str], None] = lambda target_id: None
         self._world = world
         self._network = network
         self._targets_by_id = targets_by_id
@@ -95,6 +100,18 @@
         self._on_delivery: dict[int, Callable[[Delivery], None]] = {}
         self._flight_by_send: dict[int, _Flight] = {}
         self._idle_by_target: dict[str, list[float]] = {}
+        perform: dict[type, Callable[[Any], None]] = {
+            SendRequest: self._send,
+            CancelSend: self._cancel,
+            WakeAt: self._wake_at,
+            ReportSuspect: self._report,
+            DeliverReply: self._deliver,
+            DeliverMerged: self._deliver,
+            DeliverRefusal: self._deliver,
+            DropTarget: self._count,
+            Decision: self._count,
+        }
+        self._perform_by_effect: Mapping[type, Callable[[Any], None]] = perform
 
     def ask(
         self,
@@ -108,22 +125,22 @@
     def dispatch(self, event: Event) -> None:
         """Reduce an event and carry out the effects."""
         for effect in reduce_event(self.state, event, self._world.now):
-            self._perform(effect)
-
-    def _perform(self, effect: Effect) -> None:
-        if isinstance(effect, SendRequest):
-            self._send(effect)
-        elif isinstance(effect, CancelSend):
-            self._cancel(effect.send_id)
-        elif isinstance(effect, WakeAt):
-            self._world.after(
-                effect.instant - self._world.now,
-                partial(self.dispatch, RequestDue(effect.request_id)),
-            )
-        elif isinstance(effect, Delivery):
-            self._on_delivery.pop(effect.request_id)(effect)
-        else:
-            self.decisions[getattr(effect, 'name', 'drop_target')] += 1
+            self._perform_by_effect[type(effect)](effect)
+
+    def _wake_at(self, effect: WakeAt) -> None:
+        self._world.after(
+            effect.instant - self._world.now,
+            partial(self.dispatch, RequestDue(effect.request_id)),
+        )
+
+    def _report(self, effect: ReportSuspect) -> None:
+        self.on_report(effect.target_id)
+
+    def _deliver(self, effect: Delivery) -> None:
+        self._on_delivery.pop(effect.request_id)(effect)
+
+    def _count(self, effect: Effect) -> None:
+        self.decisions[getattr(effect, 'name', 'drop_target')] += 1
 
     def _send(self, effect: SendRequest) -> None:
         target = self._targets_by_id[effect.target.target_id]
@@ -183,10 +200,10 @@
             flight.target.cancel(flight.work)
         self.dispatch(SendFailed(send_id, kind))
 
-    def _cancel(self, send_id: int) -> None:
+    def _cancel(self, effect: CancelSend) -> None:
         self._world.after(
             0,
-            partial(self._fail, send_id, FailureKind.CANCELLED),
+            partial(self._fail, effect.send_id, FailureKind.CANCELLED),
         )
 
     def _take_idle(self, target: ModelTarget) -> bool:
--- a/nutmegstep/gateway/channel.py
+++ b/nutmegstep/gateway/channel.py
@@ -1,7 +1,6 @@
 """One HTTP/1.1 connection to a target."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -10,6 +9,7 @@
 
 from nutmegstep.dispatch.events import FailureKind, HeaderItems
 from nutmegstep.gateway.codec import RawReply
+from nutmegstep.web.sockets import bound_unacknowledged
 
 __all__ = ['Channel', 'Outcome', 'OutcomeCallback']
 
@@ -87,11 +87,8 @@
         """Bound the time for unacknowledged bytes."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.get_extra_info('socket').setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            _USER_TIMEOUT_MS,
-        )
+        connection = transport.get_extra_info('socket')
+        bound_unacknowledged(connection, _USER_TIMEOUT_MS)
 
     def send(
         self,
--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -16,6 +16,7 @@
     DeliverReply,
     DropTarget,
     Effect,
+    ReportSuspect,
     SendRequest,
     WakeAt,
 )
@@ -77,6 +78,8 @@
     ----------
     pool : ChannelPool
         Connections to targets.
+    on_report : Callable
+        Takes the id of a target that does not answer in time.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         self.state = state
         self.pool = ChannelPool(clock, codec, self._report)
         self.decisions = DecisionLog(clock)
+        self.on_report: Callable[[str], None] = _ignore_report
         self._clock = clock
         self._codec = codec
         self._metrics = metrics
@@ -102,6 +106,7 @@
             SendRequest: self._send,
             CancelSend: self._cancel,
             DropTarget: self._drop,
+            ReportSuspect: self._share,
             WakeAt: self._wake_at,
             DeliverReply: self._deliver,
             DeliverMerged: self._deliver,
@@ -182,6 +187,9 @@
     def _drop(self, effect: DropTarget) -> None:
         self.pool.drop_target(effect.target_id)
 
+    def _share(self, effect: ReportSuspect) -> None:
+        self.on_report(effect.target_id)
+
     def _decide(self, effect: Decision) -> None:
         self._metrics.count_decision(effect)
         self.decisions.write(effect)
@@ -230,3 +238,7 @@
         if self._tracing is not None:
             self._tracing.end_send(event)
         self.dispatch(event)
+
+
+def _ignore_report(target_id: str) -> None:
+    """Share nothing; a gateway without neighbours learns alone."""
--- a/nutmegstep/gateway/counting.py
+++ b/nutmegstep/gateway/counting.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -43,10 +43,13 @@
         Takes the number of VMs.
     on_relays : Callable
         Takes the relays to read from.
+    on_neighbours : Callable
+        Takes the addresses of the other VMs of the failure domain.
     """
 
     on_count: Callable[[VmsCounted], None]
     on_relays: Callable[[RelayChoice], None]
+    on_neighbours: Callable[[Collection[str]], None]
 
 
 class VmCounter:
@@ -140,4 +143,7 @@
         count = VmsCounted(self._census.count(now), len(neighbours) + 1)
         self._reports.on_count(count)
         self._reports.on_relays(choose_relays(self._name, neighbours))
+        self._reports.on_neighbours(
+            [entry.address for entry in neighbours.values()],
+        )
         return True
--- a/nutmegstep/gateway/metrics.py
+++ b/nutmegstep/gateway/metrics.py
@@ -62,6 +62,7 @@
             ('outcome',),
             registry=self.registry,
         )
+        self._sends_by_outcome: dict[str, Counter] = {}
         self._decisions = Counter(
             'nutmegstep_decisions_total',
             'Decisions by name.',
@@ -74,6 +75,12 @@
             ('operation', 'outcome'),
             registry=self.registry,
         )
+        self.reports = Counter(
+            'nutmegstep_target_reports_total',
+            'Datagrams with reports about targets by outcome.',
+            ('outcome',),
+            registry=self.registry,
+        )
         self.omitted_lines = Gauge(
             'nutmegstep_omitted_log_lines',
             'Decisions without a log line since the start.',
@@ -93,7 +100,11 @@
             outcome = 'answered'
         else:
             outcome = 'rejected'
-        self._sends.labels(outcome).inc()
+        counter = self._sends_by_outcome.get(outcome)
+        if counter is None:
+            counter = self._sends.labels(outcome)
+            self._sends_by_outcome[outcome] = counter
+        counter.inc()
 
     def count_decision(self, decision: Decision) -> None:
         """Count a decision."""
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -10,8 +10,6 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-
 from nutmegstep.clock import SystemClock
 from nutmegstep.dispatch import ColdTerms, DispatchState, DispatchTerms
 from nutmegstep.dispatch.budget import BudgetTerms
@@ -21,6 +19,7 @@
 from nutmegstep.gateway.lifecycle import drain
 from nutmegstep.gateway.metrics import GatewayMetrics
 from nutmegstep.gateway.reading import ReadingParts, StoreReading
+from nutmegstep.gateway.reports import ReportExchange
 from nutmegstep.settings import GatewaySettings, SettingsError
 from nutmegstep.web import (
     HttpLimits,
@@ -29,6 +28,7 @@
     HttpServer,
     serve_http,
 )
+from nutmegstep.web.exposition import expose_metrics
 
 if TYPE_CHECKING:
     from nutmegstep.gateway.tracing import Tracing
@@ -69,6 +69,12 @@
             self.metrics,
             _tracing_of(settings),
         )
+        self.exchange = ReportExchange(
+            self.gateway.dispatch,
+            self.random,
+            self.metrics.reports,
+        )
+        self.gateway.on_report = self.exchange.report
         self.store = adapter.open_store(
             settings.store_address,
             self.clock,
@@ -88,8 +94,7 @@
         if request.path != '/metrics':
             return HttpResponse(404, b'{}')
         self.metrics.omitted_lines.set(self.gateway.decisions.omitted)
-        text = generate_latest(self.metrics.registry)
-        return HttpResponse(200, text, content_type=CONTENT_TYPE_LATEST)
+        return expose_metrics(self.metrics.registry)
 
     def limits(self) -> HttpLimits:
         """Return the bounds on callers of the configuration in force."""
@@ -175,6 +180,7 @@
             settings.callers_address[0],
             settings.metrics_port,
         )
+    await process.exchange.open(settings.peers_address)
     tasks = _start_tasks(process, callers, read, hup)
     for task in tasks:
         task.add_done_callback(partial(_stop_on_failure, stop))
@@ -192,6 +198,7 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
     process.gateway.pool.close()
+    process.exchange.close()
     process.store.close()
     ready.close()
     return answered
@@ -209,6 +216,7 @@
         process.clock,
         process.random,
         process.gateway.dispatch,
+        process.exchange.replace_neighbours,
     )
     coroutines = (
         StoreReading(parts, process.settings).run(),
--- a/nutmegstep/gateway/reading.py
+++ b/nutmegstep/gateway/reading.py
@@ -1,7 +1,7 @@
 """Reads the store, or relays, and serves what it reads to neighbours."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from contextlib import suppress
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -53,6 +53,8 @@
         Spreads the calls of the VMs.
     dispatch : Callable
         Takes events.
+    on_neighbours : Callable
+        Takes the addresses of the other VMs of the failure domain.
     """
 
     adapter: Adapter
@@ -60,6 +62,7 @@
     clock: Clock
     random: Random
     dispatch: Callable[[Event], None]
+    on_neighbours: Callable[[Collection[str]], None]
 
 
 class StoreReading:
@@ -92,7 +95,11 @@
             parts.clock,
             settings.vm_name,
             VmEntry(settings.failure_domain, f'{host}:{port}', revision=0),
-            CensusReports(parts.dispatch, self._reader.choose),
+            CensusReports(
+                parts.dispatch,
+                self._reader.choose,
+                parts.on_neighbours,
+            ),
             settings.is_first_start,
         )
 
--- /dev/null
+++ b/nutmegstep/gateway/reports.py
@@ -0,0 +1,128 @@
+"""Exchanges reports about targets with the VMs of the failure domain.
+
+Reports go in datagrams: they are small, a lost one costs a late hint only,
+and a neighbour that is gone delays nobody.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Collection
+from random import Random
+from typing import Final
+
+import orjson
+from prometheus_client import Counter
+
+from nutmegstep.dispatch.events import TargetsSuspected
+from nutmegstep.settings.declaring import read_address
+
+__all__ = ['ReportExchange']
+
+_LOG: Final = logging.getLogger(__name__)
+_GATHER_SECONDS: Final = 0.02
+"""Time in which reports come together; a query that waits for several
+targets reports all of them at once."""
+_TARGETS_MAX: Final = 64
+"""Targets in one datagram, so that it fits one packet."""
+_RECEIVERS_MAX: Final = 64
+"""Neighbours that a report is sent to. In a larger failure domain they are
+drawn anew each time; enough VMs then hear of a target that stays slow."""
+
+_Address = tuple[str, int]
+
+
+class ReportExchange(asyncio.DatagramProtocol):
+    """Sends the reports of this VM and takes those of its neighbours.
+
+    Parameters
+    ----------
+    on_reports : Callable
+        Takes the reports of a neighbour.
+    random : random.Random
+        Draws the receivers.
+    counter : prometheus_client.Counter
+        Counts datagrams by outcome.
+    """
+
+    def __init__(
+        self,
+        on_reports: Callable[[TargetsSuspected], None],
+        random: Random,
+        counter: Counter,
+    ) -> None:
+        self._on_reports = on_reports
+        self._random = random
+        self._counter = counter
+        self._transport: asyncio.DatagramTransport | None = None
+        self._neighbours: list[_Address] = []
+        self._known_hosts: frozenset[str] = frozenset()
+        self._pending: dict[str, None] = {}
+
+    async def open(self, address: _Address) -> None:
+        """Bind the datagram socket of this VM."""
+        loop = asyncio.get_running_loop()
+        endpoint = await loop.create_datagram_endpoint(
+            lambda: self,
+            local_addr=address,
+        )
+        self._transport = endpoint[0]
+
+    def replace_neighbours(self, addresses: Collection[str]) -> None:
+        """Take the ``host:port`` of each neighbour."""
+        self._neighbours = [read_address(one) for one in addresses if one]
+        self._known_hosts = frozenset(host for host, _ in self._neighbours)
+
+    def report(self, target_id: str) -> None:
+        """Tell the neighbours about a target soon."""
+        if not self._neighbours:
+            return
+        if not self._pending:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_GATHER_SECONDS, self._send_pending)
+        if len(self._pending) < _TARGETS_MAX:
+            self._pending[target_id] = None
+
+    def close(self) -> None:
+        """Stop sending and receiving."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def datagram_received(self, data: bytes, addr: _Address) -> None:
+        """Take a report, unless its sender is no neighbour."""
+        if addr[0] not in self._known_hosts:
+            self._counter.labels('unknown_sender').inc()
+            return
+        target_ids = _read(data)
+        if target_ids is None:
+            self._counter.labels('unreadable').inc()
+            fields = {'sender': addr[0], 'bytes': len(data)}
+            _LOG.warning('report cannot be read', extra=fields)
+            return
+        self._counter.labels('received').inc()
+        self._on_reports(TargetsSuspected(target_ids, addr[0]))
+
+    def error_received(self, exc: Exception) -> None:
+        """Count a datagram that could not be sent."""
+        self._counter.labels('not_sent').inc()
+
+    def _send_pending(self) -> None:
+        content = orjson.dumps(tuple(self._pending))
+        self._pending.clear()
+        if self._transport is None or self._transport.is_closing():
+            return
+        count = min(len(self._neighbours), _RECEIVERS_MAX)
+        for address in self._random.sample(self._neighbours, count):
+            self._transport.sendto(content, address)
+        self._counter.labels('sent').inc(count)
+
+
+def _read(data: bytes) -> tuple[str, ...] | None:
+    try:
+        decoded = orjson.loads(data)
+    except orjson.JSONDecodeError:
+        return None
+    if not isinstance(decoded, list) or len(decoded) > _TARGETS_MAX:
+        return None
+    if not all(isinstance(one, str) for one in decoded):
+        return None
+    return tuple(decoded)
--- a/tests/dispatch/test_sending.py
+++ b/tests/dispatch/test_sending.py
@@ -237,3 +237,48 @@
     assert own == 2
     assert other == 1
     assert own * counts[1] < declared
+
+
+def test_targets_behind_a_cut_are_left_together(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against one lost hedge for each target behind a cut."""
+    dispatcher.play(DomainsWithdrawn(frozenset(('north', 'west'))))
+    dispatcher.ask()
+    lost = [send for send in dispatcher.of(SendRequest)][:6]
+    for send in lost:
+        dispatcher.play(SendFailed(send.send_id, FailureKind.CONNECT))
+    names = [decision.name for decision in dispatcher.of(Decision)]
+    assert names.count('domain_unreachable') == 1
+    dispatcher.play(DomainsWithdrawn(frozenset()))
+    dispatcher.effects.clear()
+    for _ in range(6):
+        dispatcher.now += 0.05
+        dispatcher.ask('/fetch/1')
+    assert set(_targets(dispatcher, 'orders')) == {
+        'orders-north',
+        'orders-west',
+    }
+
+
+def test_domain_that_is_reached_again_is_used(dispatcher: Dispatcher) -> None:
+    """Guards against a failure domain that stays out after a short cut."""
+    reachability = dispatcher.state.reachability_of('south')
+    for _ in range(9):
+        reachability.observe_loss(dispatcher.now)
+    assert reachability.is_lost(dispatcher.now)
+    assert not reachability.is_lost(dispatcher.now + 2.5)
+    reachability.observe_reply(dispatcher.now)
+    reachability.observe_reply(dispatcher.now)
+    assert not reachability.is_lost(dispatcher.now + 0.5)
+
+
+def test_single_crashes_do_not_mark_a_domain(dispatcher: Dispatcher) -> None:
+    """Guards against a failure domain that is left for one target in six."""
+    reachability = dispatcher.state.reachability_of('south')
+    for number in range(60):
+        if number % 6:
+            reachability.observe_reply(dispatcher.now)
+        else:
+            reachability.observe_loss(dispatcher.now)
+    assert not reachability.is_lost(dispatcher.now)
--- a/tests/gateway/test_counting.py
+++ b/tests/gateway/test_counting.py
@@ -46,7 +46,9 @@
     """Start a counter; others write their entries soon after."""
     store = _Store()
     counts: list[VmsCounted] = []
-    reports = CensusReports(counts.append, lambda choice: None)
+    reports = CensusReports(
+        counts.append, lambda choice: None, lambda one: None
+    )
     counter = VmCounter(
         store,
         SystemClock(),
--- /dev/null
+++ b/tests/gateway/test_reports.py
@@ -0,0 +1,110 @@
+"""Datagrams between neighbours, readable or not."""
+
+import asyncio
+import socket
+from random import Random
+
+import orjson
+import pytest
+from prometheus_client import CollectorRegistry, Counter
+
+from nutmegstep.dispatch.events import TargetsSuspected
+from nutmegstep.gateway.reports import ReportExchange
+
+_SOON = 0.1
+
+
+class _Vm:
+    """An exchange on a loopback port."""
+
+    def __init__(self) -> None:
+        self.heard: list[TargetsSuspected] = []
+        self.registry = CollectorRegistry()
+        counter = Counter(
+            'reports', 'All.', ('outcome',), registry=self.registry
+        )
+        self.exchange = ReportExchange(self.heard.append, Random(1), counter)
+        self.address = ''
+
+    async def start(self) -> None:
+        port = _free_port()
+        await self.exchange.open(('127.0.0.1', port))
+        self.address = f'127.0.0.1:{port}'
+
+    def counted(self, outcome: str) -> float:
+        labels = {'outcome': outcome}
+        return self.registry.get_sample_value('reports_total', labels) or 0
+
+
+def _free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+async def _two() -> tuple[_Vm, _Vm]:
+    first, second = _Vm(), _Vm()
+    await first.start()
+    await second.start()
+    first.exchange.replace_neighbours([second.address, ''])
+    second.exchange.replace_neighbours([first.address])
+    return first, second
+
+
+async def _send(vm: _Vm, content: bytes) -> None:
+    host, _, port = vm.address.partition(':')
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.sendto(content, (host, int(port)))
+    await asyncio.sleep(_SOON)
+
+
+async def test_reports_of_one_query_go_together() -> None:
+    """Guards against a datagram for each of many slow shards."""
+    first, second = await _two()
+    for target_id in ('i-1', 'i-2', 'i-1'):
+        first.exchange.report(target_id)
+    await asyncio.sleep(_SOON)
+    assert second.heard == [TargetsSuspected(('i-1', 'i-2'), '127.0.0.1')]
+    assert first.counted('sent') == 1
+    first.exchange.close()
+    second.exchange.close()
+
+
+@pytest.mark.parametrize(
+    'content',
+    [b'', b'\xff', b'{}', b'[1]', orjson.dumps(['i-1'] * 65)],
+)
+async def test_unreadable_datagram_changes_nothing(content: bytes) -> None:
+    """Guards against another program's bytes on the port."""
+    first, second = await _two()
+    await _send(second, content)
+    assert not second.heard
+    assert second.counted('unreadable') == 1
+    await _send(second, b'["i-1"]')
+    assert second.heard == [TargetsSuspected(('i-1',), '127.0.0.1')]
+    first.exchange.close()
+    second.exchange.close()
+
+
+async def test_stranger_is_not_believed() -> None:
+    """Guards against reports of hosts that are no neighbours."""
+    vm = _Vm()
+    await vm.start()
+    await _send(vm, b'["i-1"]')
+    assert not vm.heard
+    assert vm.counted('unknown_sender') == 1
+    vm.exchange.close()
+
+
+async def test_neighbour_that_is_gone_harms_nobody() -> None:
+    """Guards against reports that stop because one receiver is down."""
+    first, second = await _two()
+    first.exchange.replace_neighbours(
+        [f'127.0.0.1:{_free_port()}', second.address],
+    )
+    for _ in range(3):
+        first.exchange.report('i-1')
+        await asyncio.sleep(_SOON)
+    assert len(second.heard) == 3
+    first.exchange.close()
+    second.exchange.close()
--- a/tests/policy/test_stragglers.py
+++ b/tests/policy/test_stragglers.py
@@ -60,6 +60,18 @@
     assert report.credit > 0.9
 
 
+@pytest.mark.parametrize('trouble', [Trouble.SLOW, Trouble.SILENT])
+def test_quiet_vms_learn_from_their_neighbours(trouble: Trouble) -> None:
+    """Pattern: slow or silent targets while each of 65 VMs sends less than
+    one query a second to a shard.
+
+    Guards against each VM losing queries until it has met each target: the
+    trouble may cost half of the credit of its first second.
+    """
+    report = _play('vidzeme-grown', [_trouble(trouble, factor=8)])
+    assert report.credit > 1 - 0.5 / _SECONDS
+
+
 @pytest.mark.parametrize('trouble', [Trouble.SILENT, Trouble.REFUSING])
 def test_lost_targets_are_left(trouble: Trouble) -> None:
     """Pattern: 14% of the targets crash or go dark.
