--- a/nutmegstep/gateway/reports.py
+++ b/nutmegstep/gateway/reports.py
@@ -59,12 +59,19 @@
         self._pending: dict[str, None] = {}
 
     async def open(self, address: _Address) -> None:
-        """Bind the datagram socket of this VM."""
+        """Bind the datagram socket of this VM.
+
+        Without it this VM learns alone; callers are served all the same.
+        """
         loop = asyncio.get_running_loop()
-        endpoint = await loop.create_datagram_endpoint(
-            lambda: self,
-            local_addr=address,
-        )
+        try:
+            endpoint = await loop.create_datagram_endpoint(
+                lambda: self,
+                local_addr=address,
+            )
+        except OSError as error:
+            _LOG.warning('reports are off', extra={'detail': str(error)})
+            return
         self._transport = endpoint[0]
 
     def replace_neighbours(self, addresses: Collection[str]) -> None:
--- a/tests/following/test_core.py
+++ b/tests/following/test_core.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from random import Random
 
+import pytest
 from returns.result import Failure, Result, Success
 
 from nutmegstep.clock import ManualClock
@@ -192,3 +193,38 @@
     )
     await _run(script, contact)
     assert not losses
+
+
+async def _pauses(
+    monkeypatch: pytest.MonkeyPatch,
+    *replies: _Reply,
+) -> list[float]:
+    """Return the pauses between the calls of a follower."""
+    pauses: list[float] = []
+
+    async def note(seconds: float) -> None:
+        pauses.append(seconds)
+
+    monkeypatch.setattr('nutmegstep.following.core.asyncio.sleep', note)
+    await _run(_Script(*replies))
+    return pauses
+
+
+async def test_lost_store_is_tried_rarely(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against priced calls of each VM during a long outage."""
+    listed = Success(Listing({}, 1))
+    pauses = await _pauses(monkeypatch, listed, *[_AWAY] * 20)
+    assert sum(pauses[:8]) > 6
+    assert max(pauses) <= 2
+
+
+async def test_vm_that_has_read_nothing_tries_more_often(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a restarted VM that refuses callers for seconds after
+    the return of the store.
+    """
+    pauses = await _pauses(monkeypatch, *[_AWAY] * 20)
+    assert max(pauses) <= 0.8
--- a/tests/gateway/test_reports.py
+++ b/tests/gateway/test_reports.py
@@ -108,3 +108,17 @@
     assert len(second.heard) == 3
     first.exchange.close()
     second.exchange.close()
+
+
+async def test_port_in_use_stops_nothing() -> None:
+    """Guards against a process that does not start without its reports."""
+    first, second = await _two()
+    host, _, port = first.address.partition(':')
+    late = _Vm()
+    await late.exchange.open((host, int(port)))
+    late.exchange.replace_neighbours([second.address])
+    late.exchange.report('i-1')
+    await asyncio.sleep(_SOON)
+    assert not second.heard
+    for vm in (first, second, late):
+        vm.exchange.close()
