Find a returned store within 0.8 s again

Change: the pauses are those of before. test_lost_store_is_tried_rarely, which belonged to the trial, gives way to a bound on the longest pause.

Conclusion: reverted; calls during an outage stay as they were.

--- a/nutmegstep/following/core.py
+++ b/nutmegstep/following/core.py
@@ -28,13 +28,10 @@
 _LOG: Final = logging.getLogger(__name__)
 _FIRST_PAUSE: Final = 0.1
 """Seconds before a failed call is repeated."""
-_LONGEST_PAUSE: Final = 2.0
-"""Seconds between repeated calls at most. A lost store is found again within
-this time, which is half of that after which changes must be in force again;
-refused calls are priced like others."""
-_LONGEST_PAUSE_UNREAD: Final = 0.8
-"""The same before anything was read: callers are refused meanwhile."""
-_GROWTH: Final = 3
+_LONGEST_PAUSE: Final = 0.8
+"""Seconds between repeated calls at most; a lost store is found again within
+this time, which is part of the time in which changes must be in force."""
+_GROWTH: Final = 2
 _GROWTH_STEPS: Final = 4
 
 
@@ -173,6 +170,5 @@
     def _pause(self) -> float:
         growth = float(_GROWTH) ** self._failures
         self._failures = min(self._failures + 1, _GROWTH_STEPS)
-        longest = _LONGEST_PAUSE if self._highest else _LONGEST_PAUSE_UNREAD
-        pause = min(_FIRST_PAUSE * growth, longest)
+        pause = min(_FIRST_PAUSE * growth, _LONGEST_PAUSE)
         return pause * (1 + self._random.random()) / 2
--- a/tests/following/test_core.py
+++ b/tests/following/test_core.py
@@ -210,21 +210,12 @@
     return pauses
 
 
-async def test_lost_store_is_tried_rarely(
+async def test_returned_store_is_found_in_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against priced calls of each VM during a long outage."""
+    """Guards against versions and leaving targets that are read too late: with
+    pauses of 2 s three of 40 days of the bench broke CONFIG or DRAIN.
+    """
     listed = Success(Listing({}, 1))
     pauses = await _pauses(monkeypatch, listed, *[_AWAY] * 20)
-    assert sum(pauses[:8]) > 6
-    assert max(pauses) <= 2
-
-
-async def test_vm_that_has_read_nothing_tries_more_often(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Guards against a restarted VM that refuses callers for seconds after
-    the return of the store.
-    """
-    pauses = await _pauses(monkeypatch, *[_AWAY] * 20)
     assert max(pauses) <= 0.8
