Notice a watch whose answer was lost

Change: while the store is lost, calls do not wait; the watch that shows whether it answers waits 2 s instead of 4; a follower that has not seen a revision that another one has shown watches again after 1 s (withdrawals 4 s).

--- a/nutmegstep/following/contact.py
+++ b/nutmegstep/following/contact.py
@@ -29,12 +29,18 @@
         Set while the store does not answer.
     regained : asyncio.Event
         Set while it answers.
+    newest : int
+        Highest revision of the store that a follower has seen.
+    advanced : asyncio.Event
+        Replaced and set when `newest` grows.
     """
 
     def __init__(self, clock: Clock, on_regained: Callable[[], None]) -> None:
         self.lost = asyncio.Event()
         self.regained = asyncio.Event()
         self.regained.set()
+        self.newest = 0
+        self.advanced = asyncio.Event()
         self._clock = clock
         self._on_regained = on_regained
         self._lost_at = float(0)
@@ -49,6 +55,15 @@
         fields = {'kind': failure.kind.value, 'detail': failure.detail}
         _LOG.warning('store lost', extra=fields)
 
+    def report_revision(self, revision: int) -> None:
+        """Take the store's revision from an answer."""
+        if revision <= self.newest:
+            return
+        self.newest = revision
+        waiting = self.advanced
+        self.advanced = asyncio.Event()
+        waiting.set()
+
     def report_success(self) -> None:
         """Take a call that was answered."""
         if not self.lost.is_set():
--- a/nutmegstep/following/core.py
+++ b/nutmegstep/following/core.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 from returns.pipeline import is_successful
+from returns.result import Result
 
 from nutmegstep.following.contact import StoreContact
 from nutmegstep.following.racing import unless
@@ -25,12 +26,15 @@
 
 __all__ = ['Follower', 'Subscription']
 
+_Watched = Result[Changes | HistoryGone, PlatformFailure]
+
 _LOG: Final = logging.getLogger(__name__)
 _FIRST_PAUSE: Final = 0.1
 """Seconds before a failed call is repeated."""
 _LONGEST_PAUSE: Final = 0.8
 """Seconds between repeated calls at most; a lost store is found again within
 this time, which is part of the time in which changes must be in force."""
+_NO_WAIT: Final = timedelta(0)
 _GROWTH: Final = 2
 _GROWTH_STEPS: Final = 4
 
@@ -47,6 +51,8 @@
         Longest wait of one watch.
     gather : datetime.timedelta
         Pause after a change, in which further changes come together.
+    lag : datetime.timedelta
+        Time in which a watch returns a revision that another one has shown.
     on_listing : Callable
         Takes all objects.
     on_changes : Callable
@@ -56,6 +62,7 @@
     kind: str
     wait: timedelta
     gather: timedelta
+    lag: timedelta
     on_listing: Callable[[Listing], None]
     on_changes: Callable[[Changes], None]
 
@@ -95,6 +102,7 @@
         self._is_prober = is_prober
         self._revision: int | None = None
         self._highest = 0
+        self._checked = 0
         self._failures = 0
 
     async def run(self) -> None:
@@ -134,11 +142,17 @@
         return True
 
     async def _watch(self, revision: int) -> bool:
-        watched = await self._reader.watch_kind(
-            self._subscription.kind,
-            revision,
-            self._subscription.wait,
+        # A silent store may return just after a call was sent to it. A call
+        # that does not wait shows so soon whether the store answers.
+        is_lost = self._contact.lost.is_set()
+        wait = _NO_WAIT if is_lost else self._subscription.wait
+        watched = await self._unless_behind(
+            self._reader.watch_kind(self._subscription.kind, revision, wait),
         )
+        if watched is None:
+            fields = {'kind': self._subscription.kind, 'known': revision}
+            _LOG.info('watch may be lost, watching again', extra=fields)
+            return True
         if not is_successful(watched):
             return self._take_cut(watched.failure())
         self._contact.report_success()
@@ -154,6 +168,33 @@
             await asyncio.sleep(self._subscription.gather.total_seconds())
         return True
 
+    async def _unless_behind(
+        self,
+        awaitable: Coroutine[Any, Any, _Watched],
+    ) -> _Watched | None:
+        # An answer that is lost leaves its watch open until it times out.
+        # Other followers then show revisions that this one has not seen.
+        call = asyncio.ensure_future(awaitable)
+        try:
+            while not call.done():
+                if await self._is_behind(call):
+                    break
+            return call.result() if call.done() else None
+        finally:
+            call.cancel()
+
+    async def _is_behind(self, call: asyncio.Future[_Watched]) -> bool:
+        # The watch of the prober is short and ends in time by itself.
+        seen = max(self._highest, self._checked)
+        if self._is_prober or self._contact.newest <= seen:
+            await _first_of(call, self._contact.advanced.wait())
+            return False
+        lag = self._subscription.lag.total_seconds()
+        await asyncio.wait((call,), timeout=lag)
+        # A newer revision may belong to another kind; it is checked once.
+        self._checked = self._contact.newest
+        return not call.done()
+
     def _take_cut(self, failure: PlatformFailure) -> bool:
         # A waiting watch may be cut off while the store goes on to answer.
         # Only a second failure, or silence, shows that it does not.
@@ -166,9 +207,24 @@
     def _advance(self, revision: int) -> None:
         self._revision = revision
         self._highest = max(self._highest, revision)
+        self._contact.report_revision(revision)
 
     def _pause(self) -> float:
         growth = float(_GROWTH) ** self._failures
         self._failures = min(self._failures + 1, _GROWTH_STEPS)
         pause = min(_FIRST_PAUSE * growth, _LONGEST_PAUSE)
         return pause * (1 + self._random.random()) / 2
+
+
+async def _first_of(
+    call: asyncio.Future[_Watched],
+    other: Coroutine[Any, Any, bool],
+) -> None:
+    waiting = asyncio.ensure_future(other)
+    try:
+        await asyncio.wait(
+            (call, waiting),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    finally:
+        waiting.cancel()
--- a/nutmegstep/gateway/feeds.py
+++ b/nutmegstep/gateway/feeds.py
@@ -24,11 +24,16 @@
 __all__ = ['Feeds']
 
 _LOG: Final = logging.getLogger(__name__)
-_PROBE_WAIT: Final = timedelta(seconds=4)
-"""Longest wait of the watch that shows that the store answers; a quarter of
-the time in which a change must be in force while the store is unstable."""
+_PROBE_WAIT: Final = timedelta(seconds=2)
+"""Longest wait of the watch that shows that the store answers. With the 2 s of
+a call it ends within the 4 s after which changes must be in force again."""
 _LONG_WAIT: Final = timedelta(seconds=20)
 """Longest wait of the other watches; each call is priced."""
+_LAG: Final = timedelta(seconds=1)
+"""Time in which a watch shows a revision that another watch has shown."""
+_LAG_WITHDRAWALS: Final = timedelta(seconds=4)
+"""The same for withdrawals: changes of targets, which are frequent, would make
+each of them cost a call. A withdrawal binds after 5 s."""
 _GATHER: Final = timedelta(milliseconds=100)
 """Pause after a change of the configuration or of the withdrawals."""
 _GATHER_TARGETS: Final = timedelta(milliseconds=500)
@@ -68,6 +73,7 @@
                 kinds.configuration,
                 _PROBE_WAIT,
                 _GATHER,
+                _LAG,
                 self._list_configurations,
                 _for_each(self._change_configuration),
             ),
@@ -75,6 +81,7 @@
                 kinds.targets,
                 _LONG_WAIT,
                 _GATHER_TARGETS,
+                _LAG,
                 self._list_targets,
                 _for_each(self._change_target),
             ),
@@ -82,6 +89,7 @@
                 kinds.withdrawals,
                 _LONG_WAIT,
                 _GATHER,
+                _LAG_WITHDRAWALS,
                 self._list_withdrawals,
                 _for_each(self._change_withdrawal),
             ),
--- a/tests/following/test_core.py
+++ b/tests/following/test_core.py
@@ -32,6 +32,7 @@
 
     def __init__(self, *replies: _Reply) -> None:
         self.calls: list[tuple[str, int]] = []
+        self.waits: list[timedelta] = []
         self.done = asyncio.Event()
         self._replies = deque(replies)
 
@@ -44,6 +45,7 @@
         revision: int,
         wait: timedelta,
     ) -> _Reply:
+        self.waits.append(wait)
         return await self._next('watch', revision)
 
     async def _next(self, operation: str, revision: int) -> _Reply:
@@ -64,6 +66,7 @@
             'things',
             timedelta(seconds=1),
             timedelta(0),
+            timedelta(milliseconds=20),
             self.listings.append,
             lambda found: self.changes.extend(found.changes),
         )
@@ -195,6 +198,20 @@
     assert not losses
 
 
+async def test_lost_store_is_asked_without_a_wait() -> None:
+    """Guards against a watch that was sent to a silent store and keeps its VM
+    from seeing the store's return for six seconds.
+    """
+    listed = Success(Listing({}, 1))
+    script = _Script(listed, _AWAY, Success(Changes((), 1)))
+    seen = await _run(script)
+    assert script.waits == [
+        seen.subscription.wait,
+        timedelta(0),
+        seen.subscription.wait,
+    ]
+
+
 async def _pauses(
     monkeypatch: pytest.MonkeyPatch,
     *replies: _Reply,
@@ -219,3 +236,20 @@
     listed = Success(Listing({}, 1))
     pauses = await _pauses(monkeypatch, listed, *[_AWAY] * 20)
     assert max(pauses) <= 0.8
+
+
+async def test_lost_answer_of_a_watch_is_noticed() -> None:
+    """Guards against a follower whose watch was answered into a silent
+    connection: it would not see a leaving target for twenty seconds.
+    """
+    contact = StoreContact(ManualClock(), lambda: None)
+    script = _Script(Success(Listing({}, 5)))
+    seen = _Seen()
+    follower = Follower(script, contact, seen.subscription, Random(1), False)
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(0.05)
+    assert script.calls == [('list', 0), ('watch', 5)]
+    contact.report_revision(6)
+    await asyncio.sleep(0.2)
+    assert script.calls == [('list', 0), ('watch', 5), ('watch', 5)]
+    task.cancel()
