--- a/tests/following/test_core.py
+++ b/tests/following/test_core.py
@@ -230,8 +230,8 @@
 async def test_returned_store_is_found_in_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against versions and leaving targets that are read too late: with
-    pauses of 2 s three of 40 days of the bench broke CONFIG or DRAIN.
+    """Guards against versions and leaving targets that are read too late after
+    an outage: calls that are lost just before its end come on top.
     """
     listed = Success(Listing({}, 1))
     pauses = await _pauses(monkeypatch, listed, *[_AWAY] * 20)
