Use one wait, one decaying mean and one cache of answers

Read again as a whole, the change had the same logic several times: three functions that wait for a call, an event or a time (following.racing, following.core, relay.server), three means whose deviation fades (slowness and failures of a target, losses of a failure domain), and two caches of a relay's encoded answers.

Each is one piece now.

--- a/nutmegstep/dispatch/health.py
+++ b/nutmegstep/dispatch/health.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from nutmegstep.dispatch.decaying import DecayingMean
 from nutmegstep.dispatch.suspicion import Suspicion
 
 __all__ = ['TargetHealth']
@@ -62,10 +63,12 @@
     cold_updated: float = 0
     half_life: float = _HALF_LIFE_MAX
     suspicion: Suspicion = field(default_factory=Suspicion)
-    _slowness: float = 1
-    _slowness_at: float = 0
-    _failure_rate: float = 0
-    _failure_at: float = 0
+    _slowness: DecayingMean = field(
+        default_factory=lambda: DecayingMean(_LATENCY_WEIGHT, rest=1),
+    )
+    _failures: DecayingMean = field(
+        default_factory=lambda: DecayingMean(_FAILURE_WEIGHT, rest=0),
+    )
 
     @property
     def in_flight(self) -> int:
@@ -74,11 +77,11 @@
 
     def slowness(self, now: float) -> float:
         """Return the latency relative to that of the route's targets."""
-        return 1 + (self._slowness - 1) * self._decay(now - self._slowness_at)
+        return self._slowness.at(now, self.half_life)
 
     def failure_rate(self, now: float) -> float:
         """Return the share of recent sends that failed."""
-        return self._failure_rate * self._decay(now - self._failure_at)
+        return self._failures.at(now, self.half_life)
 
     def is_stalled(self, now: float) -> bool:
         """Whether the oldest send waits for longer than is usual."""
@@ -99,16 +102,14 @@
     def observe_reply(self, ratio: float, now: float) -> None:
         """Take the latency of a reply, relative to the route's median."""
         sample = min(ratio, _RATIO_MAX)
-        before = self.slowness(now)
-        self._slowness = before + _LATENCY_WEIGHT * (sample - before)
-        self._slowness_at = now
+        self._slowness.observe(sample, now, self.half_life)
         self.failures = 0
-        self._observe_failure(0, now)
+        self._failures.observe(0, now, self.half_life)
 
     def observe_rejection(self, now: float) -> None:
         """Take a reply that is a failure or says that nothing ran."""
         self.failures = 0
-        self._observe_failure(1, now)
+        self._failures.observe(1, now, self.half_life)
 
     def observe_loss(self, now: float) -> None:
         """Take a send that ended without a reply."""
@@ -116,12 +117,4 @@
         backoff = min(_FIRST_BACKOFF * 2**steps, _LONGEST_BACKOFF)
         self.failures += 1
         self.blocked_until = now + backoff
-        self._observe_failure(1, now)
-
-    def _observe_failure(self, failed: int, now: float) -> None:
-        before = self.failure_rate(now)
-        self._failure_rate = before + _FAILURE_WEIGHT * (failed - before)
-        self._failure_at = now
-
-    def _decay(self, seconds: float) -> float:
-        return math.exp2(-seconds / self.half_life)
+        self._failures.observe(1, now, self.half_life)
--- a/nutmegstep/dispatch/reachability.py
+++ b/nutmegstep/dispatch/reachability.py
@@ -4,10 +4,11 @@
 each of them alone would cost a query for each target.
 """
 
-import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 
+from nutmegstep.dispatch.decaying import DecayingMean
+
 __all__ = ['DomainReachability']
 
 _LOSS_WEIGHT: Final = 0.25
@@ -24,27 +25,20 @@
 class DomainReachability:
     """Share of the recent sends to a failure domain that brought no reply."""
 
-    _losses: float = 0
-    _updated: float = 0
+    _losses: DecayingMean = field(
+        default_factory=lambda: DecayingMean(_LOSS_WEIGHT, rest=0),
+    )
 
     def is_lost(self, now: float) -> bool:
         """Whether targets of other failure domains are preferred."""
-        return self._share(now) > _LOST_ABOVE
+        return self._losses.at(now, _HALF_LIFE) > _LOST_ABOVE
 
     def observe_loss(self, now: float) -> bool:
         """Take a send without a reply; return whether it shows a cut."""
         was_lost = self.is_lost(now)
-        self._observe(1, now)
+        self._losses.observe(1, now, _HALF_LIFE)
         return self.is_lost(now) and not was_lost
 
     def observe_reply(self, now: float) -> None:
         """Take a reply, whatever it says."""
-        self._observe(0, now)
-
-    def _observe(self, lost: int, now: float) -> None:
-        share = self._share(now)
-        self._losses = share + _LOSS_WEIGHT * (lost - share)
-        self._updated = now
-
-    def _share(self, now: float) -> float:
-        return self._losses * math.exp2((self._updated - now) / _HALF_LIFE)
+        self._losses.observe(0, now, _HALF_LIFE)
--- a/nutmegstep/dispatch/reporting.py
+++ b/nutmegstep/dispatch/reporting.py
@@ -37,14 +37,9 @@
     reporter: str,
 ) -> list[Effect]:
     """Take a report of this VM or of another one."""
-    rate = state.vms_in_domain / max(
-        state.gap_of(target.service), _SHORTEST_GAP
-    )
-    if not state.health_of(target).suspicion.observe_report(
-        now,
-        rate,
-        reporter,
-    ):
+    gap = max(state.gap_of(target.service), _SHORTEST_GAP)
+    suspicion = state.health_of(target).suspicion
+    if not suspicion.observe_report(now, state.vms_in_domain / gap, reporter):
         return []
     inputs = {'target': target.target_id, 'service': target.service}
     return [Decision('target_suspected', '', inputs)]
--- a/nutmegstep/experiment/core.py
+++ b/nutmegstep/experiment/core.py
@@ -10,12 +10,6 @@
 from random import Random
 from typing import Final
 
-from nutmegstep.configuration import (
-    Configuration,
-    Route,
-    ServiceSpec,
-    WeightedService,
-)
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch import ColdTerms, DispatchState, DispatchTerms
 from nutmegstep.dispatch.budget import BudgetTerms
@@ -35,13 +29,17 @@
     ShardGroup,
 )
 from nutmegstep.experiment.report import ClassResult, Report
+from nutmegstep.experiment.routes import (
+    HOST,
+    build_configuration,
+    services_of,
+)
 from nutmegstep.experiment.target import ModelTarget
 from nutmegstep.experiment.vm import Delivery, ModelVm, Network
 from nutmegstep.experiment.world import World
 
 __all__ = ['run_experiment']
 
-_HOST: Final = 'experiment.example'
 _WITHIN_DOMAIN: Final = 0.0001
 """Seconds one way within a failure domain."""
 _WARM_UP: Final = 5.0
@@ -122,14 +120,14 @@
             str(request_id),
             b'GET',
             b'/',
-            _HOST,
+            HOST,
             f'/{one.name}/',
             (),
             b'',
             one.timeout.total_seconds(),
             asked + to_callers,
         )
-        services = _services_of(self.fleet, one)
+        services = services_of(self.fleet, one)
         self.requests_by_service.update(services)
 
         def deliver(delivery: Delivery) -> None:
@@ -215,7 +213,7 @@
             name: target.record for name, target in self.targets_by_id.items()
         }
         in_domain = math.ceil(self.fleet.vms / self.fleet.domains)
-        vm.dispatch(ConfigurationChanged(_configuration(self.fleet)))
+        vm.dispatch(ConfigurationChanged(build_configuration(self.fleet)))
         vm.dispatch(TargetsListed(records))
         vm.dispatch(DomainsWithdrawn(frozenset()))
         vm.dispatch(VmsCounted(self.fleet.vms, in_domain))
@@ -263,45 +261,3 @@
     else:
         result.late += 1
         result.credit += one.worth * one.late_worth * share
-
-
-def _services_of(fleet: Fleet, one: QueryClass) -> tuple[str, ...]:
-    groups = (group for group in fleet.groups if group.name == one.group)
-    shards = next(groups).count if one.is_gather else 1
-    return tuple(f'{one.group}-{number}' for number in range(shards))
-
-
-def _configuration(fleet: Fleet) -> Configuration:
-    route_by_prefix = {
-        f'/{one.name}/': _route(fleet, one) for one in fleet.classes
-    }
-    services = {
-        f'{group.name}-{number}': ServiceSpec(
-            f'{group.name}-{number}',
-            group.max_connections,
-            timedelta(seconds=3),
-            cold_rate=0,
-        )
-        for group in fleet.groups
-        for number in range(group.count)
-    }
-    return Configuration(1, {_HOST: route_by_prefix}, services)
-
-
-def _route(fleet: Fleet, one: QueryClass) -> Route:
-    services = _services_of(fleet, one)
-    destinations = () if one.is_gather else (WeightedService(services[0], 1),)
-    return Route(
-        name=one.name,
-        host=_HOST,
-        path_prefix=f'/{one.name}/',
-        is_idempotent=one.is_idempotent,
-        timeout=one.timeout,
-        target_latency=one.target_latency,
-        priority=1,
-        attempts=2,
-        destinations=destinations,
-        shards=services if one.is_gather else (),
-        top_records=5,
-        required_coverage=one.required_coverage,
-    )
--- a/nutmegstep/following/core.py
+++ b/nutmegstep/following/core.py
@@ -12,7 +12,7 @@
 from returns.result import Result
 
 from nutmegstep.following.contact import StoreContact
-from nutmegstep.following.racing import unless
+from nutmegstep.following.racing import unless, wait_first
 from nutmegstep.following.reader import (
     Changes,
     HistoryGone,
@@ -172,6 +172,9 @@
         self,
         awaitable: Coroutine[Any, Any, _Watched],
     ) -> _Watched | None:
+        # The watch of the prober is short and ends in time by itself.
+        if self._is_prober:
+            return await awaitable
         # An answer that is lost leaves its watch open until it times out.
         # Other followers then show revisions that this one has not seen.
         call = asyncio.ensure_future(awaitable)
@@ -184,10 +187,8 @@
             call.cancel()
 
     async def _is_behind(self, call: asyncio.Future[_Watched]) -> bool:
-        # The watch of the prober is short and ends in time by itself.
-        seen = max(self._highest, self._checked)
-        if self._is_prober or self._contact.newest <= seen:
-            await _first_of(call, self._contact.advanced.wait())
+        if self._contact.newest <= max(self._highest, self._checked):
+            await wait_first((call,), (self._contact.advanced,))
             return False
         lag = self._subscription.lag.total_seconds()
         await asyncio.wait((call,), timeout=lag)
@@ -214,17 +215,3 @@
         self._failures = min(self._failures + 1, _GROWTH_STEPS)
         pause = min(_FIRST_PAUSE * growth, _LONGEST_PAUSE)
         return pause * (1 + self._random.random()) / 2
-
-
-async def _first_of(
-    call: asyncio.Future[_Watched],
-    other: Coroutine[Any, Any, bool],
-) -> None:
-    waiting = asyncio.ensure_future(other)
-    try:
-        await asyncio.wait(
-            (call, waiting),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-    finally:
-        waiting.cancel()
--- a/nutmegstep/following/racing.py
+++ b/nutmegstep/following/racing.py
@@ -1,14 +1,42 @@
-"""Awaits something unless an event comes first."""
+"""Awaits whichever comes first: a result, an event or the end of a time."""
 
 import asyncio
-from collections.abc import Awaitable
-from typing import TypeVar
+from collections.abc import Awaitable, Iterable
+from typing import Any, TypeVar
 
-__all__ = ['unless']
+__all__ = ['unless', 'wait_first']
 
 _Value = TypeVar('_Value')
 
 
+async def wait_first(
+    calls: Iterable[asyncio.Future[Any]],
+    events: Iterable[asyncio.Event],
+    seconds: float | None = None,
+) -> None:
+    """Return when a call is done, an event is set or the time is over.
+
+    Parameters
+    ----------
+    calls : iterable of asyncio.Future
+        Left as they are.
+    events : iterable of asyncio.Event
+        Any of them ends the wait.
+    seconds : float, optional
+        Longest wait; unbounded by default.
+    """
+    waits = [asyncio.ensure_future(event.wait()) for event in events]
+    try:
+        await asyncio.wait(
+            (*calls, *waits),
+            timeout=seconds,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    finally:
+        for wait in waits:
+            wait.cancel()
+
+
 async def unless(
     event: asyncio.Event,
     awaitable: Awaitable[_Value],
@@ -23,13 +51,8 @@
         Cancelled when the event is set first.
     """
     call = asyncio.ensure_future(awaitable)
-    interrupted = asyncio.ensure_future(event.wait())
     try:
-        await asyncio.wait(
-            (call, interrupted),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
+        await wait_first((call,), (event,))
         return call.result() if call.done() else None
     finally:
         call.cancel()
-        interrupted.cancel()
--- a/nutmegstep/gateway/counting.py
+++ b/nutmegstep/gateway/counting.py
@@ -140,8 +140,9 @@
         for name in self._census.forgotten(now):
             await self._store.delete_vm(name)
         neighbours = self._census.neighbours(now)
-        count = VmsCounted(self._census.count(now), len(neighbours) + 1)
-        self._reports.on_count(count)
+        count = self._census.count(now)
+        in_domain = self._census.count_in_domain(now)
+        self._reports.on_count(VmsCounted(count, in_domain))
         self._reports.on_relays(choose_relays(self._name, neighbours))
         self._reports.on_neighbours(
             [entry.address for entry in neighbours.values()],
--- a/nutmegstep/relay/server.py
+++ b/nutmegstep/relay/server.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from nutmegstep.following import Changes, HistoryGone
+from nutmegstep.following.racing import wait_first
 from nutmegstep.relay.cache import RelayCache
 from nutmegstep.relay.encoding import encode_changes, encode_listing
 from nutmegstep.web import HttpRequest, HttpResponse
@@ -21,7 +22,9 @@
 """Encoded responses of a kind that are kept. All VMs ask for the same changes
 within milliseconds; some lag behind by a few revisions."""
 
-_Responses = dict[tuple[int, int], HttpResponse]
+_Span = tuple[int | None, int]
+"""From which revision to which; a listing has no first one."""
+_Responses = dict[_Span, HttpResponse]
 
 
 class RelayServer:
@@ -49,8 +52,7 @@
         self._cache_by_kind = cache_by_kind
         self._lost = lost
         self._on_relay = on_relay
-        self._listing_by_cache: dict[RelayCache, _Responses] = {}
-        self._changes_by_cache: dict[RelayCache, _Responses] = {}
+        self._responses_by_cache: dict[RelayCache, _Responses] = {}
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Answer ``GET /kinds/KIND``, with ``watch`` and ``wait_s``."""
@@ -73,14 +75,14 @@
     ) -> HttpResponse:
         found = cache.changes_after(revision)
         if isinstance(found, Changes) and not found.changes:
-            await _wait_for_any((cache.changed, self._lost), wait)
+            await wait_first((), (cache.changed, self._lost), wait)
             found = cache.changes_after(revision)
         if not self._is_serving():
             return _NOT_A_RELAY
         if isinstance(found, HistoryGone):
             return _GONE
-        return _remember(
-            self._changes_by_cache.setdefault(cache, {}),
+        return self._remember(
+            cache,
             (revision, found.revision),
             lambda: encode_changes(found),
         )
@@ -89,49 +91,34 @@
         listing = cache.listing()
         if listing is None:
             return _NOT_A_RELAY
-        return _remember(
-            self._listing_by_cache.setdefault(cache, {}),
-            (0, listing.revision),
+        return self._remember(
+            cache,
+            (None, listing.revision),
             lambda: encode_listing(listing),
         )
 
+    def _remember(
+        self,
+        cache: RelayCache,
+        span: _Span,
+        encode: Callable[[], bytes],
+    ) -> HttpResponse:
+        """Return the response for a span of revisions, encoded once."""
+        responses = self._responses_by_cache.setdefault(cache, {})
+        response = responses.get(span)
+        if response is None:
+            response = HttpResponse(200, encode(), content_type=_CONTENT_TYPE)
+            if len(responses) == _REMEMBERED_MAX:
+                responses.pop(next(iter(responses)))
+            responses[span] = response
+        return response
+
     def _is_serving(self) -> bool:
         return not (self._lost.is_set() or self._on_relay.is_set())
 
 
-async def _wait_for_any(
-    events: tuple[asyncio.Event, ...],
-    seconds: float,
-) -> None:
-    waits = [asyncio.ensure_future(event.wait()) for event in events]
-    try:
-        await asyncio.wait(
-            waits,
-            timeout=seconds,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-    finally:
-        for wait in waits:
-            wait.cancel()
-
-
 def _read_wait(text: str) -> float:
     try:
         return min(max(float(text), 0), _WAIT_MAX)
     except ValueError:
         return _WAIT_MAX
-
-
-def _remember(
-    responses: _Responses,
-    revisions: tuple[int, int],
-    encode: Callable[[], bytes],
-) -> HttpResponse:
-    """Return the response between two revisions, encoded once."""
-    response = responses.get(revisions)
-    if response is None:
-        response = HttpResponse(200, encode(), content_type=_CONTENT_TYPE)
-        if len(responses) == _REMEMBERED_MAX:
-            responses.pop(next(iter(responses)))
-        responses[revisions] = response
-    return response
