--- /dev/null
+++ b/nutmegstep/coordinators/core.py
@@ -0,0 +1,154 @@
+"""Chooses the coordinators of each failure domain.
+
+In a large fleet each VM receives few queries. If every VM scattered its own
+queries over all shards, each would need connections to all targets, would learn
+about slow targets from a small part of the traffic, and would spend most of a
+query's time on its own slow processor. So most VMs pass queries over many shards
+to a few coordinators of their failure domain.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from itertools import groupby
+from operator import itemgetter
+from typing import Final
+
+import xxhash
+
+from nutmegstep.store_watch.vm_registry import VmEntry
+
+__all__ = ['CoordinatorChoice', 'DelegationTerms', 'choose_coordinators']
+
+_MIN_DOMAIN_VMS: Final = 8
+"""Smallest failure domain, in VMs, that uses coordinators."""
+_VMS_PER_COORDINATOR: Final = 8
+"""VMs of a failure domain for each of its coordinators."""
+_MIN_COORDINATORS: Final = 2
+"""Fewest coordinators of a failure domain; one of them may fail at any time."""
+_MIN_CAPACITY_SHARE: Final = 0.5
+"""Smallest capacity of a coordinator as a share of the largest one in its
+failure domain. A slower VM would delay the queries of several others."""
+
+
+@dataclass(frozen=True, slots=True)
+class CoordinatorChoice:
+    """Coordinators, as they concern one VM.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        ``host:port`` of the coordinators to which this VM passes queries, in
+        the order in which to try them; empty if it scatters them itself.
+    is_coordinator : bool
+        Whether this VM is a coordinator.
+    in_domain : int
+        Number of coordinators in the failure domain of this VM.
+    total : int
+        Number of coordinators in all failure domains.
+    """
+
+    addresses: tuple[str, ...] = ()
+    is_coordinator: bool = False
+    in_domain: int = 0
+    total: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class DelegationTerms:
+    """Terms under which a VM delegates a query to a coordinator.
+
+    Parameters
+    ----------
+    config_version : int
+        Version of the configuration that the coordinator must use.
+    partial_answer_in : float
+        Seconds until a partial answer is due.
+    """
+
+    config_version: int
+    partial_answer_in: float
+
+
+def choose_coordinators(
+    own_name: str,
+    entry_by_name: Mapping[str, VmEntry],
+) -> CoordinatorChoice:
+    """Choose the coordinators of all failure domains.
+
+    The VMs with the largest capacity are chosen, and a hash of the names decides
+    between equal ones. So all VMs with the same entries choose the same
+    coordinators. VMs with different entries only use more of them.
+
+    Parameters
+    ----------
+    own_name : str
+        Name of this VM.
+    entry_by_name : Mapping
+        Entries of all VMs, this one included.
+
+    Examples
+    --------
+    >>> entries = {
+    ...     f'vm-{n}': VmEntry('north', f'10.0.0.{n}:7', 1) for n in '123'
+    ... }
+    >>> choose_coordinators('vm-1', entries).addresses
+    ()
+    """
+    names_by_domain = _group_by_domain(entry_by_name)
+    chosen_by_domain = {
+        domain: _choose_in_domain(names, entry_by_name)
+        for domain, names in names_by_domain.items()
+    }
+    own_domain = entry_by_name[own_name].failure_domain
+    chosen = chosen_by_domain[own_domain]
+    is_coordinator = own_name in chosen
+    order = () if is_coordinator else _rotate(chosen, own_name)
+    return CoordinatorChoice(
+        tuple(entry_by_name[name].address for name in order),
+        is_coordinator,
+        len(chosen),
+        sum(len(names) for names in chosen_by_domain.values()),
+    )
+
+
+def _group_by_domain(
+    entry_by_name: Mapping[str, VmEntry],
+) -> dict[str, list[str]]:
+    pairs = sorted(
+        (entry.failure_domain, name) for name, entry in entry_by_name.items()
+    )
+    return {
+        domain: [name for _, name in group]
+        for domain, group in groupby(pairs, key=itemgetter(0))
+    }
+
+
+def _choose_in_domain(
+    names: Iterable[str],
+    entry_by_name: Mapping[str, VmEntry],
+) -> tuple[str, ...]:
+    ranked = sorted(
+        (name for name in names if entry_by_name[name].address),
+        key=lambda name: (-entry_by_name[name].capacity, _rank(name)),
+    )
+    if len(ranked) < _MIN_DOMAIN_VMS:
+        return ()
+    least = entry_by_name[ranked[0]].capacity * _MIN_CAPACITY_SHARE
+    count = math.ceil(len(ranked) / _VMS_PER_COORDINATOR)
+    able = [
+        name for name in ranked[:count] if entry_by_name[name].capacity >= least
+    ]
+    return tuple(able if len(able) > 1 else ranked[:_MIN_COORDINATORS])
+
+
+def _rotate(names: tuple[str, ...], own_name: str) -> tuple[str, ...]:
+    """Return the names in an order that spreads the VMs over them."""
+    if not names:
+        return ()
+    start = _rank(own_name) % len(names)
+    return (*names[start:], *names[:start])
+
+
+def _rank(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
--- a/nutmegstep/dispatch/arrivals.py
+++ b/nutmegstep/dispatch/arrivals.py
@@ -2,15 +2,13 @@
 
 import math
 from datetime import timedelta
-from itertools import chain
 from typing import Final
 
 from nutmegstep.configuration import Configuration, Route, match_route
-from nutmegstep.dispatch.completion import answer_if_due
+from nutmegstep.dispatch.delegation import decline_if_unsuitable, delegate
 from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
 from nutmegstep.dispatch.events import RequestArrived, RoutedRequest
-from nutmegstep.dispatch.selection import is_usable
-from nutmegstep.dispatch.sending import send_first
+from nutmegstep.dispatch.starting import start_sends
 from nutmegstep.dispatch.state import DispatchState, OpenRequest, Part
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
@@ -30,9 +28,6 @@
 _ROUNDING_TOLERANCE: Final = 1e-9
 """Keeps rounding errors from making the ceiling of a floating-point product,
 such as 0.75 * 4, one too high."""
-_RETRY_AFTER_SHARE: Final = 1 / 3
-"""``Retry-After`` when too few shards have a usable target, as a share of the
-time until the request's deadline. Callers do not wait for a longer one."""
 
 
 def handle_arrival(
@@ -40,12 +35,15 @@
     event: RequestArrived,
     now: float,
 ) -> list[Effect]:
-    """Send a request to the targets of its route, or refuse it.
+    """Delegate a request, send it to the targets of its route, or refuse it.
 
     It is refused if this VM is not ready, if no route matches, or if too few
     shards have a usable target for an answer.
     """
     request = event.request
+    declined = decline_if_unsuitable(state, request)
+    if declined:
+        return declined
     configuration = state.configuration
     if configuration is None or not state.has_targets:
         return _refuse_not_ready(request)
@@ -57,23 +55,9 @@
             {'config_version': configuration.version},
         )
     open_request = _open(state, configuration, request, route)
-    if not _can_be_covered(state, open_request, now):
-        return _refuse(
-            request,
-            refuse(
-                Verdict.NOT_RUN,
-                Reason.NO_TARGET,
-                'too few shards have a usable target',
-                retry_after=_max_retry_after(open_request),
-            ),
-            {'config_version': configuration.version, 'route': route.name},
-        )
     state.open_by_id[request.request_id] = open_request
-    sends = chain.from_iterable(
-        send_first(state, open_request, part, now)
-        for part in open_request.parts
-    )
-    return [*sends, *answer_if_due(state, open_request, now)]
+    delegation = delegate(state, open_request, now)
+    return delegation or start_sends(state, open_request, now)
 
 
 def _open(
@@ -84,22 +68,29 @@
 ) -> OpenRequest:
     timeout = route.timeout.total_seconds()
     time_left = timeout if request.time_left is None else request.time_left
-    margin = _ANSWER_MARGIN_SECONDS
-    if request.is_first_on_connection:
-        margin += _CONNECT_MARGIN_SECONDS
-    latency = route.target_latency.total_seconds()
     services = route.shards or (_pick_destination(state, route),)
     return OpenRequest(
         request,
         route,
         tuple(Part(service) for service in services),
-        partial_answer_at=request.arrived_at + latency - margin,
+        partial_answer_at=request.arrived_at
+        + _partial_answer_in(request, route),
         deadline=request.arrived_at
         + max(0, min(timeout, time_left) - _DEADLINE_MARGIN_SECONDS),
         required=_required_parts(route, len(services)),
     )
 
 
+def _partial_answer_in(request: RoutedRequest, route: Route) -> float:
+    """Return the time in seconds from arrival until a partial answer is due."""
+    if request.delegated is not None:
+        return request.delegated.partial_answer_in
+    margin = _ANSWER_MARGIN_SECONDS
+    if request.is_first_on_connection:
+        margin += _CONNECT_MARGIN_SECONDS
+    return route.target_latency.total_seconds() - margin
+
+
 def _required_parts(route: Route, parts: int) -> int:
     return max(
         1, math.ceil(route.required_coverage * parts - _ROUNDING_TOLERANCE)
@@ -123,26 +114,6 @@
     return chosen
 
 
-def _can_be_covered(
-    state: DispatchState,
-    open_request: OpenRequest,
-    now: float,
-) -> bool:
-    covered = sum(
-        any(
-            is_usable(state, target, now)
-            for target in state.registry.of_service(part.service)
-        )
-        for part in open_request.parts
-    )
-    return covered >= open_request.required
-
-
-def _max_retry_after(open_request: OpenRequest) -> timedelta:
-    left = open_request.deadline - open_request.request.arrived_at
-    return timedelta(seconds=left * _RETRY_AFTER_SHARE)
-
-
 def _refuse_not_ready(request: RoutedRequest) -> list[Effect]:
     refusal = refuse(
         Verdict.NOT_RUN,
--- a/nutmegstep/dispatch/budget.py
+++ b/nutmegstep/dispatch/budget.py
@@ -68,29 +68,29 @@
         self._tokens = float(0)
         self._updated = now
 
-    def earn(self, now: float, vm_count: int) -> None:
+    def earn(self, now: float, vm_count: float) -> None:
         """Add the tokens that a request for the service brings.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
-        vm_count : int
-            Number of VMs that share the bound.
+        vm_count : float
+            Number of equal shares of the bound, of which this VM has one.
         """
         self._refill(now, vm_count)
         self._tokens += self.limits.ratio * _USED_SHARE
         self._cap(vm_count)
 
-    def spend(self, now: float, vm_count: int, reserve: float = 0) -> bool:
+    def spend(self, now: float, vm_count: float, reserve: float = 0) -> bool:
         """Take a token for an extra send; return whether there was one.
 
         Parameters
         ----------
         now : float
             Monotonic time in seconds.
-        vm_count : int
-            Number of VMs that share the bound.
+        vm_count : float
+            Number of equal shares of the bound, of which this VM has one.
         reserve : float, optional
             Tokens that must remain for more urgent sends, as a share of the
             capacity minus one. A VM of a large fleet, with a capacity of one
@@ -101,13 +101,23 @@
         self._tokens -= 1
         return True
 
-    def can_spend(self, now: float, vm_count: int, reserve: float = 0) -> bool:
+    def can_spend(
+        self, now: float, vm_count: float, reserve: float = 0
+    ) -> bool:
         """Return whether `spend` with the same arguments would succeed."""
         self._refill(now, vm_count)
         kept = reserve * (self._capacity(vm_count) - 1)
         return self._tokens >= 1 + kept
 
-    def _refill(self, now: float, vm_count: int) -> None:
+    def charge(self, now: float, vm_count: float) -> None:
+        """Take a token for an extra send that was made without asking.
+
+        The balance may become negative.
+        """
+        self._refill(now, vm_count)
+        self._tokens -= 1
+
+    def _refill(self, now: float, vm_count: float) -> None:
         elapsed = max(0, now - self._updated)
         self._updated = now
         window = self.limits.window.total_seconds()
@@ -115,11 +125,11 @@
         self._tokens += elapsed * rate
         self._cap(vm_count)
 
-    def _share(self, vm_count: int) -> float:
+    def _share(self, vm_count: float) -> float:
         return self.limits.slack * _USED_SHARE / vm_count
 
-    def _capacity(self, vm_count: int) -> float:
+    def _capacity(self, vm_count: float) -> float:
         return max(1, self._share(vm_count) * _CAPACITY_SHARE)
 
-    def _cap(self, vm_count: int) -> None:
+    def _cap(self, vm_count: float) -> None:
         self._tokens = min(self._tokens, self._capacity(vm_count))
--- a/nutmegstep/dispatch/completion.py
+++ b/nutmegstep/dispatch/completion.py
@@ -18,6 +18,7 @@
 from typing import Final
 
 from nutmegstep.dispatch.effects import (
+    CancelDelegation,
     CancelSend,
     Decision,
     DeliverMerged,
@@ -29,9 +30,14 @@
 from nutmegstep.dispatch.events import TargetReply
 from nutmegstep.dispatch.merging import merge_records
 from nutmegstep.dispatch.state import DispatchState, OpenRequest, Part
-from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
+from nutmegstep.verdict import Reason, Refusal, refuse
 
-__all__ = ['answer_if_due', 'close_request', 'give_up']
+__all__ = [
+    'answer_if_due',
+    'close_request',
+    'give_up',
+    'give_up_at_deadline',
+]
 
 _MS_PER_SECOND: Final = 1000
 _REFUSAL_RETRY_AFTER: Final = timedelta(milliseconds=50)
@@ -65,12 +71,16 @@
     state: DispatchState,
     open_request: OpenRequest,
 ) -> list[Effect]:
-    """Remove a request and cancel its pending sends."""
-    state.open_by_id.pop(open_request.request.request_id, None)
+    """Remove a request and cancel its pending sends or its delegation."""
+    request_id = open_request.request.request_id
+    state.open_by_id.pop(request_id, None)
     send_ids = chain.from_iterable(
         part.pending_sends for part in open_request.parts
     )
-    return [CancelSend(send_id) for send_id in send_ids]
+    cancelled: list[Effect] = [CancelSend(send_id) for send_id in send_ids]
+    if open_request.delegation is not None:
+        cancelled.append(CancelDelegation(request_id))
+    return cancelled
 
 
 def give_up(
@@ -100,6 +110,20 @@
     ]
 
 
+def give_up_at_deadline(
+    state: DispatchState,
+    open_request: OpenRequest,
+) -> list[Effect]:
+    """Refuse a request that has no answer at its deadline."""
+    refusal = refuse(
+        open_request.verdict,
+        Reason.DEADLINE_EXCEEDED,
+        'no answer within the time allowed',
+        retry_after=_REFUSAL_RETRY_AFTER,
+    )
+    return give_up(state, open_request, refusal)
+
+
 def _answer_gather(
     state: DispatchState,
     open_request: OpenRequest,
@@ -120,7 +144,7 @@
     if len(answered) >= required and (is_late or not can_improve):
         return _deliver(state, open_request, answered, now)
     if now >= open_request.deadline:
-        return give_up(state, open_request, _deadline_refusal(open_request))
+        return give_up_at_deadline(state, open_request)
     return None
 
 
@@ -133,7 +157,7 @@
     if part.reply is not None:
         return _pass_on(state, open_request, part.reply, now)
     if now >= open_request.deadline:
-        return give_up(state, open_request, _deadline_refusal(open_request))
+        return give_up_at_deadline(state, open_request)
     if not part.is_failed:
         return None
     if part.failure is not None and part.failure.was_executed:
@@ -201,24 +225,10 @@
     return Decision('answered', open_request.request.attempt_id, inputs)
 
 
-def _verdict_of(open_request: OpenRequest) -> Verdict:
-    may_have_run = any(part.possible_runs for part in open_request.parts)
-    return Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
-
-
 def _target_failure_refusal(open_request: OpenRequest, failed: int) -> Refusal:
     return refuse(
-        _verdict_of(open_request),
+        open_request.verdict,
         Reason.TARGET_FAILED,
         f'{failed} of {len(open_request.parts)} shards cannot answer',
         retry_after=_REFUSAL_RETRY_AFTER,
     )
-
-
-def _deadline_refusal(open_request: OpenRequest) -> Refusal:
-    return refuse(
-        _verdict_of(open_request),
-        Reason.DEADLINE_EXCEEDED,
-        'no answer within the time allowed',
-        retry_after=_REFUSAL_RETRY_AFTER,
-    )
--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -132,13 +132,20 @@
     event: VmsCounted,
     now: float,
 ) -> list[Effect]:
-    """Replace the numbers of VMs that share the targets."""
-    known = (state.vm_count, state.vms_in_domain)
-    if (event.count, event.in_domain) == known:
+    """Replace the numbers of VMs that share the targets, and the coordinators."""
+    known = (state.vm_count, state.vms_in_domain, state.coordinators)
+    if (event.count, event.in_domain, event.coordinators) == known:
         return []
+    state.coordinators = event.coordinators
+    state.coordinator_health.retain(event.coordinators.addresses)
     state.vm_count = event.count
     state.vms_in_domain = event.in_domain
-    inputs = {'count': event.count, 'in_domain': event.in_domain}
+    inputs = {
+        'count': event.count,
+        'in_domain': event.in_domain,
+        'coordinators': event.coordinators.addresses,
+        'is_coordinator': event.coordinators.is_coordinator,
+    }
     return [Decision('vms_counted', '', inputs)]
 
 
--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -5,13 +5,16 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from nutmegstep.dispatch import control
+from nutmegstep.dispatch import control, delegation
 from nutmegstep.dispatch.arrivals import handle_arrival
 from nutmegstep.dispatch.completion import answer_if_due, close_request
 from nutmegstep.dispatch.effects import Decision, Effect
 from nutmegstep.dispatch.events import (
     CallerLeft,
     ConfigurationChanged,
+    DelegationAccepted,
+    DelegationAnswered,
+    DelegationFailed,
     DomainsWithdrawn,
     Event,
     HousekeepingDue,
@@ -84,6 +87,10 @@
     open_request = state.open_by_id.get(event.request_id)
     if open_request is None:
         return []
+    if open_request.delegation is not None:
+        return delegation.check_delegation(
+            state, open_request, open_request.delegation, now
+        )
     # A process that was paused can get here after the deadline, when no
     # hedge must be sent any more.
     due = (
@@ -104,6 +111,9 @@
         RequestDue: _handle_request_due,
         TargetReplied: handle_reply,
         SendFailed: handle_failure,
+        DelegationAccepted: delegation.handle_accepted,
+        DelegationAnswered: delegation.handle_delegate_answer,
+        DelegationFailed: delegation.handle_delegate_failure,
         ConfigurationChanged: control.apply_configuration,
         TargetsListed: control.replace_targets,
         TargetAnnounced: control.update_target,
--- /dev/null
+++ b/nutmegstep/dispatch/delegation.py
@@ -0,0 +1,224 @@
+"""Delegates queries over many shards to a coordinator of the failure domain.
+
+A query is delegated once, to the first coordinator that is not blocked. If that
+fails, this VM sends the parts itself. The coordinator uses the same version of
+the configuration or declines, so callers of this VM never see an older one.
+"""
+
+import math
+from typing import Final
+
+from nutmegstep.coordinators import DelegationTerms
+from nutmegstep.dispatch.completion import (
+    close_request,
+    give_up_at_deadline,
+)
+from nutmegstep.dispatch.effects import (
+    CancelDelegation,
+    Decision,
+    DeclineDelegation,
+    Delegate,
+    DeliverReply,
+    Effect,
+    WakeAt,
+)
+from nutmegstep.dispatch.events import (
+    DelegationAccepted,
+    DelegationAnswered,
+    DelegationFailed,
+    RoutedRequest,
+)
+from nutmegstep.dispatch.starting import start_sends
+from nutmegstep.dispatch.state import Delegation, DispatchState, OpenRequest
+
+__all__ = [
+    'check_delegation',
+    'decline_if_unsuitable',
+    'delegate',
+    'handle_accepted',
+    'handle_delegate_answer',
+    'handle_delegate_failure',
+]
+
+_ACCEPT_SECONDS: Final = 0.025
+"""Time in which a coordinator confirms that it has read a query; after it the
+coordinator counts as failed."""
+_TAKE_OVER_LATENCIES: Final = 2.0
+"""Target latencies of the route after which a query without an answer of its
+coordinator is sent by this VM."""
+_HOP_SECONDS: Final = 0.002
+"""Part of the time until a partial answer is due that is reserved for the way
+from the coordinator to this VM and on."""
+_MS_PER_SECOND: Final = 1000
+_MAX_OPEN_REQUESTS: Final = 24
+"""Open requests from which a coordinator declines delegated queries, so that
+its neighbours use their own processors."""
+
+
+def delegate(
+    state: DispatchState,
+    open_request: OpenRequest,
+    now: float,
+) -> list[Effect]:
+    """Delegate a new request; return no effects if it cannot be delegated."""
+    configuration = state.configuration
+    request = open_request.request
+    is_eligible = open_request.route.is_gather and request.delegated is None
+    if not is_eligible or configuration is None:
+        return []
+    address = state.coordinator_health.first_usable(
+        state.coordinators.addresses, now
+    )
+    if address is None:
+        return []
+    accept_by = now + _ACCEPT_SECONDS
+    if open_request.deadline <= accept_by:
+        return []
+    latency = open_request.route.target_latency.total_seconds()
+    take_over_at = request.arrived_at + latency * _TAKE_OVER_LATENCIES
+    open_request.delegation = Delegation(
+        address, accept_by, min(take_over_at, open_request.deadline)
+    )
+    terms = DelegationTerms(
+        configuration.version,
+        max(0, open_request.partial_answer_at - now - _HOP_SECONDS),
+    )
+    inputs = {'route': open_request.route.name, 'coordinator': address}
+    return [
+        Decision('delegated', request.attempt_id, inputs),
+        Delegate(request, terms, address, open_request.deadline),
+        WakeAt(request.request_id, accept_by),
+    ]
+
+
+def decline_if_unsuitable(
+    state: DispatchState,
+    request: RoutedRequest,
+) -> list[Effect]:
+    """Decline a delegated request if its sender had better serve it.
+
+    Returns
+    -------
+    list of Effect
+        Empty if the request is to be served, as it always is without a
+        delegation.
+    """
+    if request.delegated is None:
+        return []
+    configuration = state.configuration
+    reason = ''
+    if configuration is None or not state.has_targets:
+        reason = 'not_ready'
+    elif configuration.version != request.delegated.config_version:
+        reason = 'other_version'
+    elif len(state.open_by_id) >= _MAX_OPEN_REQUESTS:
+        reason = 'overloaded'
+    if not reason:
+        return []
+    return [
+        Decision('delegation_declined', request.attempt_id, {'reason': reason}),
+        DeclineDelegation(request.request_id, reason),
+    ]
+
+
+def check_delegation(
+    state: DispatchState,
+    open_request: OpenRequest,
+    delegation: Delegation,
+    now: float,
+) -> list[Effect]:
+    """Take the request over if its coordinator is too late."""
+    if now < delegation.due_at:
+        return [WakeAt(open_request.request.request_id, delegation.due_at)]
+    state.coordinator_health.record_failure(delegation.address, now)
+    reason = 'no_answer' if delegation.is_accepted else 'not_accepted'
+    return _take_over(state, open_request, now, reason, may_have_run=True)
+
+
+def handle_accepted(
+    state: DispatchState,
+    event: DelegationAccepted,
+    now: float,
+) -> list[Effect]:
+    """Wait longer for a coordinator that has read the query."""
+    open_request = state.open_by_id.get(event.request_id)
+    if open_request is not None and open_request.delegation is not None:
+        open_request.delegation.is_accepted = True
+    return []
+
+
+def handle_delegate_answer(
+    state: DispatchState,
+    event: DelegationAnswered,
+    now: float,
+) -> list[Effect]:
+    """Pass the answer of a coordinator on to the caller."""
+    open_request = state.open_by_id.get(event.request_id)
+    if open_request is None or open_request.delegation is None:
+        return []
+    address = open_request.delegation.address
+    state.coordinator_health.record_success(address)
+    open_request.delegation = None
+    request = open_request.request
+    inputs = {
+        'route': open_request.route.name,
+        'after_ms': round((now - request.arrived_at) * _MS_PER_SECOND),
+        'coordinator': address,
+        'status': event.reply.status,
+    }
+    return [
+        Decision('answered', request.attempt_id, inputs),
+        *close_request(state, open_request),
+        DeliverReply(request.request_id, event.reply),
+    ]
+
+
+def handle_delegate_failure(
+    state: DispatchState,
+    event: DelegationFailed,
+    now: float,
+) -> list[Effect]:
+    """Send the parts of a query that its coordinator did not serve."""
+    open_request = state.open_by_id.get(event.request_id)
+    if open_request is None or open_request.delegation is None:
+        return []
+    # Configurations differ between VMs for a short time only.
+    if event.reason != 'other_version':
+        state.coordinator_health.record_failure(
+            open_request.delegation.address, now
+        )
+    return _take_over(
+        state, open_request, now, event.reason, event.may_have_run
+    )
+
+
+def _take_over(
+    state: DispatchState,
+    open_request: OpenRequest,
+    now: float,
+    reason: str,
+    may_have_run: bool,
+) -> list[Effect]:
+    request = open_request.request
+    inputs = {'reason': reason, 'may_have_run': may_have_run}
+    effects: list[Effect] = [
+        Decision('delegation_failed', request.attempt_id, inputs),
+        CancelDelegation(request.request_id),
+    ]
+    open_request.delegation = None
+    if may_have_run:
+        _count_possible_sends(state, open_request, now)
+    if now >= open_request.deadline:
+        return [*effects, *give_up_at_deadline(state, open_request)]
+    return [*effects, *start_sends(state, open_request, now)]
+
+
+def _count_possible_sends(
+    state: DispatchState,
+    open_request: OpenRequest,
+    now: float,
+) -> None:
+    for part in open_request.parts:
+        part.possible_runs += 1
+        part.hedge_at = math.inf
+        state.budget_of(part.service).charge(now, state.bound_divisor)
--- a/nutmegstep/dispatch/effects.py
+++ b/nutmegstep/dispatch/effects.py
@@ -3,13 +3,20 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from nutmegstep.coordinators import DelegationTerms
 from nutmegstep.discovery import TargetRecord
-from nutmegstep.dispatch.events import RoutedRequest, TargetReply
+from nutmegstep.dispatch.events import (
+    RoutedRequest,
+    TargetReply,
+)
 from nutmegstep.verdict import Refusal
 
 __all__ = [
+    'CancelDelegation',
     'CancelSend',
     'Decision',
+    'DeclineDelegation',
+    'Delegate',
     'DeliverMerged',
     'DeliverRefusal',
     'DeliverReply',
@@ -58,6 +65,35 @@
     send_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class Delegate:
+    """Pass a query to a coordinator of this failure domain.
+
+    Parameters
+    ----------
+    request : RoutedRequest
+        Request of the caller.
+    terms : DelegationTerms
+        Terms for the coordinator.
+    address : str
+        ``host:port`` of the coordinator.
+    expires_at : float
+        Monotonic time in seconds by which the caller is answered.
+    """
+
+    request: RoutedRequest
+    terms: DelegationTerms
+    address: str
+    expires_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class CancelDelegation:
+    """End a delegation; the coordinator cancels the query."""
+
+    request_id: int
+
+
 @dataclass(frozen=True, slots=True)
 class DropTarget:
     """Close the idle connections to a target that is no longer used."""
@@ -129,6 +165,22 @@
     refusal: Refusal
 
 
+@dataclass(frozen=True, slots=True)
+class DeclineDelegation:
+    """Return a delegated query, of which nothing was sent, to its sender.
+
+    Parameters
+    ----------
+    request_id : int
+        Request to return.
+    reason : str
+        Why this VM does not coordinate it.
+    """
+
+    request_id: int
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Decision:
     """Decision of the dispatcher to be logged and counted.
@@ -152,11 +204,14 @@
 Effect = (
     SendRequest
     | CancelSend
+    | Delegate
+    | CancelDelegation
     | DropTarget
     | ReportSuspect
     | WakeAt
     | DeliverReply
     | DeliverMerged
     | DeliverRefusal
+    | DeclineDelegation
     | Decision
 )
--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -5,11 +5,15 @@
 from dataclasses import dataclass
 
 from nutmegstep.configuration import Configuration
+from nutmegstep.coordinators import CoordinatorChoice, DelegationTerms
 from nutmegstep.discovery import TargetRecord
 
 __all__ = [
     'CallerLeft',
     'ConfigurationChanged',
+    'DelegationAccepted',
+    'DelegationAnswered',
+    'DelegationFailed',
     'DomainsWithdrawn',
     'Event',
     'HeaderItems',
@@ -94,6 +98,9 @@
         Monotonic time in seconds at which the request was complete.
     is_first_on_connection : bool
         Whether it is the first request of its connection.
+    delegated : DelegationTerms or None
+        Terms of the neighbour that delegated the request to this VM; None if
+        it comes from a caller.
     """
 
     request_id: int
@@ -107,6 +114,7 @@
     time_left: float | None
     arrived_at: float
     is_first_on_connection: bool = False
+    delegated: DelegationTerms | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,6 +188,40 @@
     kind: SendFailureKind
 
 
+@dataclass(frozen=True, slots=True)
+class DelegationAccepted:
+    """A coordinator confirmed that it has read a delegated query."""
+
+    request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class DelegationAnswered:
+    """A coordinator answered a delegated query, possibly with a refusal."""
+
+    request_id: int
+    reply: TargetReply
+
+
+@dataclass(frozen=True, slots=True)
+class DelegationFailed:
+    """A delegated query ended without an answer of the coordinator.
+
+    Parameters
+    ----------
+    request_id : int
+        Request of the caller.
+    reason : str
+        What happened, for the log.
+    may_have_run : bool
+        Whether targets may have got parts of the query.
+    """
+
+    request_id: int
+    reason: str
+    may_have_run: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigurationChanged:
     """A version of the configuration was read."""
@@ -230,10 +272,13 @@
         Number of all VMs, including this one.
     in_domain : int
         Number of VMs in the failure domain of this VM, including this one.
+    coordinators : CoordinatorChoice
+        Coordinators of queries.
     """
 
     count: int
     in_domain: int
+    coordinators: CoordinatorChoice = CoordinatorChoice()
 
 
 @dataclass(frozen=True, slots=True)
@@ -267,6 +312,9 @@
     | RequestDue
     | TargetReplied
     | SendFailed
+    | DelegationAccepted
+    | DelegationAnswered
+    | DelegationFailed
     | ConfigurationChanged
     | TargetsListed
     | TargetAnnounced
--- a/nutmegstep/dispatch/selection.py
+++ b/nutmegstep/dispatch/selection.py
@@ -152,7 +152,7 @@
     if state.random.random() >= share:
         return False
     # The suspected target is likely to answer late, so that a hedge is needed.
-    return state.budget_of(target.service).can_spend(now, state.vm_count)
+    return state.budget_of(target.service).can_spend(now, state.bound_divisor)
 
 
 def _refill_cold_tokens(
@@ -164,7 +164,7 @@
     limits = state.limits.cold
     declared = state.spec_of(target.service).cold_rate
     bound = declared * limits.overshoot + limits.slack
-    rate = bound * _COLD_SHARE / state.vm_count
+    rate = bound * _COLD_SHARE / state.bound_divisor
     elapsed = max(0, now - health.cold_updated)
     health.cold_updated = now
     health.cold_tokens = min(1, health.cold_tokens + elapsed * rate)
--- a/nutmegstep/dispatch/sending.py
+++ b/nutmegstep/dispatch/sending.py
@@ -42,7 +42,11 @@
 ) -> list[Effect]:
     """Send a part to the best target, or mark the part as failed."""
     state.record_request(part.service, now)
-    state.budget_of(part.service).earn(now, state.vm_count)
+    state.budget_of(part.service).earn(now, state.bound_divisor)
+    if part.possible_runs >= open_request.route.attempts:
+        # A coordinator may have sent it before it failed.
+        part.is_failed = True
+        return []
     choice = choose_target(state, part.service, now)
     if choice is None:
         part.is_failed = True
@@ -68,7 +72,7 @@
     if choice is None:
         part.is_failed = not part.pending_sends
         return [_decision(open_request, part, 'repeat_omitted', 'no_target')]
-    if not state.budget_of(part.service).spend(now, state.vm_count):
+    if not state.budget_of(part.service).spend(now, state.bound_divisor):
         part.is_failed = not part.pending_sends
         return [_decision(open_request, part, 'repeat_omitted', 'no_budget')]
     return [
@@ -95,7 +99,7 @@
     waiting = sum(one.reply is None for one in open_request.parts)
     optional = len(open_request.parts) - open_request.required
     reserve = _OPTIONAL_HEDGE_RESERVE if waiting <= optional else 0
-    if not budget.spend(now, state.vm_count, reserve):
+    if not budget.spend(now, state.bound_divisor, reserve):
         part.hedge_at = now + _BUDGET_RETRY_SECONDS
         return [_decision(open_request, part, 'hedge_delayed', 'no_budget')]
     return [
@@ -165,9 +169,15 @@
     declared = state.spec_of(target.service).max_connections * _CONNECTION_SHARE
     if target.failure_domain == state.own_domain:
         share = declared * _OWN_DOMAIN_SHARE / state.vms_in_domain
-        return max(2, int(share))
+        return max(2, int(share * _sender_factor(state)))
     others = max(1, state.vm_count - state.vms_in_domain)
-    return max(1, int(declared * (1 - _OWN_DOMAIN_SHARE) / others))
+    share = declared * (1 - _OWN_DOMAIN_SHARE) / others
+    return max(1, int(share * _sender_factor(state)))
+
+
+def _sender_factor(state: DispatchState) -> float:
+    """Return the share of this VM relative to that of an average one."""
+    return state.vm_count / state.bound_divisor
 
 
 def _decision(
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -7,8 +7,10 @@
 from typing import Final
 
 from nutmegstep.configuration import Configuration, Route, ServiceSpec
+from nutmegstep.coordinators import CoordinatorChoice
 from nutmegstep.discovery import TargetRecord, TargetRegistry
 from nutmegstep.dispatch.budget import BudgetLimits, RepeatBudget
+from nutmegstep.dispatch.coordinator_health import CoordinatorHealth
 from nutmegstep.dispatch.events import RoutedRequest, TargetReply
 from nutmegstep.dispatch.health import TargetHealth
 from nutmegstep.dispatch.latency import (
@@ -17,9 +19,11 @@
     RunningQuantile,
 )
 from nutmegstep.dispatch.reachability import DomainReachability
+from nutmegstep.verdict import Verdict
 
 __all__ = [
     'ColdLimits',
+    'Delegation',
     'DispatchLimits',
     'DispatchState',
     'OpenRequest',
@@ -40,6 +44,8 @@
 must suffice for the reply of the second target."""
 _MIN_HEDGE_MEDIANS: Final = 1.3
 """Shortest hedge delay, as a multiple of the median latency."""
+_COORDINATORS_SHARE: Final = 0.7
+"""Share of the bounds over all VMs that the coordinators use."""
 _INITIAL_VM_COUNT: Final = 8
 """Number of VMs that is assumed until they are counted; the two deployments
 have six and seven."""
@@ -162,6 +168,34 @@
         return self.reply is None and not self.is_failed
 
 
+@dataclass(slots=True)
+class Delegation:
+    """Delegation of a request to a coordinator.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the coordinator.
+    accept_by : float
+        Monotonic time in seconds by which the coordinator must confirm that it
+        has read the request.
+    take_over_at : float
+        Monotonic time in seconds by which it must answer.
+    is_accepted : bool
+        Whether it has confirmed the request.
+    """
+
+    address: str
+    accept_by: float
+    take_over_at: float
+    is_accepted: bool = False
+
+    @property
+    def due_at(self) -> float:
+        """Monotonic time in seconds at which the coordinator is too late."""
+        return self.take_over_at if self.is_accepted else self.accept_by
+
+
 @dataclass(slots=True)
 class OpenRequest:
     """Request that has not been answered.
@@ -183,6 +217,8 @@
         Minimum number of parts with a usable reply in an answer.
     answered : int
         Number of parts with a usable reply.
+    delegation : Delegation or None
+        Coordinator that serves the request; None if this VM does.
     """
 
     request: RoutedRequest
@@ -192,6 +228,13 @@
     deadline: float
     required: int
     answered: int = 0
+    delegation: Delegation | None = None
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether a target may have run any part of the request."""
+        may_have_run = any(part.possible_runs for part in self.parts)
+        return Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,6 +293,10 @@
         Number of all VMs, including this one.
     vms_in_domain : int
         Number of VMs in the failure domain of this VM, including this one.
+    coordinators : CoordinatorChoice
+        Coordinators of queries.
+    coordinator_health : CoordinatorHealth
+        Coordinators that are blocked after failures.
     open_by_id : dict
         Requests without an answer, by request identifier.
     sends_by_id : dict
@@ -280,6 +327,8 @@
         self.withdrawn_domains: frozenset[str] = frozenset()
         self.vm_count = _INITIAL_VM_COUNT
         self.vms_in_domain = max(1, _INITIAL_VM_COUNT // 3)
+        self.coordinators = CoordinatorChoice()
+        self.coordinator_health = CoordinatorHealth()
         self.open_by_id: dict[int, OpenRequest] = {}
         self.sends_by_id: dict[int, Send] = {}
         self.health_by_target: dict[str, TargetHealth] = {}
@@ -295,6 +344,20 @@
         """Whether a configuration and a list of targets have been read."""
         return self.configuration is not None and self.has_targets
 
+    @property
+    def bound_divisor(self) -> float:
+        """Number of equal shares of a bound over all VMs; this VM has one.
+
+        The coordinators send most requests and share most of each bound.
+        """
+        coordinators = self.coordinators.total
+        others = self.vm_count - coordinators
+        if not coordinators or others < 1:
+            return self.vm_count
+        if self.coordinators.is_coordinator:
+            return coordinators / _COORDINATORS_SHARE
+        return others / (1 - _COORDINATORS_SHARE)
+
     def spec_of(self, service: str) -> ServiceSpec:
         """Return the declaration of a service.
 
--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -9,8 +9,11 @@
 from nutmegstep.clock import Clock
 from nutmegstep.dispatch import DispatchState, reduce_event
 from nutmegstep.dispatch.effects import (
+    CancelDelegation,
     CancelSend,
     Decision,
+    DeclineDelegation,
+    Delegate,
     DeliverMerged,
     DeliverRefusal,
     DeliverReply,
@@ -32,6 +35,13 @@
 )
 from nutmegstep.gateway.codec import Delivery, WireCodec
 from nutmegstep.gateway.decisions import DecisionLog
+from nutmegstep.gateway.delegation import (
+    DelegationClient,
+    DelegationDeclined,
+    decline,
+    mark_answer,
+    read_delegated,
+)
 from nutmegstep.gateway.metrics import GatewayMetrics
 from nutmegstep.gateway.pool import ConnectionPool
 from nutmegstep.gateway.pooled_connection import SendOutcome
@@ -97,6 +107,7 @@
     ) -> None:
         self.state = state
         self.pool = ConnectionPool(clock, codec, self._finish_send)
+        self._delegations = DelegationClient(clock, codec, self.dispatch)
         self.decisions = DecisionLog(clock)
         self.on_suspect: Callable[[str], None] = _ignore_suspect
         self._clock = clock
@@ -109,6 +120,9 @@
         self._pending_by_request: dict[int, _PendingRequest] = {}
         handlers: dict[type, Callable[[Any], None]] = {
             SendRequest: self._send,
+            Delegate: self._delegations.send,
+            CancelDelegation: self._cancel_delegation,
+            DeclineDelegation: self._decline_delegation,
             CancelSend: self._cancel,
             DropTarget: self._drop_target,
             ReportSuspect: self._report_suspect,
@@ -144,8 +158,34 @@
 
     async def handle(self, http_request: HttpRequest) -> HttpResponse:
         """Answer a caller; cancelled when the caller disconnects."""
-        now = self._clock.monotonic()
-        request = self._codec.read_request(http_request, next(self._ids), now)
+        request = self._read_request(http_request)
+        delivery = await self._answer(request)
+        return self._codec.write_response(request, delivery)
+
+    async def handle_delegated(
+        self, http_request: HttpRequest, *, is_stopping: bool
+    ) -> HttpResponse:
+        """Answer a query of a neighbour; cancelled when it disconnects."""
+        request = read_delegated(http_request, self._read_request(http_request))
+        if request is None or is_stopping:
+            return decline('invalid_terms' if request is None else 'stopping')
+        try:
+            delivery = await self._answer(request)
+        except DelegationDeclined as declined:
+            return decline(declined.reason)
+        return mark_answer(self._codec.write_response(request, delivery))
+
+    def close(self) -> None:
+        """Close all connections to targets and coordinators."""
+        self._delegations.close()
+        self.pool.close()
+
+    def _read_request(self, http_request: HttpRequest) -> RoutedRequest:
+        return self._codec.read_request(
+            http_request, next(self._ids), self._clock.monotonic()
+        )
+
+    async def _answer(self, request: RoutedRequest) -> Delivery:
         pending = _PendingRequest(request)
         self._pending_by_request[request.request_id] = pending
         delivery: Delivery | None = None
@@ -159,9 +199,9 @@
             raise
         finally:
             self._finish_request(pending, delivery)
-        seconds = self._clock.monotonic() - now
+        seconds = self._clock.monotonic() - request.arrived_at
         self._metrics.count_request(delivery, seconds)
-        return self._codec.write_response(request, delivery)
+        return delivery
 
     def _finish_request(
         self, pending: _PendingRequest, delivery: Delivery | None
@@ -191,6 +231,14 @@
     def _cancel(self, effect: CancelSend) -> None:
         self.pool.cancel(effect.send_id)
 
+    def _cancel_delegation(self, effect: CancelDelegation) -> None:
+        self._delegations.cancel(effect.request_id)
+
+    def _decline_delegation(self, effect: DeclineDelegation) -> None:
+        pending = self._pending_by_request.get(effect.request_id)
+        if pending is not None and not pending.answer.done():
+            pending.answer.set_exception(DelegationDeclined(effect.reason))
+
     def _drop_target(self, effect: DropTarget) -> None:
         self.pool.drop_target(effect.target_id)
 
--- /dev/null
+++ b/nutmegstep/gateway/delegation.py
@@ -0,0 +1,203 @@
+"""Passes queries to coordinators and marks the queries that they receive.
+
+A coordinator is another VM of the failure domain. It gets the caller's request
+with additional headers on the port for neighbours, confirms it with a
+``100 Continue`` response, and answers as if the caller had sent the request.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Final
+
+from nutmegstep.clock import Clock
+from nutmegstep.coordinators import DelegationTerms
+from nutmegstep.discovery import TargetRecord
+from nutmegstep.dispatch.effects import Delegate, SendRequest
+from nutmegstep.dispatch.events import (
+    DelegationAccepted,
+    DelegationAnswered,
+    DelegationFailed,
+    Event,
+    HeaderItems,
+    RoutedRequest,
+    SendFailureKind,
+    TargetReply,
+)
+from nutmegstep.gateway.codec import RawReply, WireCodec
+from nutmegstep.gateway.pool import ConnectionPool
+from nutmegstep.gateway.pooled_connection import SendOutcome
+from nutmegstep.settings.fields import read_address
+from nutmegstep.web import HttpRequest, HttpResponse
+
+__all__ = [
+    'DelegationClient',
+    'DelegationDeclined',
+    'decline',
+    'is_delegated',
+    'mark_answer',
+    'read_delegated',
+]
+
+_VERSION: Final = 'nutmegstep-config-version'
+_PARTIAL_ANSWER_IN: Final = 'nutmegstep-partial-answer-ms'
+_COORDINATOR: Final = 'nutmegstep-coordinator'
+"""Response header that shows that a coordinator answers, and not another process
+that has got the address of one."""
+_DECLINED: Final = 'nutmegstep-declined'
+"""Response header with the reason why nothing was sent for the query."""
+_OWN_HEADERS: Final = frozenset(
+    name.encode()
+    for name in (_VERSION, _PARTIAL_ANSWER_IN, _COORDINATOR, _DECLINED)
+)
+_EXPECT: Final = (b'expect', b'100-continue')
+_STATUS_CONFLICT: Final = 409
+_KEEP_ALIVE: Final = ('Keep-Alive', 'timeout=60')
+_MAX_CONNECTIONS: Final = 8
+"""Most connections of this VM to one coordinator."""
+_MS_PER_SECOND: Final = 1000
+
+
+class DelegationDeclined(Exception):
+    """Raised when this VM does not coordinate a delegated query.
+
+    Parameters
+    ----------
+    reason : str
+        Why it does not.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(f'delegated query declined: {reason}')
+        self.reason = reason
+
+
+class DelegationClient:
+    """Sends queries to coordinators.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic clock of the deadlines.
+    codec : WireCodec
+        Builds the headers of requests.
+    dispatch : Callable
+        Passes an event to the dispatcher.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        codec: WireCodec,
+        dispatch: Callable[[Event], None],
+    ) -> None:
+        self._dispatch = dispatch
+        self._pool = ConnectionPool(clock, codec, self._finish, self._confirm)
+
+    def send(self, effect: Delegate) -> None:
+        """Send a query to a coordinator."""
+        host, port = read_address(effect.address)
+        coordinator = TargetRecord(
+            target_id='',
+            service='',
+            host=host,
+            port=port,
+            failure_domain='',
+            slots=_MAX_CONNECTIONS,
+            is_draining=False,
+            cold_until=0,
+            started_ms=0,
+        )
+        self._pool.send(
+            SendRequest(
+                effect.request.request_id,
+                _with_terms(effect.request, effect.terms),
+                coordinator,
+                effect.expires_at,
+                _MAX_CONNECTIONS,
+                is_repeatable=True,
+            ),
+        )
+
+    def cancel(self, request_id: int) -> None:
+        """Close the connection of a query, so that its coordinator stops."""
+        self._pool.cancel(request_id)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    def _confirm(self, effect: SendRequest) -> None:
+        self._dispatch(DelegationAccepted(effect.send_id))
+
+    def _finish(self, effect: SendRequest, outcome: SendOutcome) -> None:
+        self._dispatch(_read_outcome(effect.send_id, outcome))
+
+
+def is_delegated(request: HttpRequest) -> bool:
+    """Return whether a neighbour's request is a delegated query."""
+    return _VERSION in request.headers
+
+
+def read_delegated(
+    http_request: HttpRequest,
+    request: RoutedRequest,
+) -> RoutedRequest | None:
+    """Return a delegated query with its terms, or None if they are invalid."""
+    version = http_request.headers.get(_VERSION, '')
+    milliseconds = http_request.headers.get(_PARTIAL_ANSWER_IN, '')
+    if not (version.isdecimal() and milliseconds.isdecimal()):
+        return None
+    terms = DelegationTerms(int(version), int(milliseconds) / _MS_PER_SECOND)
+    return replace(
+        request,
+        headers=_without_own(request.headers),
+        delegated=terms,
+    )
+
+
+def mark_answer(response: HttpResponse) -> HttpResponse:
+    """Return the answer to a delegated query with the coordinator's header."""
+    added = ((_COORDINATOR, '1'), _KEEP_ALIVE)
+    return replace(response, headers=(*response.headers, *added))
+
+
+def decline(reason: str) -> HttpResponse:
+    """Return the response to a delegated query of which nothing was sent."""
+    response = HttpResponse(_STATUS_CONFLICT, b'', ((_DECLINED, reason),))
+    return mark_answer(response)
+
+
+def _with_terms(
+    request: RoutedRequest, terms: DelegationTerms
+) -> RoutedRequest:
+    milliseconds = int(terms.partial_answer_in * _MS_PER_SECOND)
+    added = (
+        (_VERSION.encode(), b'%d' % terms.config_version),
+        (_PARTIAL_ANSWER_IN.encode(), b'%d' % milliseconds),
+        _EXPECT,
+    )
+    return replace(request, headers=(*_without_own(request.headers), *added))
+
+
+def _without_own(headers: HeaderItems) -> HeaderItems:
+    return tuple(item for item in headers if item[0] not in _OWN_HEADERS)
+
+
+def _read_outcome(request_id: int, outcome: SendOutcome) -> Event:
+    if isinstance(outcome, SendFailureKind):
+        return DelegationFailed(request_id, outcome.value, outcome.may_have_run)
+    header_by_name = dict(outcome.headers)
+    if _COORDINATOR.encode() not in header_by_name:
+        return DelegationFailed(request_id, 'invalid', may_have_run=True)
+    reason = header_by_name.get(_DECLINED.encode())
+    if reason is not None:
+        return DelegationFailed(
+            request_id, reason.decode('latin-1'), may_have_run=False
+        )
+    return DelegationAnswered(request_id, _as_reply(outcome))
+
+
+def _as_reply(raw: RawReply) -> TargetReply:
+    return TargetReply(
+        raw.status, _without_own(raw.headers), raw.body, signature=''
+    )
--- a/nutmegstep/gateway/pool.py
+++ b/nutmegstep/gateway/pool.py
@@ -19,6 +19,9 @@
 SendCallback = Callable[[SendRequest, SendOutcome], None]
 """Called once for each send with its outcome."""
 
+ConfirmationCallback = Callable[[SendRequest], None]
+"""Called when the receiver of a send confirms that it has read it."""
+
 _MS_PER_SECOND: Final = 1000
 _MIN_ROUNDED_MS: Final = 100
 """Shortest time left that is rounded."""
@@ -67,6 +70,8 @@
         Builds the headers of requests to targets.
     on_outcome : SendCallback
         Called once for each send with its outcome.
+    on_confirmed : ConfirmationCallback, optional
+        Called for each interim response to a send.
 
     Attributes
     ----------
@@ -75,12 +80,17 @@
     """
 
     def __init__(
-        self, clock: Clock, codec: WireCodec, on_outcome: SendCallback
+        self,
+        clock: Clock,
+        codec: WireCodec,
+        on_outcome: SendCallback,
+        on_confirmed: ConfirmationCallback | None = None,
     ) -> None:
         self.connections_opened = 0
         self._clock = clock
         self._codec = codec
         self._on_outcome = on_outcome
+        self._on_confirmed = on_confirmed or _ignore_confirmation
         self._group_by_key: dict[tuple[str, str, int], _TargetGroup] = {}
         self._pending_by_id: dict[int, _PendingSend] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -211,6 +221,7 @@
             head,
             effect.request.body,
             lambda outcome: self._finish_send(effect.send_id, outcome),
+            lambda: self._on_confirmed(effect),
         )
 
     def _request_head(
@@ -319,6 +330,10 @@
     return next(usable, None)
 
 
+def _ignore_confirmation(effect: SendRequest) -> None:
+    """Do nothing; targets are not asked for a confirmation."""
+
+
 def _close_all(connections: Iterable[PooledConnection]) -> None:
     for connection in tuple(connections):
         connection.fail(SendFailureKind.CANCELLED)
--- a/nutmegstep/gateway/pooled_connection.py
+++ b/nutmegstep/gateway/pooled_connection.py
@@ -40,6 +40,7 @@
     """The request in flight and the part of its response read so far."""
 
     on_outcome: SendOutcomeCallback
+    on_confirmed: Callable[[], None]
     status: int = 0
     headers: HeaderItems = ()
     chunks: list[bytes] = field(default_factory=list)
@@ -100,10 +101,15 @@
         head: h11.Request,
         body: bytes,
         on_outcome: SendOutcomeCallback,
+        on_confirmed: Callable[[], None],
     ) -> None:
-        """Write a request; `on_outcome` is called once with its outcome."""
+        """Write a request.
+
+        `on_outcome` is called once with its outcome, and `on_confirmed` for
+        each interim response before.
+        """
         assert self._transport is not None
-        self._exchange = _Exchange(on_outcome)
+        self._exchange = _Exchange(on_outcome, on_confirmed)
         events: tuple[h11.Event, ...] = (head, _END_OF_MESSAGE)
         if body:
             events = (head, h11.Data(data=body), _END_OF_MESSAGE)
@@ -152,6 +158,12 @@
             self._handle_event(exchange, event)
 
     def _handle_event(self, exchange: _Exchange, event: h11.Event) -> None:
+        if isinstance(event, h11.InformationalResponse):
+            exchange.on_confirmed()
+        else:
+            self._handle_final(exchange, event)
+
+    def _handle_final(self, exchange: _Exchange, event: h11.Event) -> None:
         if isinstance(event, h11.Response):
             exchange.status = event.status_code
             exchange.headers = tuple(event.headers)
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -91,6 +91,12 @@
         is_ready = self.state.is_ready and not self.is_draining
         return HttpResponse(200 if is_ready else 503, b'{}')
 
+    async def answer_delegated(self, request: HttpRequest) -> HttpResponse:
+        """Answer a query that a neighbour delegated to this VM."""
+        return await self.gateway.handle_delegated(
+            request, is_stopping=self.is_draining
+        )
+
     async def answer_metrics(self, request: HttpRequest) -> HttpResponse:
         """Answer a scrape of the metrics."""
         if request.path != '/metrics':
@@ -205,7 +211,7 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
-    process.gateway.pool.close()
+    process.gateway.close()
     process.report_exchange.close()
     process.store.close()
     ready_server.close()
@@ -225,6 +231,7 @@
         process.random,
         process.gateway.dispatch,
         process.report_exchange.replace_neighbours,
+        process.answer_delegated,
     )
     coroutines = (
         StoreSync(parts, process.settings).run(),
--- a/nutmegstep/gateway/store_sync.py
+++ b/nutmegstep/gateway/store_sync.py
@@ -7,24 +7,23 @@
 from collections.abc import Callable, Collection
 from contextlib import suppress
 from dataclasses import dataclass, replace
-from datetime import timedelta
+from functools import partial
 from random import Random
 from typing import Final
 
 from nutmegstep.clock import Clock
 from nutmegstep.dispatch.events import Event, StoreRecovered
 from nutmegstep.gateway.adapter import PlatformAdapter, Store
+from nutmegstep.gateway.neighbours import serve_neighbours
 from nutmegstep.gateway.subscriptions import StoreSubscriptions
 from nutmegstep.gateway.vm_registration import VmCallbacks, VmRegistrar
-from nutmegstep.platform_api.transport import HttpTransport
 from nutmegstep.relay import (
     FallbackReader,
     RelayCache,
-    RelayReader,
     RelayServer,
+    connect_relay,
 )
 from nutmegstep.settings import GatewaySettings
-from nutmegstep.settings.fields import read_address
 from nutmegstep.store_watch import (
     Listing,
     ObjectChanges,
@@ -33,12 +32,10 @@
 )
 from nutmegstep.store_watch.core import Subscription
 from nutmegstep.store_watch.vm_registry import VmEntry
-from nutmegstep.web import serve_http
+from nutmegstep.web import Handler
 
 __all__ = ['StoreSync', 'StoreSyncParts']
 
-_RELAY_CALL_TIMEOUT: Final = timedelta(milliseconds=500)
-"""Time-out of a call to a relay, which is 1 or 2 ms away."""
 _VM_LIST_TIMEOUT_S: Final = 1.0
 """Longest time that the watches wait for the first list of VMs."""
 _FIRST_START_VM_LIST_TIMEOUT_S: Final = 4.0
@@ -64,6 +61,8 @@
         Passes an event to the dispatcher.
     on_neighbours : Callable
         Called with the ``host:port`` addresses of the neighbours.
+    answer_delegated : Handler
+        Answers the queries that neighbours delegate to this VM.
     """
 
     adapter: PlatformAdapter
@@ -72,6 +71,7 @@
     random: Random
     dispatch: Callable[[Event], None]
     on_neighbours: Callable[[Collection[str]], None]
+    answer_delegated: Handler
 
 
 class StoreSync:
@@ -95,7 +95,9 @@
             parts.clock,
             lambda: parts.dispatch(StoreRecovered()),
         )
-        self._reader = FallbackReader(parts.store, self._connect_relay)
+        self._reader = FallbackReader(
+            parts.store, partial(connect_relay, parts.clock)
+        )
         self._listen_address = settings.peers_address
         self._vm_list_timeout_s = (
             _FIRST_START_VM_LIST_TIMEOUT_S
@@ -107,7 +109,12 @@
             parts.store,
             parts.clock,
             settings.vm_name,
-            VmEntry(settings.failure_domain, f'{host}:{port}', revision=0),
+            VmEntry(
+                settings.failure_domain,
+                f'{host}:{port}',
+                revision=0,
+                capacity=settings.capacity,
+            ),
             VmCallbacks(
                 parts.dispatch,
                 self._reader.use_relays,
@@ -124,7 +131,9 @@
         relay = RelayServer(
             caches, self._availability.unavailable, self._reader.uses_relay
         )
-        await serve_http(relay.answer, *self._listen_address)
+        await serve_neighbours(
+            self._listen_address, parts.answer_delegated, relay.answer
+        )
         subscriptions = [
             _with_relay_cache(one, caches[one.kind])
             for one in source.subscriptions()
@@ -154,12 +163,6 @@
         ]
         await asyncio.gather(*(watcher.run() for watcher in watchers))
 
-    def _connect_relay(self, address: str) -> RelayReader:
-        host, port = read_address(address)
-        return RelayReader(
-            HttpTransport(host, port, self._parts.clock, _RELAY_CALL_TIMEOUT),
-        )
-
 
 def _with_relay_cache(
     subscription: Subscription,
--- a/nutmegstep/gateway/vm_registration.py
+++ b/nutmegstep/gateway/vm_registration.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from random import Random
 from typing import Final
@@ -11,6 +11,7 @@
 from returns.pipeline import is_successful
 
 from nutmegstep.clock import Clock
+from nutmegstep.coordinators import choose_coordinators
 from nutmegstep.dispatch.events import VmsCounted
 from nutmegstep.gateway.adapter import Store
 from nutmegstep.relay import RelayChoice, choose_relays
@@ -49,7 +50,8 @@
     Parameters
     ----------
     on_count : Callable
-        Called with the number of VMs, in total and in the failure domain.
+        Called with the number of VMs, in total and in the failure domain, and
+        with the coordinators of queries.
     on_relays : Callable
         Called with the relays that this VM has to read from.
     on_neighbours : Callable
@@ -135,10 +137,8 @@
             await availability.available.wait()
 
     async def _renew(self, random: Random) -> bool:
-        entry = VmEntry(
-            self._entry.failure_domain,
-            self._entry.address,
-            random.getrandbits(_REVISION_BITS),
+        entry = replace(
+            self._entry, revision=random.getrandbits(_REVISION_BITS)
         )
         written = await self._store.put_vm(self._name, entry)
         if not is_successful(written):
@@ -162,7 +162,11 @@
         neighbours = self._registry.neighbours(now)
         count = self._registry.count(now)
         in_domain = self._registry.count_in_domain(now)
-        self._callbacks.on_count(VmsCounted(count, in_domain))
+        coordinators = choose_coordinators(
+            self._name,
+            {**self._registry.others(now), self._name: self._entry},
+        )
+        self._callbacks.on_count(VmsCounted(count, in_domain, coordinators))
         self._callbacks.on_relays(choose_relays(self._name, neighbours))
         self._callbacks.on_neighbours(
             [entry.address for entry in neighbours.values()],
--- a/nutmegstep/platform/store.py
+++ b/nutmegstep/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the operators' object store."""
 
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from datetime import timedelta
@@ -25,7 +26,7 @@
     ObjectChange,
     ObjectChanges,
 )
-from nutmegstep.store_watch.vm_registry import VmEntry
+from nutmegstep.store_watch.vm_registry import DEFAULT_CAPACITY, VmEntry
 
 __all__ = ['KIND_VMS', 'ObjectStore']
 
@@ -137,6 +138,7 @@
             'failure_domain': entry.failure_domain,
             'address': entry.address,
             'renewal': entry.revision,
+            'capacity': entry.capacity,
         }
         body = orjson.dumps({'meta': {'name': name}, 'spec': spec})
         path = _path(KIND_VMS, {})
@@ -298,9 +300,16 @@
         str(fields.get('failure_domain', '')),
         _read_peer_address(fields.get('address')),
         revision if isinstance(revision, int) else 0,
+        _read_capacity(fields.get('capacity')),
     )
 
 
+def _read_capacity(number: object) -> float:
+    if isinstance(number, int | float) and 0 < number < math.inf:
+        return float(number)
+    return DEFAULT_CAPACITY
+
+
 def _read_peer_address(text: object) -> str:
     # Other writers of the store may have written anything to an entry.
     try:
--- a/nutmegstep/relay/__init__.py
+++ b/nutmegstep/relay/__init__.py
@@ -7,7 +7,7 @@
 from nutmegstep.relay.cache import RelayCache
 from nutmegstep.relay.core import RelayChoice, choose_relays
 from nutmegstep.relay.fallback import FallbackReader
-from nutmegstep.relay.reader import RelayReader
+from nutmegstep.relay.reader import RelayReader, connect_relay
 from nutmegstep.relay.server import RelayServer
 
 __all__ = [
@@ -17,4 +17,5 @@
     'RelayReader',
     'RelayServer',
     'choose_relays',
+    'connect_relay',
 ]
--- a/nutmegstep/relay/reader.py
+++ b/nutmegstep/relay/reader.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
+from nutmegstep.clock import Clock
 from nutmegstep.platform_api.connection import HttpCall, HttpReply
 from nutmegstep.platform_api.records import (
     PlatformFailure,
@@ -14,13 +15,16 @@
 )
 from nutmegstep.platform_api.transport import HttpTransport
 from nutmegstep.relay.encoding import decode_changes, decode_listing
+from nutmegstep.settings.fields import read_address
 from nutmegstep.store_watch import HistoryGone, Listing, ObjectChanges
 
-__all__ = ['RelayReader']
+__all__ = ['RelayReader', 'connect_relay']
 
 _WAIT_DIVISOR: Final = 4
 """Factor by which watches of a relay are shorter than those of the store. Calls
 to a relay are not charged for, and one that hangs is noticed sooner."""
+_CALL_TIMEOUT: Final = timedelta(milliseconds=500)
+"""Time-out of a call to a relay, which is 1 or 2 ms away."""
 _STATUS_OK: Final = 200
 _STATUS_GONE: Final = 410
 _Decoded = TypeVar('_Decoded')
@@ -62,6 +66,20 @@
         self._transport.close()
 
 
+def connect_relay(clock: Clock, address: str) -> RelayReader:
+    """Return a client of the relay at an address.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic clock of the time-outs.
+    address : str
+        ``host:port`` of the relay.
+    """
+    host, port = read_address(address)
+    return RelayReader(HttpTransport(host, port, clock, _CALL_TIMEOUT))
+
+
 def _read_listing(reply: HttpReply) -> Result[Listing, PlatformFailure]:
     return _decode(reply, decode_listing)
 
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -23,6 +23,7 @@
 _POSITIVE_SECONDS: Final = 'a number of seconds above 0'
 _BOOLEANS: Final = frozenset(('true', 'false'))
 _NON_NEGATIVE_NUMBER: Final = 'a number of at least 0'
+_POSITIVE_NUMBER: Final = 'a number above 0'
 
 
 def _read_number(text: str) -> float:
@@ -38,11 +39,15 @@
     return text == 'true'
 
 
-def _read_seconds(text: str) -> timedelta:
-    seconds = _read_number(text)
-    if not seconds:
+def _read_positive_number(text: str) -> float:
+    number = _read_number(text)
+    if not number:
         raise ValueError(text)
-    return timedelta(seconds=seconds)
+    return number
+
+
+def _read_seconds(text: str) -> timedelta:
+    return timedelta(seconds=_read_positive_number(text))
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,6 +72,10 @@
         what this VM has read from the store.
     is_first_start : bool
         Whether all VMs of the system start for the first time.
+    cpu_share : float
+        Processor time that this VM may use, in seconds per second.
+    cpu_speed : float
+        Speed of its processor, as a multiple of a reference core.
     metrics_port : int
         Port of the metrics, on the IP address for callers; 0 disables them.
     grace : datetime.timedelta
@@ -119,6 +128,18 @@
         'whether all VMs start for the first time',
         default=False,
     )
+    cpu_share: float = setting(
+        _read_positive_number,
+        _POSITIVE_NUMBER,
+        'processor time that this VM may use, in seconds per second',
+        1,
+    )
+    cpu_speed: float = setting(
+        _read_positive_number,
+        _POSITIVE_NUMBER,
+        'speed of its processor, as a multiple of a reference core',
+        1,
+    )
     metrics_port: int = setting(
         read_port,
         'a port',
@@ -174,6 +195,11 @@
         'info',
     )
 
+    @property
+    def capacity(self) -> float:
+        """Processor capacity of this VM, in reference cores."""
+        return self.cpu_share * self.cpu_speed
+
 
 def read_environment_file(
     path: Path,
--- a/nutmegstep/store_watch/vm_registry.py
+++ b/nutmegstep/store_watch/vm_registry.py
@@ -11,7 +11,16 @@
 from datetime import timedelta
 from typing import Final
 
-__all__ = ['EXPIRE_AFTER', 'RENEWAL_INTERVAL', 'VmEntry', 'VmRegistry']
+__all__ = [
+    'DEFAULT_CAPACITY',
+    'EXPIRE_AFTER',
+    'RENEWAL_INTERVAL',
+    'VmEntry',
+    'VmRegistry',
+]
+
+DEFAULT_CAPACITY: Final = 1.0
+"""Capacity of a VM that does not state it, in cores of a reference machine."""
 
 RENEWAL_INTERVAL: Final = timedelta(minutes=5)
 """Time between two renewals of an entry; 4,600 VMs make 15 writes a second."""
@@ -33,11 +42,14 @@
     revision : int
         Revision of the object in the store, which grows at each renewal. In an
         entry that is written: a value that differs from the previous one.
+    capacity : float
+        Speed of the VM's processor, in cores of a reference machine.
     """
 
     failure_domain: str
     address: str
     revision: int
+    capacity: float = DEFAULT_CAPACITY
 
 
 class VmRegistry:
@@ -111,6 +123,12 @@
             if entries[name].failure_domain == self._own_domain
         }
 
+    def others(self, now: float) -> Mapping[str, VmEntry]:
+        """Return the other VMs of all failure domains, by name."""
+        return {
+            name: self._entry_by_name[name] for name in self._other_names(now)
+        }
+
     def expired_names(self, now: float) -> tuple[str, ...]:
         """Return the names of the VMs whose entries can be deleted."""
         cutoff = now - EXPIRE_AFTER.total_seconds()
