Bound endless responses, and wait for half-read requests at a stop

Cause, from faults of similar systems: - 30 targets that send a body without end could take 30 x 4 MB of a VM of 200 MB, and interim responses without end were read until the deadline. - A success without an attempt identifier was accepted, so a late second copy of an answer could become the answer to the next request. - A stop ended the process when no request was open, although one was being read or a connection had just been accepted.

--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -50,11 +50,14 @@
         The connection was closed before the response was complete.
     INVALID
         The response cannot be parsed or used, is too long or belongs to
-        another request, or the request cannot be encoded.
+        another request.
     TIMEOUT
         The send expired after the request was written.
     CANCELLED
-        The gateway cancelled the send.
+        The gateway cancelled the send after the request was written.
+    NOT_WRITTEN
+        The request was not written: it was cancelled before, or cannot be
+        encoded.
     """
 
     CONNECT = 'connect'
@@ -62,11 +65,15 @@
     INVALID = 'invalid'
     TIMEOUT = 'timeout'
     CANCELLED = 'cancelled'
+    NOT_WRITTEN = 'not_written'
 
     @property
     def may_have_run(self) -> bool:
         """Whether the target may have started to run the request."""
-        return self is not SendFailureKind.CONNECT
+        return self not in {
+            SendFailureKind.CONNECT,
+            SendFailureKind.NOT_WRITTEN,
+        }
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -16,6 +16,9 @@
 
 __all__ = ['handle_failure', 'handle_reply']
 
+_NOT_CAUSED_BY_TARGET: Final = frozenset(
+    (SendFailureKind.CANCELLED, SendFailureKind.NOT_WRITTEN)
+)
 _SLOW_SECONDS: Final = 0.18
 """Smallest latency of a reply that is reported to the neighbours, the other VMs
 of the failure domain. A healthy target pauses for up to 150 ms; the rest is the
@@ -158,7 +161,7 @@
     kind: SendFailureKind,
     now: float,
 ) -> list[Effect]:
-    if kind is SendFailureKind.CANCELLED:
+    if kind in _NOT_CAUSED_BY_TARGET:
         return []
     effects: list[Effect] = []
     state.health_of(send.target).record_no_reply(now)
--- a/nutmegstep/gateway/lifecycle.py
+++ b/nutmegstep/gateway/lifecycle.py
@@ -55,12 +55,19 @@
     while server.open_connections and loop.time() < closes_at:
         await asyncio.sleep(_POLL_INTERVAL_S)
     server.close()
-    while open_requests() and loop.time() < ends_at:
+    while _unanswered(server, open_requests) and loop.time() < ends_at:
         await asyncio.sleep(_POLL_INTERVAL_S)
     answered = not open_requests()
     fields = {
         'seconds': round(loop.time() - started, 2),
         'unanswered': open_requests(),
+        'pending_connections': server.pending_connections,
     }
     _LOG.info('drain finished', extra=fields)
     return answered
+
+
+def _unanswered(server: HttpServer, open_requests: Callable[[], int]) -> int:
+    # A request that is still being read, or one on a connection that has just
+    # been accepted, is not among the open requests yet.
+    return open_requests() + server.pending_connections
--- a/nutmegstep/gateway/pool.py
+++ b/nutmegstep/gateway/pool.py
@@ -13,6 +13,7 @@
 from nutmegstep.dispatch.events import RoutedRequest, SendFailureKind
 from nutmegstep.gateway.codec import WireCodec
 from nutmegstep.gateway.pooled_connection import PooledConnection, SendOutcome
+from nutmegstep.gateway.response_memory import ResponseMemory
 
 __all__ = ['ConnectionPool', 'SendCallback']
 
@@ -77,6 +78,8 @@
     ----------
     connections_opened : int
         Number of attempts to open a connection since the start.
+    memory : ResponseMemory
+        Bound on the bytes of responses that are being received.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         on_confirmed: ConfirmationCallback | None = None,
     ) -> None:
         self.connections_opened = 0
+        self.memory = ResponseMemory()
         self._clock = clock
         self._codec = codec
         self._on_outcome = on_outcome
@@ -115,9 +119,13 @@
         self._open_if_needed(group, effect.connection_limit)
 
     def cancel(self, send_id: int) -> None:
-        """End a send; its outcome is `SendFailureKind.CANCELLED`."""
+        """End a send.
+
+        Its outcome is `SendFailureKind.CANCELLED`, or
+        `SendFailureKind.NOT_WRITTEN` if it waited for a connection.
+        """
         self._end_send(
-            send_id, SendFailureKind.CANCELLED, SendFailureKind.CANCELLED
+            send_id, SendFailureKind.NOT_WRITTEN, SendFailureKind.CANCELLED
         )
 
     def drop_target(self, target_id: str) -> None:
@@ -178,6 +186,7 @@
                         lambda closed: self._on_connection_closed(
                             group, closed
                         ),
+                        self.memory,
                     ),
                     group.target.host,
                     group.target.port,
@@ -215,7 +224,7 @@
         head = self._request_head(effect, connection)
         if head is None:
             connection.fail(SendFailureKind.CANCELLED)
-            self._finish_send(effect.send_id, SendFailureKind.INVALID)
+            self._finish_send(effect.send_id, SendFailureKind.NOT_WRITTEN)
             return
         connection.send(
             head,
--- a/nutmegstep/gateway/pooled_connection.py
+++ b/nutmegstep/gateway/pooled_connection.py
@@ -9,6 +9,7 @@
 
 from nutmegstep.dispatch.events import HeaderItems, SendFailureKind
 from nutmegstep.gateway.codec import RawReply
+from nutmegstep.gateway.response_memory import ResponseMemory
 from nutmegstep.web.sockets import set_user_timeout
 
 __all__ = ['PooledConnection', 'SendOutcome', 'SendOutcomeCallback']
@@ -24,8 +25,8 @@
 sent bytes are not acknowledged for this time. Without it a connection stays
 open for minutes after a network partition."""
 _STATUS_MISDIRECTED: Final = 421
-_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
-"""Largest response body. Responses are kept in memory until complete."""
+_MAX_INTERIM_RESPONSES: Final = 8
+"""Most interim responses (status 1xx) before a response."""
 _DEFAULT_IDLE_S: Final = 4.0
 """Idle time-out that is assumed for a target without a Keep-Alive header."""
 _END_OF_MESSAGE: Final = h11.EndOfMessage()
@@ -45,6 +46,7 @@
     headers: HeaderItems = ()
     chunks: list[bytes] = field(default_factory=list)
     size: int = 0
+    interim_count: int = 0
 
 
 class PooledConnection(asyncio.Protocol):
@@ -56,6 +58,8 @@
         Called when the connection is free for another request.
     on_closed : Callable
         Called once when the connection is closed.
+    memory : ResponseMemory
+        Bound on the bytes of responses, shared with the other connections.
 
     Attributes
     ----------
@@ -71,12 +75,14 @@
         self,
         on_free: _ConnectionCallback,
         on_closed: _ConnectionCallback,
+        memory: ResponseMemory,
     ) -> None:
         self.idle_since = float(0)
         self.has_answered = False
         self._idle_timeout_s = _DEFAULT_IDLE_S
         self._on_free = on_free
         self._on_closed = on_closed
+        self._memory = memory
         self._http = h11.Connection(h11.CLIENT)
         self._exchange: _Exchange | None = None
         self._transport: asyncio.Transport | None = None
@@ -118,8 +124,7 @@
 
     def fail(self, kind: SendFailureKind) -> None:
         """Close the connection; a request in flight ends with `kind`."""
-        exchange = self._exchange
-        self._exchange = None
+        exchange = self._end_exchange()
         if self._transport is not None:
             self._transport.abort()
         if exchange is not None:
@@ -159,7 +164,7 @@
 
     def _handle_event(self, exchange: _Exchange, event: h11.Event) -> None:
         if isinstance(event, h11.InformationalResponse):
-            exchange.on_confirmed()
+            self._handle_interim(exchange)
         else:
             self._handle_final(exchange, event)
 
@@ -174,14 +179,29 @@
         elif isinstance(event, h11.ConnectionClosed):
             self.fail(SendFailureKind.RESET)
 
+    def _handle_interim(self, exchange: _Exchange) -> None:
+        exchange.interim_count += 1
+        if exchange.interim_count > _MAX_INTERIM_RESPONSES:
+            self.fail(SendFailureKind.INVALID)
+            return
+        exchange.on_confirmed()
+
     def _append_body(self, exchange: _Exchange, data: bytes) -> None:
+        may_go_on = self._memory.reserve(exchange.size, len(data))
         exchange.chunks.append(data)
         exchange.size += len(data)
-        if exchange.size > _MAX_BODY_BYTES:
+        if not may_go_on:
             self.fail(SendFailureKind.INVALID)
 
-    def _complete(self, exchange: _Exchange) -> None:
+    def _end_exchange(self) -> _Exchange | None:
+        exchange = self._exchange
         self._exchange = None
+        if exchange is not None:
+            self._memory.release(exchange.size)
+        return exchange
+
+    def _complete(self, exchange: _Exchange) -> None:
+        self._end_exchange()
         announced = _announced_idle_time(exchange.headers)
         if announced is not None:
             self._idle_timeout_s = announced
--- a/nutmegstep/platform/wire.py
+++ b/nutmegstep/platform/wire.py
@@ -50,6 +50,8 @@
 _REPLACED_HEADERS: Final = frozenset((_DEADLINE, _EXPECTED_TARGET))
 _MS_PER_SECOND: Final = 1000
 _STATUS_OK: Final = 200
+_STATUS_CLASS: Final = 100
+_SUCCESS: Final = 2
 _STATUS_MISDIRECTED: Final = 421
 _STATUS_BAD_GATEWAY: Final = 502
 _STATUS_GATEWAY_TIMEOUT: Final = 504
@@ -97,7 +99,12 @@
     header_by_name = dict(raw.headers)
     echoed = header_by_name.get(_ATTEMPT_ID)
     attempt_id = effect.request.attempt_id
-    if echoed is not None and echoed.decode('latin-1') != attempt_id:
+    if echoed is None:
+        # Without the identifier, a late copy of an earlier answer could be
+        # taken for the answer to this request.
+        if attempt_id and raw.status // _STATUS_CLASS == _SUCCESS:
+            return None
+    elif echoed.decode('latin-1') != attempt_id:
         return None
     # Callers request no content coding, so an intermediary has encoded the
     # body.
--- a/nutmegstep/web/core.py
+++ b/nutmegstep/web/core.py
@@ -104,6 +104,15 @@
         """Number of open connections, including those that linger."""
         return len(self._connections)
 
+    @property
+    def pending_connections(self) -> int:
+        """Number of connections that must not be cut.
+
+        Their request is being read or handled, their response has not been
+        written completely, or they have just been accepted.
+        """
+        return sum(one.cycle.is_pending for one in self._connections)
+
     async def listen(self, host: str, port: int) -> None:
         """Start accepting connections.
 
--- a/nutmegstep/web/cycle.py
+++ b/nutmegstep/web/cycle.py
@@ -108,6 +108,15 @@
         self._loop = asyncio.get_running_loop()
         self._enter(Phase.IDLE, server.limits.head_seconds)
 
+    @property
+    def is_pending(self) -> bool:
+        """Whether closing the connection now would lose a request."""
+        if self._transport.get_write_buffer_size():
+            return True
+        if self.phase is Phase.IDLE:
+            return not self.answered
+        return self.phase is not Phase.LINGERING
+
     def feed(self, data: bytes | None) -> None:
         """Process received bytes.
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -113,6 +113,24 @@
     assert CODEC.read_reply(_send(), raw) is None
 
 
+@pytest.mark.parametrize('status', [200, 204])
+def test_success_without_the_attempt_is_rejected(status: int) -> None:
+    """A late second copy of an answer, on a connection that is in use again,
+    must not become the answer to the next caller's request.
+    """
+    headers = ((b'x-nutmegstep-server-stamp', b'signed'),)
+    assert CODEC.read_reply(_send(), RawReply(status, headers, b'')) is None
+
+
+def test_failure_without_the_attempt_is_read() -> None:
+    """A rejection counts whatever its headers, so that another target is asked
+    at once.
+    """
+    found = CODEC.read_reply(_send(), RawReply(503, (), b''))
+    assert found is not None
+    assert found.status == 503
+
+
 def test_encoded_reply_is_rejected() -> None:
     """Guards against a compressed body that the caller did not request and
     cannot decode.
