Keep the extra sends of large fleets within the slack

Cause: each VM could save one token for a service whatever its share, so after a quiet time 65 VMs could send 65 extra requests with a slack of 54.

Change: where the share of a VM is below one token, only as many VMs as the slack allows may save one, chosen by their ranks and the service.

--- a/nutmegstep/coordinators/core.py
+++ b/nutmegstep/coordinators/core.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from itertools import groupby
+from itertools import chain, groupby
 from operator import itemgetter
 from typing import Final
 
@@ -46,12 +46,16 @@
         Number of coordinators in the failure domain of this VM.
     total : int
         Number of coordinators in all failure domains.
+    rank : int
+        Position of this VM among the coordinators or, if it is not one, among
+        the other VMs.
     """
 
     addresses: tuple[str, ...] = ()
     is_coordinator: bool = False
     in_domain: int = 0
     total: int = 0
+    rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,11 +108,16 @@
     chosen = chosen_by_domain[own_domain]
     is_coordinator = own_name in chosen
     order = () if is_coordinator else _rotate(chosen, own_name)
+    coordinators = frozenset(chain.from_iterable(chosen_by_domain.values()))
+    peers = (
+        coordinators if is_coordinator else entry_by_name.keys() - coordinators
+    )
     return CoordinatorChoice(
         tuple(entry_by_name[name].address for name in order),
         is_coordinator,
         len(chosen),
-        sum(len(names) for names in chosen_by_domain.values()),
+        len(coordinators),
+        sorted(peers).index(own_name),
     )
 
 
--- a/nutmegstep/dispatch/budget.py
+++ b/nutmegstep/dispatch/budget.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 from typing import Final
 
-__all__ = ['BudgetLimits', 'RepeatBudget']
+__all__ = ['BudgetLimits', 'RepeatBudget', 'token_savers']
 
 _USED_SHARE: Final = 0.9
 """Part of the allowed ratio and slack that is used. The rest allows for
@@ -40,6 +40,19 @@
     window: timedelta
 
 
+def token_savers(limits: BudgetLimits, bound_share: float) -> int:
+    """Return how many VMs may save a token for the same service.
+
+    Parameters
+    ----------
+    limits : BudgetLimits
+        Bound over all VMs.
+    bound_share : float
+        Share of the bound that these VMs have together.
+    """
+    return int(limits.slack * _USED_SHARE * _CAPACITY_SHARE * bound_share)
+
+
 class RepeatBudget:
     """Token bucket for the extra sends of this VM to one service.
 
@@ -61,10 +74,15 @@
     ----------
     limits : BudgetLimits
         Bound in force; replaced when the settings are reloaded.
+    may_save_token : bool
+        Whether one token may be saved although the share of this VM is
+        smaller. In a large fleet a bound does not suffice for one token of
+        each VM, so only some of them may; see `token_savers`.
     """
 
     def __init__(self, limits: BudgetLimits, now: float) -> None:
         self.limits = limits
+        self.may_save_token = True
         self._tokens = float(0)
         self._updated = now
 
@@ -126,10 +144,13 @@
         self._cap(vm_count)
 
     def _share(self, vm_count: float) -> float:
-        return self.limits.slack * _USED_SHARE / vm_count
+        share = self.limits.slack * _USED_SHARE / vm_count
+        if self.may_save_token:
+            return max(share, 1 / _CAPACITY_SHARE)
+        return share
 
     def _capacity(self, vm_count: float) -> float:
-        return max(1, self._share(vm_count) * _CAPACITY_SHARE)
+        return self._share(vm_count) * _CAPACITY_SHARE
 
     def _cap(self, vm_count: float) -> None:
         self._tokens = min(self._tokens, self._capacity(vm_count))
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -3,13 +3,20 @@
 import math
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import cache
 from random import Random
 from typing import Final
 
+import xxhash
+
 from nutmegstep.configuration import Configuration, Route, ServiceSpec
 from nutmegstep.coordinators import CoordinatorChoice
 from nutmegstep.discovery import TargetRecord, TargetRegistry
-from nutmegstep.dispatch.budget import BudgetLimits, RepeatBudget
+from nutmegstep.dispatch.budget import (
+    BudgetLimits,
+    RepeatBudget,
+    token_savers,
+)
 from nutmegstep.dispatch.coordinator_health import CoordinatorHealth
 from nutmegstep.dispatch.events import RoutedRequest, TargetReply
 from nutmegstep.dispatch.health import TargetHealth
@@ -83,6 +90,11 @@
     cold: ColdLimits
 
 
+@cache
+def _ring_offset(service: str) -> int:
+    return xxhash.xxh3_64_intdigest(service.encode())
+
+
 class RouteLatency:
     """Running latency estimates of the targets of one route.
 
@@ -387,8 +399,9 @@
     def replace_limits(self, limits: DispatchLimits) -> None:
         """Replace the bounds, also those of existing budgets."""
         self.limits = limits
-        for budget in self._budget_by_service.values():
+        for service, budget in self._budget_by_service.items():
             budget.limits = limits.budget
+            budget.may_save_token = self._may_save_token(service)
 
     def budget_of(self, service: str) -> RepeatBudget:
         """Return the budget for repeats and hedges of a service."""
@@ -396,6 +409,7 @@
         if budget is None:
             budget = RepeatBudget(self.limits.budget, self._started)
             self._budget_by_service[service] = budget
+        budget.may_save_token = self._may_save_token(service)
         return budget
 
     def record_request(self, service: str, now: float) -> None:
@@ -426,3 +440,20 @@
             latency = RouteLatency(route.target_latency.total_seconds())
             self._latency_by_route[route.name] = latency
         return latency
+
+    @property
+    def _peers(self) -> int:
+        """Number of VMs that have the same share of a bound as this one."""
+        if self.coordinators.is_coordinator:
+            return self.coordinators.total
+        return self.vm_count - self.coordinators.total
+
+    def _may_save_token(self, service: str) -> bool:
+        # The VMs that may save a token are neighbours on a ring, and each
+        # service starts at another place of it.
+        peers = max(1, self._peers)
+        savers = token_savers(
+            self.limits.budget, min(1, peers / self.bound_divisor)
+        )
+        place = self.coordinators.rank + _ring_offset(service)
+        return place % peers < savers
