--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -1,6 +1,6 @@
-"""Delegates queries over many shards to a coordinator of the failure domain.
+"""Delegates idempotent requests to a coordinator of the failure domain.
 
-A query is delegated once, to the first coordinator that is not blocked. If that
+A request is delegated once, to the first coordinator that is not blocked. If that
 fails, this VM sends the parts itself. The coordinator uses the same version of
 the configuration or declines, so callers of this VM never see an older one.
 """
@@ -50,6 +50,8 @@
 """Part of the time until a partial answer is due that is reserved for the way
 from the coordinator to this VM and on."""
 _MS_PER_SECOND: Final = 1000
+_MAX_BODY_BYTES: Final = 64 * 1024
+"""Longest body of a request that is delegated."""
 _MAX_OPEN_REQUESTS: Final = 24
 """Open requests from which a coordinator declines delegated queries, so that
 its neighbours use their own processors."""
@@ -63,8 +65,7 @@
     """Delegate a new request; return no effects if it cannot be delegated."""
     configuration = state.configuration
     request = open_request.request
-    is_eligible = open_request.route.is_gather and request.delegated is None
-    if not is_eligible or configuration is None:
+    if configuration is None or not _is_eligible(open_request):
         return []
     address = state.coordinator_health.first_usable(
         state.coordinators.addresses, now
@@ -91,6 +92,15 @@
     ]
 
 
+def _is_eligible(open_request: OpenRequest) -> bool:
+    # After a failed delegation nobody knows whether a request has run, so one
+    # that must not run twice could not be sent again.
+    request = open_request.request
+    if request.delegated is not None or not open_request.route.is_idempotent:
+        return False
+    return len(request.body) <= _MAX_BODY_BYTES
+
+
 def decline_if_unsuitable(
     state: DispatchState,
     request: RoutedRequest,
