--- a/nutmegstep/dispatch/__init__.py
+++ b/nutmegstep/dispatch/__init__.py
@@ -4,11 +4,15 @@
 changes the state and returns the effects that the gateway carries out.
 """
 
+from nutmegstep.dispatch.budget import BudgetLimits
 from nutmegstep.dispatch.core import reduce_event
-from nutmegstep.dispatch.state import (
-    ColdLimits,
-    DispatchLimits,
-    DispatchState,
-)
+from nutmegstep.dispatch.limits import ColdLimits, DispatchLimits
+from nutmegstep.dispatch.state import DispatchState
 
-__all__ = ['ColdLimits', 'DispatchLimits', 'DispatchState', 'reduce_event']
+__all__ = [
+    'BudgetLimits',
+    'ColdLimits',
+    'DispatchLimits',
+    'DispatchState',
+    'reduce_event',
+]
--- a/nutmegstep/dispatch/arrivals.py
+++ b/nutmegstep/dispatch/arrivals.py
@@ -8,8 +8,9 @@
 from nutmegstep.dispatch.delegation import decline_if_unsuitable, delegate
 from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
 from nutmegstep.dispatch.events import RequestArrived, RoutedRequest
+from nutmegstep.dispatch.requests import OpenRequest, Part
 from nutmegstep.dispatch.starting import start_sends
-from nutmegstep.dispatch.state import DispatchState, OpenRequest, Part
+from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
 __all__ = ['handle_arrival']
@@ -41,11 +42,12 @@
     shards have a usable target for an answer.
     """
     request = event.request
-    declined = decline_if_unsuitable(state, request)
+    declined = decline_if_unsuitable(state, request, now)
     if declined:
         return declined
     configuration = state.configuration
-    if configuration is None or not state.has_targets:
+    is_ready = configuration is not None and state.has_targets
+    if configuration is None or not is_ready or now < state.refresh_until:
         return _refuse_not_ready(request)
     route = match_route(configuration, request.host, request.path)
     if route is None:
--- a/nutmegstep/dispatch/completion.py
+++ b/nutmegstep/dispatch/completion.py
@@ -29,7 +29,8 @@
 )
 from nutmegstep.dispatch.events import TargetReply
 from nutmegstep.dispatch.merging import merge_records
-from nutmegstep.dispatch.state import DispatchState, OpenRequest, Part
+from nutmegstep.dispatch.requests import OpenRequest, Part
+from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.verdict import Reason, Refusal, refuse
 
 __all__ = [
--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -2,23 +2,27 @@
 domains and the number of VMs.
 """
 
-from nutmegstep.dispatch.effects import Decision, DropTarget, Effect
-from nutmegstep.dispatch.events import (
+from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
     DomainsWithdrawn,
     HousekeepingDue,
+    ProcessResumed,
     StoreRecovered,
+    StoreRefreshed,
     TargetAnnounced,
     TargetRemoved,
     TargetsListed,
     TargetsSuspected,
     VmsCounted,
 )
+from nutmegstep.dispatch.effects import Decision, DropTarget, Effect
 from nutmegstep.dispatch.reporting import record_report
 from nutmegstep.dispatch.state import DispatchState
 
 __all__ = [
     'apply_configuration',
+    'await_refresh',
+    'end_refresh',
     'expire_targets',
     'record_reports',
     'remove_target',
@@ -113,6 +117,26 @@
     ]
 
 
+def await_refresh(
+    state: DispatchState,
+    event: ProcessResumed,
+    now: float,
+) -> list[Effect]:
+    """Send nothing until the changes of the pause are known."""
+    state.require_refresh(now)
+    return [Decision('process_resumed', '', {})]
+
+
+def end_refresh(
+    state: DispatchState,
+    event: StoreRefreshed,
+    now: float,
+) -> list[Effect]:
+    """Send again, since the store has been read after a pause."""
+    state.refresh_until = now
+    return [Decision('store_refreshed', '', {})]
+
+
 def start_return_grace(
     state: DispatchState,
     event: StoreRecovered,
--- /dev/null
+++ b/nutmegstep/dispatch/control_events.py
@@ -0,0 +1,132 @@
+"""Events that change what the dispatcher knows, apart from single requests."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from nutmegstep.configuration import Configuration
+from nutmegstep.coordinators import CoordinatorChoice
+from nutmegstep.discovery import TargetRecord
+
+__all__ = [
+    'ConfigurationChanged',
+    'ControlEvent',
+    'DomainsWithdrawn',
+    'HousekeepingDue',
+    'ProcessResumed',
+    'StoreRecovered',
+    'StoreRefreshed',
+    'TargetAnnounced',
+    'TargetRemoved',
+    'TargetsListed',
+    'TargetsSuspected',
+    'VmsCounted',
+]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationChanged:
+    """A version of the configuration was read."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsListed:
+    """The complete list of target announcements was read."""
+
+    records_by_id: Mapping[str, TargetRecord]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetAnnounced:
+    """A target was announced or changed its announcement."""
+
+    record: TargetRecord
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRemoved:
+    """The announcement of a target was deleted or cannot be read."""
+
+    target_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class DomainsWithdrawn:
+    """The set of withdrawn failure domains was read."""
+
+    domains: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessResumed:
+    """The process was paused and may have missed changes in the store."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRefreshed:
+    """All watched kinds were read again after a pause."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRecovered:
+    """The store answers again after an outage."""
+
+
+@dataclass(frozen=True, slots=True)
+class VmsCounted:
+    """The number of VMs that share the targets was estimated.
+
+    Parameters
+    ----------
+    count : int
+        Number of all VMs, including this one.
+    in_domain : int
+        Number of VMs in the failure domain of this VM, including this one.
+    coordinators : CoordinatorChoice
+        Coordinators of queries.
+    """
+
+    count: int
+    in_domain: int
+    coordinators: CoordinatorChoice = CoordinatorChoice()
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsSuspected:
+    """Another VM of the failure domain reported targets as too slow.
+
+    Parameters
+    ----------
+    target_ids : tuple of str
+        Identifiers of the reported targets.
+    reporter : str
+        Address of the VM that sent the report.
+    """
+
+    target_ids: tuple[str, ...]
+    reporter: str
+
+
+@dataclass(frozen=True, slots=True)
+class HousekeepingDue:
+    """It is time to look for expired targets.
+
+    These are targets that were kept after an outage of the store and have not
+    announced themselves again.
+    """
+
+
+ControlEvent = (
+    ConfigurationChanged
+    | DomainsWithdrawn
+    | HousekeepingDue
+    | ProcessResumed
+    | StoreRecovered
+    | StoreRefreshed
+    | TargetAnnounced
+    | TargetRemoved
+    | TargetsListed
+    | TargetsSuspected
+    | VmsCounted
+)
--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -8,26 +8,30 @@
 from nutmegstep.dispatch import control, delegation
 from nutmegstep.dispatch.arrivals import handle_arrival
 from nutmegstep.dispatch.completion import answer_if_due, close_request
+from nutmegstep.dispatch.control_events import (
+    ConfigurationChanged,
+    DomainsWithdrawn,
+    HousekeepingDue,
+    ProcessResumed,
+    StoreRecovered,
+    StoreRefreshed,
+    TargetAnnounced,
+    TargetRemoved,
+    TargetsListed,
+    TargetsSuspected,
+    VmsCounted,
+)
 from nutmegstep.dispatch.effects import Decision, Effect
 from nutmegstep.dispatch.events import (
     CallerLeft,
-    ConfigurationChanged,
     DelegationAccepted,
     DelegationAnswered,
     DelegationFailed,
-    DomainsWithdrawn,
     Event,
-    HousekeepingDue,
     RequestArrived,
     RequestDue,
     SendFailed,
-    StoreRecovered,
-    TargetAnnounced,
-    TargetRemoved,
     TargetReplied,
-    TargetsListed,
-    TargetsSuspected,
-    VmsCounted,
 )
 from nutmegstep.dispatch.outcomes import handle_failure, handle_reply
 from nutmegstep.dispatch.sending import hedge
@@ -119,6 +123,8 @@
         TargetAnnounced: control.update_target,
         TargetRemoved: control.remove_target,
         DomainsWithdrawn: control.set_withdrawn_domains,
+        ProcessResumed: control.await_refresh,
+        StoreRefreshed: control.end_refresh,
         StoreRecovered: control.start_return_grace,
         VmsCounted: control.set_vm_counts,
         TargetsSuspected: control.record_reports,
--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -28,8 +28,9 @@
     DelegationFailed,
     RoutedRequest,
 )
+from nutmegstep.dispatch.requests import Delegation, OpenRequest
 from nutmegstep.dispatch.starting import start_sends
-from nutmegstep.dispatch.state import Delegation, DispatchState, OpenRequest
+from nutmegstep.dispatch.state import DispatchState
 
 __all__ = [
     'check_delegation',
@@ -104,6 +105,7 @@
 def decline_if_unsuitable(
     state: DispatchState,
     request: RoutedRequest,
+    now: float,
 ) -> list[Effect]:
     """Decline a delegated request if its sender had better serve it.
 
@@ -117,7 +119,8 @@
         return []
     configuration = state.configuration
     reason = ''
-    if configuration is None or not state.has_targets:
+    is_current = state.has_targets and now >= state.refresh_until
+    if configuration is None or not is_current:
         reason = 'not_ready'
     elif configuration.version != request.delegated.config_version:
         reason = 'other_version'
--- a/nutmegstep/dispatch/effects.py
+++ b/nutmegstep/dispatch/effects.py
@@ -5,10 +5,7 @@
 
 from nutmegstep.coordinators import DelegationTerms
 from nutmegstep.discovery import TargetRecord
-from nutmegstep.dispatch.events import (
-    RoutedRequest,
-    TargetReply,
-)
+from nutmegstep.dispatch.events import RoutedRequest, TargetReply
 from nutmegstep.verdict import Refusal
 
 __all__ = [
--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -1,36 +1,25 @@
 """Events that the dispatcher handles."""
 
 import enum
-from collections.abc import Mapping
 from dataclasses import dataclass
 
-from nutmegstep.configuration import Configuration
-from nutmegstep.coordinators import CoordinatorChoice, DelegationTerms
-from nutmegstep.discovery import TargetRecord
+from nutmegstep.coordinators import DelegationTerms
+from nutmegstep.dispatch.control_events import ControlEvent
 
 __all__ = [
     'CallerLeft',
-    'ConfigurationChanged',
     'DelegationAccepted',
     'DelegationAnswered',
     'DelegationFailed',
-    'DomainsWithdrawn',
     'Event',
     'HeaderItems',
-    'HousekeepingDue',
     'RequestArrived',
     'RequestDue',
     'RoutedRequest',
     'SendFailed',
     'SendFailureKind',
-    'StoreRecovered',
-    'TargetAnnounced',
-    'TargetRemoved',
     'TargetReplied',
     'TargetReply',
-    'TargetsListed',
-    'TargetsSuspected',
-    'VmsCounted',
 ]
 
 HeaderItems = tuple[tuple[bytes, bytes], ...]
@@ -229,90 +218,6 @@
     may_have_run: bool
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigurationChanged:
-    """A version of the configuration was read."""
-
-    configuration: Configuration
-
-
-@dataclass(frozen=True, slots=True)
-class TargetsListed:
-    """The complete list of target announcements was read."""
-
-    records_by_id: Mapping[str, TargetRecord]
-
-
-@dataclass(frozen=True, slots=True)
-class TargetAnnounced:
-    """A target was announced or changed its announcement."""
-
-    record: TargetRecord
-
-
-@dataclass(frozen=True, slots=True)
-class TargetRemoved:
-    """The announcement of a target was deleted or cannot be read."""
-
-    target_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class DomainsWithdrawn:
-    """The set of withdrawn failure domains was read."""
-
-    domains: frozenset[str]
-
-
-@dataclass(frozen=True, slots=True)
-class StoreRecovered:
-    """The store answers again after an outage."""
-
-
-@dataclass(frozen=True, slots=True)
-class VmsCounted:
-    """The number of VMs that share the targets was estimated.
-
-    Parameters
-    ----------
-    count : int
-        Number of all VMs, including this one.
-    in_domain : int
-        Number of VMs in the failure domain of this VM, including this one.
-    coordinators : CoordinatorChoice
-        Coordinators of queries.
-    """
-
-    count: int
-    in_domain: int
-    coordinators: CoordinatorChoice = CoordinatorChoice()
-
-
-@dataclass(frozen=True, slots=True)
-class TargetsSuspected:
-    """Another VM of the failure domain reported targets as too slow.
-
-    Parameters
-    ----------
-    target_ids : tuple of str
-        Identifiers of the reported targets.
-    reporter : str
-        Address of the VM that sent the report.
-    """
-
-    target_ids: tuple[str, ...]
-    reporter: str
-
-
-@dataclass(frozen=True, slots=True)
-class HousekeepingDue:
-    """It is time to look for expired targets.
-
-    These are targets that were kept after an outage of the store and have not
-    announced themselves again.
-    """
-
-
 Event = (
     RequestArrived
     | CallerLeft
@@ -322,13 +227,5 @@
     | DelegationAccepted
     | DelegationAnswered
     | DelegationFailed
-    | ConfigurationChanged
-    | TargetsListed
-    | TargetAnnounced
-    | TargetRemoved
-    | DomainsWithdrawn
-    | StoreRecovered
-    | VmsCounted
-    | TargetsSuspected
-    | HousekeepingDue
+    | ControlEvent
 )
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -11,8 +11,9 @@
     TargetReply,
 )
 from nutmegstep.dispatch.reporting import report_target
+from nutmegstep.dispatch.requests import Send
 from nutmegstep.dispatch.sending import repeat
-from nutmegstep.dispatch.state import DispatchState, Send
+from nutmegstep.dispatch.state import DispatchState
 
 __all__ = ['handle_failure', 'handle_reply']
 
--- /dev/null
+++ b/nutmegstep/dispatch/requests.py
@@ -0,0 +1,150 @@
+"""Records of the requests that are not answered and of their sends."""
+
+import math
+from dataclasses import dataclass, field
+
+from nutmegstep.configuration import Route
+from nutmegstep.discovery import TargetRecord
+from nutmegstep.dispatch.events import RoutedRequest, TargetReply
+from nutmegstep.verdict import Verdict
+
+__all__ = ['Delegation', 'OpenRequest', 'Part', 'Send']
+
+
+@dataclass(slots=True)
+class Part:
+    """Part of a request that is sent to one service.
+
+    A request to several shards has one part per shard; any other request has
+    a single part.
+
+    Attributes
+    ----------
+    service : str
+        Service that the part is sent to.
+    pending_sends : set of int
+        Identifiers of the sends without an outcome.
+    tried_targets : set of str
+        Identifiers of the targets that the part was sent to.
+    possible_runs : int
+        Number of sends whose targets run the request or may have run it.
+    reply : TargetReply or None
+        Usable reply.
+    replied_at : float
+        Monotonic time in seconds of the usable reply.
+    failure : TargetReply or None
+        Latest reply that is not usable.
+    hedge_at : float
+        Monotonic time in seconds at which a hedge is due; infinite if none is.
+    is_stalled : bool
+        Whether the part waits for a stalled target only.
+    is_failed : bool
+        Whether no reply is expected and the part is not sent again.
+    """
+
+    service: str
+    pending_sends: set[int] = field(default_factory=set)
+    tried_targets: set[str] = field(default_factory=set)
+    possible_runs: int = 0
+    reply: TargetReply | None = None
+    replied_at: float = 0
+    failure: TargetReply | None = None
+    hedge_at: float = math.inf
+    is_stalled: bool = False
+    is_failed: bool = False
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the part has neither a usable reply nor failed."""
+        return self.reply is None and not self.is_failed
+
+
+@dataclass(slots=True)
+class Delegation:
+    """Delegation of a request to a coordinator.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the coordinator.
+    accept_by : float
+        Monotonic time in seconds by which the coordinator must confirm that it
+        has read the request.
+    take_over_at : float
+        Monotonic time in seconds by which it must answer.
+    is_accepted : bool
+        Whether it has confirmed the request.
+    """
+
+    address: str
+    accept_by: float
+    take_over_at: float
+    is_accepted: bool = False
+
+    @property
+    def due_at(self) -> float:
+        """Monotonic time in seconds at which the coordinator is too late."""
+        return self.take_over_at if self.is_accepted else self.accept_by
+
+
+@dataclass(slots=True)
+class OpenRequest:
+    """Request that has not been answered.
+
+    Attributes
+    ----------
+    request : RoutedRequest
+        Request of the caller.
+    route : Route
+        Route of the request, from the configuration in force at its arrival.
+    parts : tuple of Part
+        Parts of the request, one per service that it is sent to.
+    partial_answer_at : float
+        Monotonic time in seconds from which a partial answer is sent although
+        missing parts may still be answered.
+    deadline : float
+        Monotonic time in seconds by which the request is answered or refused.
+    required : int
+        Minimum number of parts with a usable reply in an answer.
+    answered : int
+        Number of parts with a usable reply.
+    delegation : Delegation or None
+        Coordinator that serves the request; None if this VM does.
+    """
+
+    request: RoutedRequest
+    route: Route
+    parts: tuple[Part, ...]
+    partial_answer_at: float
+    deadline: float
+    required: int
+    answered: int = 0
+    delegation: Delegation | None = None
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether a target may have run any part of the request."""
+        may_have_run = any(part.possible_runs for part in self.parts)
+        return Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send of one part to a target.
+
+    Attributes
+    ----------
+    open_request : OpenRequest
+        Request that the part belongs to.
+    part : Part
+        Part that was sent.
+    target : TargetRecord
+        Target that it was sent to.
+    sent_at : float
+        Monotonic time of the send in seconds.
+    """
+
+    open_request: OpenRequest
+    part: Part
+    target: TargetRecord
+    sent_at: float
--- a/nutmegstep/dispatch/selection.py
+++ b/nutmegstep/dispatch/selection.py
@@ -66,11 +66,12 @@
 ) -> bool:
     """Return whether a request may be sent to a target.
 
-    Targets that drain, that belong to a withdrawn failure domain, that are
+    None is usable until the store has been read after a pause. Targets that
+    drain, that belong to a withdrawn failure domain, that are
     blocked after failures, or that are cold and have no token left are not
     usable.
     """
-    if target.is_draining:
+    if target.is_draining or now < state.refresh_until:
         return False
     if target.failure_domain in state.withdrawn_domains:
         return False
--- a/nutmegstep/dispatch/sending.py
+++ b/nutmegstep/dispatch/sending.py
@@ -9,12 +9,13 @@
 
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.effects import Decision, Effect, SendRequest
+from nutmegstep.dispatch.requests import OpenRequest, Part, Send
 from nutmegstep.dispatch.selection import (
     Choice,
     choose_target,
     spend_cold_token,
 )
-from nutmegstep.dispatch.state import DispatchState, OpenRequest, Part, Send
+from nutmegstep.dispatch.state import DispatchState
 
 __all__ = ['connection_limit', 'hedge', 'repeat', 'send_first']
 
--- a/nutmegstep/dispatch/starting.py
+++ b/nutmegstep/dispatch/starting.py
@@ -6,9 +6,10 @@
 
 from nutmegstep.dispatch.completion import answer_if_due, close_request
 from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
+from nutmegstep.dispatch.requests import OpenRequest
 from nutmegstep.dispatch.selection import is_usable
 from nutmegstep.dispatch.sending import send_first
-from nutmegstep.dispatch.state import DispatchState, OpenRequest
+from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.verdict import Reason, refuse
 
 __all__ = ['start_sends']
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -1,7 +1,5 @@
-"""State of the dispatcher and its records of requests and sends."""
+"""State of the dispatcher."""
 
-import math
-from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import cache
 from random import Random
@@ -12,265 +10,32 @@
 from nutmegstep.configuration import Configuration, Route, ServiceSpec
 from nutmegstep.coordinators import CoordinatorChoice
 from nutmegstep.discovery import TargetRecord, TargetRegistry
-from nutmegstep.dispatch.budget import (
-    BudgetLimits,
-    RepeatBudget,
-    token_savers,
-)
+from nutmegstep.dispatch.budget import RepeatBudget, token_savers
 from nutmegstep.dispatch.coordinator_health import CoordinatorHealth
-from nutmegstep.dispatch.events import RoutedRequest, TargetReply
 from nutmegstep.dispatch.health import TargetHealth
-from nutmegstep.dispatch.latency import (
-    INITIAL_INTERVAL,
-    RequestInterval,
-    RunningQuantile,
-)
+from nutmegstep.dispatch.latency import INITIAL_INTERVAL, RequestInterval
+from nutmegstep.dispatch.limits import DispatchLimits
 from nutmegstep.dispatch.reachability import DomainReachability
-from nutmegstep.verdict import Verdict
+from nutmegstep.dispatch.requests import OpenRequest, Send
+from nutmegstep.dispatch.route_latency import RouteLatency
 
-__all__ = [
-    'ColdLimits',
-    'Delegation',
-    'DispatchLimits',
-    'DispatchState',
-    'OpenRequest',
-    'Part',
-    'RouteLatency',
-    'Send',
-]
+__all__ = ['DispatchState']
 
-_HEDGE_PROBABILITY: Final = 0.95
-"""Quantile of the latencies that is used as hedge delay."""
-_MEDIAN: Final = 0.5
-_INITIAL_MEDIAN_SHARE: Final = 0.2
-"""Initial median of a route, as a share of its target latency."""
-_INITIAL_HEDGE_SHARE: Final = 0.4
-"""Initial hedge delay of a route, as a share of its target latency."""
-_MAX_HEDGE_SHARE: Final = 0.4
-"""Longest hedge delay, as a share of the target latency; the time that remains
-must suffice for the reply of the second target."""
-_MIN_HEDGE_MEDIANS: Final = 1.3
-"""Shortest hedge delay, as a multiple of the median latency."""
 _COORDINATORS_SHARE: Final = 0.7
 """Share of the bounds over all VMs that the coordinators use."""
+_MAX_REFRESH_SECONDS: Final = 1.0
+"""Longest time after a pause for which nothing is sent. If the store has not
+been read again by then, it is unreachable, and what is known must do."""
 _INITIAL_VM_COUNT: Final = 8
 """Number of VMs that is assumed until they are counted; the two deployments
 have six and seven."""
 
 
-@dataclass(frozen=True, slots=True)
-class ColdLimits:
-    """Bound on the requests to a cold target, summed over all VMs.
-
-    Parameters
-    ----------
-    overshoot : float
-        Factor by which the declared rate is multiplied.
-    slack : float
-        Requests per second that are allowed in addition.
-    """
-
-    overshoot: float
-    slack: float
-
-
-@dataclass(frozen=True, slots=True)
-class DispatchLimits:
-    """Bounds that the operators set for a deployment.
-
-    Parameters
-    ----------
-    budget : BudgetLimits
-        Bound on repeats and hedges.
-    cold : ColdLimits
-        Bound on requests to cold targets.
-    """
-
-    budget: BudgetLimits
-    cold: ColdLimits
-
-
 @cache
 def _ring_offset(service: str) -> int:
     return xxhash.xxh3_64_intdigest(service.encode())
 
 
-class RouteLatency:
-    """Running latency estimates of the targets of one route.
-
-    Parameters
-    ----------
-    target_latency : float
-        Target latency of the route in seconds.
-    """
-
-    def __init__(self, target_latency: float) -> None:
-        self._median = RunningQuantile(
-            _MEDIAN,
-            target_latency * _INITIAL_MEDIAN_SHARE,
-        )
-        self._hedge = RunningQuantile(
-            _HEDGE_PROBABILITY,
-            target_latency * _INITIAL_HEDGE_SHARE,
-        )
-        self._longest = target_latency * _MAX_HEDGE_SHARE
-
-    @property
-    def median(self) -> float:
-        """Median latency in seconds."""
-        return self._median.estimate
-
-    @property
-    def hedge_delay(self) -> float:
-        """Time in seconds after which a second target is sent the request."""
-        shortest = self._median.estimate * _MIN_HEDGE_MEDIANS
-        return min(max(self._hedge.estimate, shortest), self._longest)
-
-    def observe(self, seconds: float) -> None:
-        """Add the latency of a reply in seconds."""
-        self._median.observe(seconds)
-        self._hedge.observe(min(seconds, self._longest * 2))
-
-
-@dataclass(slots=True)
-class Part:
-    """Part of a request that is sent to one service.
-
-    A request to several shards has one part per shard; any other request has
-    a single part.
-
-    Attributes
-    ----------
-    service : str
-        Service that the part is sent to.
-    pending_sends : set of int
-        Identifiers of the sends without an outcome.
-    tried_targets : set of str
-        Identifiers of the targets that the part was sent to.
-    possible_runs : int
-        Number of sends whose targets run the request or may have run it.
-    reply : TargetReply or None
-        Usable reply.
-    replied_at : float
-        Monotonic time in seconds of the usable reply.
-    failure : TargetReply or None
-        Latest reply that is not usable.
-    hedge_at : float
-        Monotonic time in seconds at which a hedge is due; infinite if none is.
-    is_stalled : bool
-        Whether the part waits for a stalled target only.
-    is_failed : bool
-        Whether no reply is expected and the part is not sent again.
-    """
-
-    service: str
-    pending_sends: set[int] = field(default_factory=set)
-    tried_targets: set[str] = field(default_factory=set)
-    possible_runs: int = 0
-    reply: TargetReply | None = None
-    replied_at: float = 0
-    failure: TargetReply | None = None
-    hedge_at: float = math.inf
-    is_stalled: bool = False
-    is_failed: bool = False
-
-    @property
-    def is_waiting(self) -> bool:
-        """Whether the part has neither a usable reply nor failed."""
-        return self.reply is None and not self.is_failed
-
-
-@dataclass(slots=True)
-class Delegation:
-    """Delegation of a request to a coordinator.
-
-    Parameters
-    ----------
-    address : str
-        ``host:port`` of the coordinator.
-    accept_by : float
-        Monotonic time in seconds by which the coordinator must confirm that it
-        has read the request.
-    take_over_at : float
-        Monotonic time in seconds by which it must answer.
-    is_accepted : bool
-        Whether it has confirmed the request.
-    """
-
-    address: str
-    accept_by: float
-    take_over_at: float
-    is_accepted: bool = False
-
-    @property
-    def due_at(self) -> float:
-        """Monotonic time in seconds at which the coordinator is too late."""
-        return self.take_over_at if self.is_accepted else self.accept_by
-
-
-@dataclass(slots=True)
-class OpenRequest:
-    """Request that has not been answered.
-
-    Attributes
-    ----------
-    request : RoutedRequest
-        Request of the caller.
-    route : Route
-        Route of the request, from the configuration in force at its arrival.
-    parts : tuple of Part
-        Parts of the request, one per service that it is sent to.
-    partial_answer_at : float
-        Monotonic time in seconds from which a partial answer is sent although
-        missing parts may still be answered.
-    deadline : float
-        Monotonic time in seconds by which the request is answered or refused.
-    required : int
-        Minimum number of parts with a usable reply in an answer.
-    answered : int
-        Number of parts with a usable reply.
-    delegation : Delegation or None
-        Coordinator that serves the request; None if this VM does.
-    """
-
-    request: RoutedRequest
-    route: Route
-    parts: tuple[Part, ...]
-    partial_answer_at: float
-    deadline: float
-    required: int
-    answered: int = 0
-    delegation: Delegation | None = None
-
-    @property
-    def verdict(self) -> Verdict:
-        """Whether a target may have run any part of the request."""
-        may_have_run = any(part.possible_runs for part in self.parts)
-        return Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Send of one part to a target.
-
-    Attributes
-    ----------
-    open_request : OpenRequest
-        Request that the part belongs to.
-    part : Part
-        Part that was sent.
-    target : TargetRecord
-        Target that it was sent to.
-    sent_at : float
-        Monotonic time of the send in seconds.
-    """
-
-    open_request: OpenRequest
-    part: Part
-    target: TargetRecord
-    sent_at: float
-
-
 class DispatchState:
     """State that the handlers of the dispatcher share.
 
@@ -299,6 +64,9 @@
         Announced targets.
     has_targets : bool
         Whether a list of targets has been read.
+    refresh_until : float
+        Monotonic time in seconds until which nothing is sent, because the
+        process was paused and the store has not been read again.
     withdrawn_domains : frozenset of str
         Failure domains that get no requests.
     vm_count : int
@@ -336,6 +104,7 @@
         self.configuration: Configuration | None = None
         self.registry = TargetRegistry()
         self.has_targets = False
+        self.refresh_until = float(0)
         self.withdrawn_domains: frozenset[str] = frozenset()
         self.vm_count = _INITIAL_VM_COUNT
         self.vms_in_domain = max(1, _INITIAL_VM_COUNT // 3)
@@ -388,6 +157,10 @@
             cold_rate=0,
         )
 
+    def require_refresh(self, now: float) -> None:
+        """Send nothing until the store has been read again."""
+        self.refresh_until = now + _MAX_REFRESH_SECONDS
+
     def health_of(self, target: TargetRecord) -> TargetHealth:
         """Return the health of a target; it is reset for a new incarnation."""
         health = self.health_by_target.get(target.target_id)
--- a/nutmegstep/experiment/core.py
+++ b/nutmegstep/experiment/core.py
@@ -15,17 +15,21 @@
 from typing import Final
 
 from nutmegstep.discovery import TargetRecord
-from nutmegstep.dispatch import ColdLimits, DispatchLimits, DispatchState
-from nutmegstep.dispatch.budget import BudgetLimits
-from nutmegstep.dispatch.effects import DeliverMerged, DeliverRefusal
-from nutmegstep.dispatch.events import (
+from nutmegstep.dispatch import (
+    BudgetLimits,
+    ColdLimits,
+    DispatchLimits,
+    DispatchState,
+)
+from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
     DomainsWithdrawn,
-    RoutedRequest,
     TargetsListed,
     TargetsSuspected,
     VmsCounted,
 )
+from nutmegstep.dispatch.effects import DeliverMerged, DeliverRefusal
+from nutmegstep.dispatch.events import RoutedRequest
 from nutmegstep.experiment.fleet import (
     FleetModel,
     InjectedFault,
--- a/nutmegstep/gateway/codec.py
+++ b/nutmegstep/gateway/codec.py
@@ -9,11 +9,7 @@
     DeliverReply,
     SendRequest,
 )
-from nutmegstep.dispatch.events import (
-    HeaderItems,
-    RoutedRequest,
-    TargetReply,
-)
+from nutmegstep.dispatch.events import HeaderItems, RoutedRequest, TargetReply
 from nutmegstep.web import HttpRequest, HttpResponse
 
 __all__ = ['Delivery', 'RawReply', 'WireCodec']
--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -8,6 +8,7 @@
 
 from nutmegstep.clock import Clock
 from nutmegstep.dispatch import DispatchState, reduce_event
+from nutmegstep.dispatch.control_events import ProcessResumed
 from nutmegstep.dispatch.effects import (
     CancelDelegation,
     CancelSend,
@@ -18,7 +19,6 @@
     DeliverRefusal,
     DeliverReply,
     DropTarget,
-    Effect,
     ReportSuspect,
     SendRequest,
     WakeAt,
@@ -43,6 +43,8 @@
     read_delegated,
 )
 from nutmegstep.gateway.metrics import GatewayMetrics
+from nutmegstep.gateway.pause import PauseDetector
+from nutmegstep.gateway.pending import PendingRequest
 from nutmegstep.gateway.pool import ConnectionPool
 from nutmegstep.gateway.pooled_connection import SendOutcome
 from nutmegstep.web import HttpRequest, HttpResponse
@@ -58,17 +60,6 @@
 read by the end of the second iteration."""
 
 
-class _PendingRequest:
-    """A caller's request that is not answered yet, and its timer."""
-
-    def __init__(self, request: RoutedRequest) -> None:
-        loop = asyncio.get_running_loop()
-        self.request = request
-        self.answer: asyncio.Future[Delivery] = loop.create_future()
-        self.timer: asyncio.TimerHandle | None = None
-        self.timer_at = float(0)
-
-
 class Gateway:
     """Answers callers by sending requests to targets.
 
@@ -95,6 +86,8 @@
         Log of the dispatcher's decisions.
     on_suspect : Callable
         Called with the identifier of a target that does not answer in time.
+    on_resumed : Callable
+        Called when the process was paused, before the next event is handled.
     """
 
     def __init__(
@@ -109,7 +102,9 @@
         self.pool = ConnectionPool(clock, codec, self._finish_send)
         self._delegations = DelegationClient(clock, codec, self.dispatch)
         self.decisions = DecisionLog(clock)
-        self.on_suspect: Callable[[str], None] = _ignore_suspect
+        self.on_suspect: Callable[[str], None] = _ignore
+        self.on_resumed: Callable[[], None] = _ignore
+        self._pauses = PauseDetector(clock.monotonic())
         self._clock = clock
         self._codec = codec
         self._metrics = metrics
@@ -117,24 +112,21 @@
         self._ids = count(1)
         self._events: deque[Event] = deque()
         self._is_dispatching = False
-        self._pending_by_request: dict[int, _PendingRequest] = {}
-        handlers: dict[type, Callable[[Any], None]] = {
+        self._pending_by_request: dict[int, PendingRequest] = {}
+        self._handler_by_effect: Mapping[type, Callable[[Any], None]] = {
             SendRequest: self._send,
             Delegate: self._delegations.send,
             CancelDelegation: self._cancel_delegation,
             DeclineDelegation: self._decline_delegation,
             CancelSend: self._cancel,
             DropTarget: self._drop_target,
-            ReportSuspect: self._report_suspect,
+            ReportSuspect: lambda effect: self.on_suspect(effect.target_id),
             WakeAt: self._wake_at,
             DeliverReply: self._deliver,
             DeliverMerged: self._deliver,
             DeliverRefusal: self._deliver,
             Decision: self._log_decision,
         }
-        self._handler_by_effect: Final[Mapping[type, Callable[[Any], None]]] = (
-            handlers
-        )
 
     @property
     def open_requests(self) -> int:
@@ -186,7 +178,7 @@
         )
 
     async def _answer(self, request: RoutedRequest) -> Delivery:
-        pending = _PendingRequest(request)
+        pending = PendingRequest(request)
         self._pending_by_request[request.request_id] = pending
         delivery: Delivery | None = None
         if self._tracing is not None:
@@ -204,7 +196,7 @@
         return delivery
 
     def _finish_request(
-        self, pending: _PendingRequest, delivery: Delivery | None
+        self, pending: PendingRequest, delivery: Delivery | None
     ) -> None:
         request_id = pending.request.request_id
         self._pending_by_request.pop(request_id)
@@ -216,12 +208,14 @@
     def _reduce_events(self) -> None:
         while self._events:
             now = self._clock.monotonic()
-            event = self._events.popleft()
-            for effect in reduce_event(self.state, event, now):
-                self._perform(effect)
+            if self._pauses.record_event(now):
+                self._reduce(ProcessResumed(), now)
+                self.on_resumed()
+            self._reduce(self._events.popleft(), now)
 
-    def _perform(self, effect: Effect) -> None:
-        self._handler_by_effect[type(effect)](effect)
+    def _reduce(self, event: Event, now: float) -> None:
+        for effect in reduce_event(self.state, event, now):
+            self._handler_by_effect[type(effect)](effect)
 
     def _send(self, effect: SendRequest) -> None:
         if self._tracing is not None:
@@ -242,9 +236,6 @@
     def _drop_target(self, effect: DropTarget) -> None:
         self.pool.drop_target(effect.target_id)
 
-    def _report_suspect(self, effect: ReportSuspect) -> None:
-        self.on_suspect(effect.target_id)
-
     def _log_decision(self, effect: Decision) -> None:
         self._metrics.count_decision(effect)
         self.decisions.write(effect)
@@ -273,7 +264,7 @@
 
     def _on_timer(
         self,
-        pending: _PendingRequest,
+        pending: PendingRequest,
         loop_passes: int = _LOOP_PASSES_BEFORE_WAKE,
     ) -> None:
         # A busy process may find a timer due although the reply has arrived.
@@ -303,5 +294,5 @@
         self.dispatch(event)
 
 
-def _ignore_suspect(target_id: str) -> None:
-    """Do nothing; replaced in a gateway that reports to its neighbours."""
+def _ignore(*details: object) -> None:
+    """Do nothing; replaced in a gateway with a store and neighbours."""
--- a/nutmegstep/gateway/pool.py
+++ b/nutmegstep/gateway/pool.py
@@ -5,14 +5,13 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-import h11
-
 from nutmegstep.clock import Clock
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.effects import SendRequest
-from nutmegstep.dispatch.events import RoutedRequest, SendFailureKind
+from nutmegstep.dispatch.events import SendFailureKind
 from nutmegstep.gateway.codec import WireCodec
 from nutmegstep.gateway.pooled_connection import PooledConnection, SendOutcome
+from nutmegstep.gateway.request_heads import RequestHeads
 from nutmegstep.gateway.response_memory import ResponseMemory
 
 __all__ = ['ConnectionPool', 'SendCallback']
@@ -23,13 +22,6 @@
 ConfirmationCallback = Callable[[SendRequest], None]
 """Called when the receiver of a send confirms that it has read it."""
 
-_MS_PER_SECOND: Final = 1000
-_MIN_ROUNDED_MS: Final = 100
-"""Shortest time left that is rounded."""
-_ROUNDING_STEP_MS: Final = 10
-"""Step to which the time left is rounded down, so that the sends of one query
-to many shards state the same time. A VM sends them within one step, and a step
-is at most a tenth of the time that is rounded."""
 _CONNECT_TIMEOUT_S: Final = 0.25
 """Longest time for opening a connection. The round trips and the work of the
 target take less than a tenth of it."""
@@ -92,14 +84,12 @@
         self.connections_opened = 0
         self.memory = ResponseMemory()
         self._clock = clock
-        self._codec = codec
+        self._heads = RequestHeads(clock, codec)
         self._on_outcome = on_outcome
         self._on_confirmed = on_confirmed or _ignore_confirmation
         self._group_by_key: dict[tuple[str, str, int], _TargetGroup] = {}
         self._pending_by_id: dict[int, _PendingSend] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._shared_head_key = (0, 0)
-        self._shared_head: h11.Request | None = None
 
     def send(self, effect: SendRequest) -> None:
         """Send a request now, or as soon as a connection is free."""
@@ -221,7 +211,7 @@
     ) -> None:
         effect = pending.effect
         pending.connection = connection
-        head = self._request_head(effect, connection)
+        head = self._heads.head_of(effect, has_answered=connection.has_answered)
         if head is None:
             connection.fail(SendFailureKind.CANCELLED)
             self._finish_send(effect.send_id, SendFailureKind.NOT_WRITTEN)
@@ -233,43 +223,6 @@
             lambda: self._on_confirmed(effect),
         )
 
-    def _request_head(
-        self,
-        effect: SendRequest,
-        connection: PooledConnection,
-    ) -> h11.Request | None:
-        # The sends of a query to many shards differ only in the header that
-        # names the expected target. It is omitted on a connection on which
-        # the target has answered, because that connection cannot lead to
-        # another target. Such sends share one head, which h11 validates once.
-        seconds_left = effect.expires_at - self._clock.monotonic()
-        remaining_ms = _remaining_ms(seconds_left)
-        key = (effect.request.request_id, remaining_ms)
-        if connection.has_answered and key == self._shared_head_key:
-            return self._shared_head
-        expected = '' if connection.has_answered else effect.target.target_id
-        head = self._build_head(effect.request, remaining_ms, expected)
-        if connection.has_answered:
-            self._shared_head_key = key
-            self._shared_head = head
-        return head
-
-    def _build_head(
-        self,
-        request: RoutedRequest,
-        remaining_ms: int,
-        expected: str,
-    ) -> h11.Request | None:
-        headers = self._codec.request_headers(request, remaining_ms, expected)
-        try:
-            return h11.Request(
-                method=request.method,
-                target=request.target,
-                headers=list(headers),
-            )
-        except h11.LocalProtocolError:
-            return None
-
     def _on_connection_closed(
         self, group: _TargetGroup, connection: PooledConnection
     ) -> None:
@@ -318,14 +271,6 @@
         self._group_by_key.pop(_group_key(group.target), None)
 
 
-def _remaining_ms(seconds_left: float) -> int:
-    """Return the time left in milliseconds; long times are rounded down."""
-    remaining_ms = max(1, int(seconds_left * _MS_PER_SECOND))
-    if remaining_ms < _MIN_ROUNDED_MS:
-        return remaining_ms
-    return remaining_ms - remaining_ms % _ROUNDING_STEP_MS
-
-
 def _group_key(target: TargetRecord) -> tuple[str, str, int]:
     return (target.target_id, target.host, target.port)
 
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -13,7 +13,7 @@
 from nutmegstep.clock import SystemClock
 from nutmegstep.dispatch import ColdLimits, DispatchLimits, DispatchState
 from nutmegstep.dispatch.budget import BudgetLimits
-from nutmegstep.dispatch.events import HousekeepingDue
+from nutmegstep.dispatch.control_events import HousekeepingDue
 from nutmegstep.gateway.adapter import PlatformAdapter
 from nutmegstep.gateway.core import Gateway
 from nutmegstep.gateway.lifecycle import drain
@@ -122,12 +122,25 @@
         )
 
     async def run_housekeeping(self, server: HttpServer) -> None:
-        """Periodically remove expired targets and apply limits on callers."""
+        """Periodically remove expired targets and apply limits on callers.
+
+        The periodic event also shows whether the process was paused.
+        """
         while True:
             await asyncio.sleep(_HOUSEKEEPING_INTERVAL_S)
             server.limits = self.limits()
-            if self.state.registry.next_expiry() is not None:
-                self.gateway.dispatch(HousekeepingDue())
+            self.gateway.dispatch(HousekeepingDue())
+
+    def refresh_after_pauses(self, store_sync: StoreSync) -> None:
+        """Read the store again whenever the process was paused."""
+        refreshes: set[asyncio.Task[None]] = set()
+
+        def refresh() -> None:
+            task = asyncio.create_task(store_sync.refresh())
+            refreshes.add(task)
+            task.add_done_callback(refreshes.discard)
+
+        self.gateway.on_resumed = refresh
 
     async def reload(
         self, read: ReadSettings, reload_requested: asyncio.Event
@@ -233,8 +246,10 @@
         process.report_exchange.replace_neighbours,
         process.answer_delegated,
     )
+    store_sync = StoreSync(parts, process.settings)
+    process.refresh_after_pauses(store_sync)
     coroutines = (
-        StoreSync(parts, process.settings).run(),
+        store_sync.run(),
         process.run_housekeeping(caller_server),
         process.reload(read, reload_requested),
     )
--- a/nutmegstep/gateway/store_sync.py
+++ b/nutmegstep/gateway/store_sync.py
@@ -12,7 +12,8 @@
 from typing import Final
 
 from nutmegstep.clock import Clock
-from nutmegstep.dispatch.events import Event, StoreRecovered
+from nutmegstep.dispatch.control_events import StoreRecovered, StoreRefreshed
+from nutmegstep.dispatch.events import Event
 from nutmegstep.gateway.adapter import PlatformAdapter, Store
 from nutmegstep.gateway.neighbours import serve_neighbours
 from nutmegstep.gateway.subscriptions import StoreSubscriptions
@@ -95,6 +96,7 @@
             parts.clock,
             lambda: parts.dispatch(StoreRecovered()),
         )
+        self._watchers: list[Watcher] = []
         self._reader = FallbackReader(
             parts.store, partial(connect_relay, parts.clock)
         )
@@ -143,6 +145,11 @@
             self._watch_store(subscriptions),
         )
 
+    async def refresh(self) -> None:
+        """Read again what has changed, after the process was paused."""
+        await asyncio.gather(*(one.refresh() for one in self._watchers))
+        self._parts.dispatch(StoreRefreshed())
+
     async def _watch_store(self, subscriptions: list[Subscription]) -> None:
         # The list of VMs tells which relays to read from. Waiting for it saves
         # most VMs their calls to the store.
@@ -151,7 +158,7 @@
                 self._registrar.first_read.wait(),
                 self._vm_list_timeout_s,
             )
-        watchers = [
+        self._watchers = [
             Watcher(
                 self._reader,
                 self._availability,
@@ -161,7 +168,7 @@
             )
             for number, subscription in enumerate(subscriptions)
         ]
-        await asyncio.gather(*(watcher.run() for watcher in watchers))
+        await asyncio.gather(*(watcher.run() for watcher in self._watchers))
 
 
 def _with_relay_cache(
--- a/nutmegstep/gateway/subscriptions.py
+++ b/nutmegstep/gateway/subscriptions.py
@@ -9,14 +9,14 @@
 
 from nutmegstep.clock import Clock
 from nutmegstep.discovery import TargetRecord
-from nutmegstep.dispatch.events import (
+from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
     DomainsWithdrawn,
-    Event,
     TargetAnnounced,
     TargetRemoved,
     TargetsListed,
 )
+from nutmegstep.dispatch.events import Event
 from nutmegstep.gateway.adapter import PlatformAdapter
 from nutmegstep.store_watch import Listing, ObjectChange, ObjectChanges
 from nutmegstep.store_watch.core import Subscription
--- a/nutmegstep/gateway/suspect_reports.py
+++ b/nutmegstep/gateway/suspect_reports.py
@@ -14,7 +14,7 @@
 import orjson
 from prometheus_client import Counter
 
-from nutmegstep.dispatch.events import TargetsSuspected
+from nutmegstep.dispatch.control_events import TargetsSuspected
 from nutmegstep.settings.fields import read_address
 
 __all__ = ['SuspectReportExchange']
--- a/nutmegstep/gateway/vm_registration.py
+++ b/nutmegstep/gateway/vm_registration.py
@@ -12,7 +12,7 @@
 
 from nutmegstep.clock import Clock
 from nutmegstep.coordinators import choose_coordinators
-from nutmegstep.dispatch.events import VmsCounted
+from nutmegstep.dispatch.control_events import VmsCounted
 from nutmegstep.gateway.adapter import Store
 from nutmegstep.relay import RelayChoice, choose_relays
 from nutmegstep.store_watch import StoreAvailability
--- a/nutmegstep/platform/wire.py
+++ b/nutmegstep/platform/wire.py
@@ -10,11 +10,7 @@
     DeliverReply,
     SendRequest,
 )
-from nutmegstep.dispatch.events import (
-    HeaderItems,
-    RoutedRequest,
-    TargetReply,
-)
+from nutmegstep.dispatch.events import HeaderItems, RoutedRequest, TargetReply
 from nutmegstep.gateway import RawReply, WireCodec
 from nutmegstep.gateway.codec import Delivery
 from nutmegstep.verdict import Reason, Refusal, Verdict, http_status
--- a/nutmegstep/store_watch/core.py
+++ b/nutmegstep/store_watch/core.py
@@ -106,6 +106,18 @@
         self._highest_revision = 0
         self._checked_revision = 0
         self._failures = 0
+        self._refresh_requested = asyncio.Event()
+        self._refreshed = asyncio.Event()
+
+    async def refresh(self) -> None:
+        """Read at once what has changed; return when it has been read.
+
+        The call in flight is cancelled, because its connection may have been
+        lost without notice.
+        """
+        self._refreshed.clear()
+        self._refresh_requested.set()
+        await self._refreshed.wait()
 
     async def run(self) -> None:
         """List and watch until cancelled."""
@@ -118,6 +130,15 @@
             await asyncio.sleep(self._pause())
 
     async def _run_once(self) -> bool:
+        if self._refresh_requested.is_set():
+            return await self._call_if_available()
+        done = await cancel_on_event(
+            self._refresh_requested, self._call_if_available()
+        )
+        # None: cancelled by a request to refresh, which is served at once.
+        return True if done is None else done
+
+    async def _call_if_available(self) -> bool:
         if self._is_prober:
             return await self._call()
         return bool(
@@ -146,13 +167,17 @@
             return False
         self._advance(listing.revision)
         self._subscription.on_listing(listing)
+        self._end_refresh()
         return True
 
     async def _watch(self, revision: int) -> bool:
         # A watch that is lost in an outage blocks until it times out, even if
         # the store answers again meanwhile. Without a wait, that time is short.
-        is_unavailable = self._availability.unavailable.is_set()
-        wait = _NO_WAIT if is_unavailable else self._subscription.max_wait
+        is_urgent = (
+            self._availability.unavailable.is_set()
+            or self._refresh_requested.is_set()
+        )
+        wait = _NO_WAIT if is_urgent else self._subscription.max_wait
         watched = await self._await_unless_behind(
             self._reader.watch_kind(self._subscription.kind, revision, wait),
         )
@@ -173,6 +198,7 @@
             return True
         self._advance(found.revision)
         self._subscription.on_changes(found)
+        self._end_refresh()
         if found.changes:
             await asyncio.sleep(self._subscription.batch_pause.total_seconds())
         return True
@@ -217,6 +243,10 @@
         self._availability.record_failure(failure)
         return False
 
+    def _end_refresh(self) -> None:
+        self._refresh_requested.clear()
+        self._refreshed.set()
+
     def _advance(self, revision: int) -> None:
         self._revision = revision
         self._highest_revision = max(self._highest_revision, revision)
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -23,15 +23,17 @@
     reduce_event,
 )
 from nutmegstep.dispatch.budget import BudgetLimits
+from nutmegstep.dispatch.control_events import (
+    ConfigurationChanged,
+    TargetsListed,
+)
 from nutmegstep.dispatch.effects import Effect, SendRequest
 from nutmegstep.dispatch.events import (
-    ConfigurationChanged,
     Event,
     RequestArrived,
     RoutedRequest,
     TargetReplied,
     TargetReply,
-    TargetsListed,
 )
 
 SHARDS = tuple(f'shard-{number}' for number in range(10))
--- a/tests/dispatch/test_control.py
+++ b/tests/dispatch/test_control.py
@@ -4,8 +4,7 @@
 from datetime import timedelta
 
 from nutmegstep.dispatch.budget import BudgetLimits
-from nutmegstep.dispatch.effects import DeliverRefusal, DropTarget
-from nutmegstep.dispatch.events import (
+from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
     StoreRecovered,
     TargetAnnounced,
@@ -13,6 +12,7 @@
     TargetsListed,
     VmsCounted,
 )
+from nutmegstep.dispatch.effects import DeliverRefusal, DropTarget
 from nutmegstep.verdict import Reason, Verdict
 from tests.dispatch.conftest import Dispatcher, configuration, records
 
--- a/tests/dispatch/test_delegation.py
+++ b/tests/dispatch/test_delegation.py
@@ -10,6 +10,7 @@
 import pytest
 
 from nutmegstep.coordinators import CoordinatorChoice, DelegationTerms
+from nutmegstep.dispatch.control_events import ConfigurationChanged, VmsCounted
 from nutmegstep.dispatch.effects import (
     CancelDelegation,
     DeclineDelegation,
@@ -21,12 +22,10 @@
 )
 from nutmegstep.dispatch.events import (
     CallerLeft,
-    ConfigurationChanged,
     DelegationAccepted,
     DelegationAnswered,
     DelegationFailed,
     RequestDue,
-    VmsCounted,
 )
 from nutmegstep.verdict import Verdict
 from tests.dispatch.conftest import SHARDS, Dispatcher, configuration, reply
--- a/tests/dispatch/test_reporting.py
+++ b/tests/dispatch/test_reporting.py
@@ -1,11 +1,8 @@
 """Tests of reports about slow targets and of their effect on the selection."""
 
+from nutmegstep.dispatch.control_events import TargetsSuspected
 from nutmegstep.dispatch.effects import Decision, ReportSuspect, SendRequest
-from nutmegstep.dispatch.events import (
-    SendFailed,
-    SendFailureKind,
-    TargetsSuspected,
-)
+from nutmegstep.dispatch.events import SendFailed, SendFailureKind
 from tests.dispatch.conftest import Dispatcher
 
 
--- a/tests/dispatch/test_sending.py
+++ b/tests/dispatch/test_sending.py
@@ -4,15 +4,13 @@
 
 import pytest
 
-from nutmegstep.dispatch.effects import Decision, SendRequest
-from nutmegstep.dispatch.events import (
+from nutmegstep.dispatch.control_events import (
     DomainsWithdrawn,
-    RequestDue,
-    SendFailed,
-    SendFailureKind,
     TargetAnnounced,
     TargetRemoved,
 )
+from nutmegstep.dispatch.effects import Decision, SendRequest
+from nutmegstep.dispatch.events import RequestDue, SendFailed, SendFailureKind
 from nutmegstep.dispatch.sending import connection_limit
 from tests.dispatch.conftest import SHED, Dispatcher, records, reply
 
--- a/tests/dispatch/test_shared_bounds.py
+++ b/tests/dispatch/test_shared_bounds.py
@@ -12,8 +12,8 @@
 from nutmegstep.coordinators import choose_coordinators
 from nutmegstep.dispatch import ColdLimits, DispatchLimits, DispatchState
 from nutmegstep.dispatch.budget import BudgetLimits
+from nutmegstep.dispatch.control_events import VmsCounted
 from nutmegstep.dispatch.core import reduce_event
-from nutmegstep.dispatch.events import VmsCounted
 from nutmegstep.store_watch.vm_registry import VmEntry
 
 _BUSY_SECONDS = 30
--- a/tests/gateway/test_core.py
+++ b/tests/gateway/test_core.py
@@ -7,12 +7,12 @@
 
 from nutmegstep.clock import SystemClock
 from nutmegstep.dispatch import DispatchState
-from nutmegstep.dispatch.effects import SendRequest
-from nutmegstep.dispatch.events import (
+from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
-    TargetReplied,
     TargetsListed,
 )
+from nutmegstep.dispatch.effects import SendRequest
+from nutmegstep.dispatch.events import TargetReplied
 from nutmegstep.gateway import Gateway, GatewayMetrics
 from nutmegstep.platform.wire import CODEC
 from nutmegstep.web import HttpRequest
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -8,13 +8,13 @@
 
 from nutmegstep.clock import SystemClock
 from nutmegstep.coordinators import CoordinatorChoice
-from nutmegstep.dispatch.effects import SendRequest
-from nutmegstep.dispatch.events import (
+from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
-    TargetReplied,
     TargetsListed,
     VmsCounted,
 )
+from nutmegstep.dispatch.effects import SendRequest
+from nutmegstep.dispatch.events import TargetReplied
 from nutmegstep.gateway import Gateway, GatewayMetrics
 from nutmegstep.gateway.neighbours import serve_neighbours
 from nutmegstep.platform.wire import CODEC
--- a/tests/gateway/test_suspect_reports.py
+++ b/tests/gateway/test_suspect_reports.py
@@ -8,7 +8,7 @@
 import pytest
 from prometheus_client import CollectorRegistry, Counter
 
-from nutmegstep.dispatch.events import TargetsSuspected
+from nutmegstep.dispatch.control_events import TargetsSuspected
 from nutmegstep.gateway.suspect_reports import SuspectReportExchange
 
 _DELIVERY_TIME_S = 0.1
--- a/tests/gateway/test_vm_registration.py
+++ b/tests/gateway/test_vm_registration.py
@@ -10,7 +10,7 @@
 
 from nutmegstep.clock import SystemClock
 from nutmegstep.coordinators import choose_coordinators
-from nutmegstep.dispatch.events import VmsCounted
+from nutmegstep.dispatch.control_events import VmsCounted
 from nutmegstep.gateway.vm_registration import VmCallbacks, VmRegistrar
 from nutmegstep.platform_api.records import PlatformFailure
 from nutmegstep.store_watch import StoreAvailability
--- a/tests/store_watch/test_core.py
+++ b/tests/store_watch/test_core.py
@@ -48,6 +48,9 @@
         self.waits.append(wait)
         return await self._next('watch', revision)
 
+    def add(self, reply: _Reply) -> None:
+        self._replies.append(reply)
+
     async def _next(self, operation: str, revision: int) -> _Reply:
         self.calls.append((operation, revision))
         if not self._replies:
@@ -279,3 +282,23 @@
     await asyncio.sleep(0.2)
     assert script.calls == [('list', 0), ('watch', 5), ('watch', 5)]
     task.cancel()
+
+
+async def test_refresh_reads_at_once_on_a_new_call() -> None:
+    """Guards against a process that was paused and waits for the answer to a
+    watch whose connection has been lost meanwhile.
+    """
+    change = ObjectChange('a', {'x': 1}, is_deleted=False)
+    script = _ScriptedReader(Success(Listing({}, 5)))
+    recorder = _Recorder()
+    availability = StoreAvailability(ManualClock(), lambda: None)
+    watcher = Watcher(
+        script, availability, recorder.subscription, Random(1), is_prober=False
+    )
+    running = asyncio.create_task(watcher.run())
+    await asyncio.wait_for(script.done.wait(), 2)
+    script.add(Success(ObjectChanges((change,), 6)))
+    await asyncio.wait_for(watcher.refresh(), 2)
+    assert recorder.changes == [change]
+    assert script.waits[1] == timedelta(0)
+    running.cancel()
