Spread the first requests to a cold target over the fleet

Cause: each VM began with a whole token for each cold target, so 65 VMs could send 65 requests in the second in which it starts, 5 allowed.

Change: the VMs begin a cold period with parts of a token that are spread evenly over their ranks, other ranks for each target.

A test shows that a send in flight survives the loss of its target's announcement; it passes on the code before too.

--- a/nutmegstep/dispatch/health.py
+++ b/nutmegstep/dispatch/health.py
@@ -55,6 +55,9 @@
         Sends that the target may receive now while it is cold.
     cold_updated : float
         Monotonic time in seconds of the latest change of `cold_tokens`.
+    cold_until : float
+        Monotonic time in seconds at which the cold period ends for which
+        `cold_tokens` are counted.
     half_life : float
         Time in seconds after which the estimates of latency and failures
         have returned halfway to their default values.
@@ -66,8 +69,9 @@
     stall_at_by_send: dict[int, float] = field(default_factory=dict)
     consecutive_failures: int = 0
     blocked_until: float = 0
-    cold_tokens: float = 1
+    cold_tokens: float = 0
     cold_updated: float = 0
+    cold_until: float = 0
     half_life: float = _MAX_HALF_LIFE
     suspicion: Suspicion = field(default_factory=Suspicion)
     _slowness: DecayingMean = field(
--- a/nutmegstep/dispatch/selection.py
+++ b/nutmegstep/dispatch/selection.py
@@ -166,6 +166,12 @@
     declared = state.spec_of(target.service).cold_rate
     bound = declared * limits.overshoot + limits.slack
     rate = bound * _COLD_SHARE / state.bound_divisor
+    if now >= health.cold_until:
+        # A cold period begins. The VMs start with different parts of a token,
+        # so that their first requests do not arrive together.
+        health.cold_tokens = state.phase_of(target.target_id)
+        health.cold_updated = now
+    health.cold_until = target.cold_until
     elapsed = max(0, now - health.cold_updated)
     health.cold_updated = now
     health.cold_tokens = min(1, health.cold_tokens + elapsed * rate)
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -161,6 +161,13 @@
         """Send nothing until the store has been read again."""
         self.refresh_until = now + _MAX_REFRESH_SECONDS
 
+    def phase_of(self, name: str) -> float:
+        """Return a number above 0, at most 1, that spreads the VMs evenly.
+
+        Another name gives another order of the VMs.
+        """
+        return (self._place_of(name) + 1) / self._peers
+
     def health_of(self, target: TargetRecord) -> TargetHealth:
         """Return the health of a target; it is reset for a new incarnation."""
         health = self.health_by_target.get(target.target_id)
@@ -218,15 +225,17 @@
     def _peers(self) -> int:
         """Number of VMs that have the same share of a bound as this one."""
         if self.coordinators.is_coordinator:
-            return self.coordinators.total
-        return self.vm_count - self.coordinators.total
+            return max(1, self.coordinators.total)
+        return max(1, self.vm_count - self.coordinators.total)
 
     def _may_save_token(self, service: str) -> bool:
         # The VMs that may save a token are neighbours on a ring, and each
         # service starts at another place of it.
-        peers = max(1, self._peers)
+        peers = self._peers
         savers = token_savers(
             self.limits.budget, min(1, peers / self.bound_divisor)
         )
-        place = self.coordinators.rank + _ring_offset(service)
-        return place % peers < savers
+        return self._place_of(service) < savers
+
+    def _place_of(self, name: str) -> int:
+        return (self.coordinators.rank + _ring_offset(name)) % self._peers
--- a/tests/dispatch/test_control.py
+++ b/tests/dispatch/test_control.py
@@ -12,7 +12,13 @@
     TargetsListed,
     VmsCounted,
 )
-from nutmegstep.dispatch.effects import DeliverRefusal, DropTarget
+from nutmegstep.dispatch.effects import (
+    CancelSend,
+    DeliverRefusal,
+    DeliverReply,
+    DropTarget,
+    SendRequest,
+)
 from nutmegstep.verdict import Reason, Verdict
 from tests.dispatch.conftest import Dispatcher, configuration, records
 
@@ -101,3 +107,19 @@
     state.replace_limits(replace(state.limits, budget=limits))
     dispatcher.now += 60
     assert not budget.spend(dispatcher.now, 1)
+
+
+def test_send_in_flight_survives_the_loss_of_its_announcement(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against work that is given up or started again elsewhere because
+    its target was late to renew its announcement.
+    """
+    dispatcher.request('/fetch/x')
+    send = dispatcher.effects_of(SendRequest)[0]
+    dispatcher.apply(TargetRemoved(send.target.target_id))
+    dispatcher.apply(StoreRecovered())
+    assert dispatcher.effects_of(SendRequest) == [send]
+    assert not dispatcher.effects_of(CancelSend)
+    dispatcher.answer([send])
+    assert dispatcher.effects_of(DeliverReply)
