Do not send a query again that a coordinator has confirmed

Change: after a confirmation the sender waits for the coordinator until the deadline, and refuses the query if the coordinator fails. A reply without the coordinator's mark comes from another process and counts as not run.

--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -5,7 +5,6 @@
 the configuration or declines, so callers of this VM never see an older one.
 """
 
-import math
 from typing import Final
 
 from nutmegstep.coordinators import DelegationTerms
@@ -44,9 +43,6 @@
 _ACCEPT_SECONDS: Final = 0.025
 """Time in which a coordinator confirms that it has read a query; after it the
 coordinator counts as failed."""
-_TAKE_OVER_LATENCIES: Final = 2.0
-"""Target latencies of the route after which a query without an answer of its
-coordinator is sent by this VM."""
 _HOP_SECONDS: Final = 0.002
 """Part of the time until a partial answer is due that is reserved for the way
 from the coordinator to this VM and on."""
@@ -76,11 +72,7 @@
     accept_by = now + _ACCEPT_SECONDS
     if open_request.deadline <= accept_by:
         return []
-    latency = open_request.route.target_latency.total_seconds()
-    take_over_at = request.arrived_at + latency * _TAKE_OVER_LATENCIES
-    open_request.delegation = Delegation(
-        address, accept_by, min(take_over_at, open_request.deadline)
-    )
+    open_request.delegation = Delegation(address, accept_by)
     terms = DelegationTerms(
         configuration.version,
         max(0, open_request.partial_answer_at - now - _HOP_SECONDS),
@@ -140,9 +132,12 @@
     delegation: Delegation,
     now: float,
 ) -> list[Effect]:
-    """Take the request over if its coordinator is too late."""
-    if now < delegation.due_at:
-        return [WakeAt(open_request.request.request_id, delegation.due_at)]
+    """Leave a coordinator that has not confirmed or not answered in time."""
+    due_at = delegation.accept_by
+    if delegation.is_accepted:
+        due_at = open_request.deadline
+    if now < due_at:
+        return [WakeAt(open_request.request.request_id, due_at)]
     state.coordinator_health.record_failure(delegation.address, now)
     reason = 'no_answer' if delegation.is_accepted else 'not_accepted'
     return _take_over(state, open_request, now, reason, may_have_run=True)
@@ -218,9 +213,9 @@
         Decision('delegation_failed', request.attempt_id, inputs),
         CancelDelegation(request.request_id),
     ]
-    open_request.delegation = None
     if may_have_run:
         _count_possible_sends(state, open_request, now)
+    open_request.delegation = None
     if now >= open_request.deadline:
         return [*effects, *give_up_at_deadline(state, open_request)]
     return [*effects, *start_sends(state, open_request, now)]
@@ -231,7 +226,12 @@
     open_request: OpenRequest,
     now: float,
 ) -> None:
+    # Without a confirmation the coordinator sees the end of the connection
+    # before it could hedge. With one, it may have used all attempts.
+    delegation = open_request.delegation
+    is_accepted = delegation is not None and delegation.is_accepted
+    sends = open_request.route.attempts if is_accepted else 1
     for part in open_request.parts:
-        part.possible_runs += 1
-        part.hedge_at = math.inf
-        state.budget_of(part.service).charge(now, state.bound_divisor)
+        part.possible_runs += sends
+        if not is_accepted:
+            state.budget_of(part.service).charge(now, state.bound_divisor)
--- a/nutmegstep/dispatch/requests.py
+++ b/nutmegstep/dispatch/requests.py
@@ -70,22 +70,14 @@
     accept_by : float
         Monotonic time in seconds by which the coordinator must confirm that it
         has read the request.
-    take_over_at : float
-        Monotonic time in seconds by which it must answer.
     is_accepted : bool
         Whether it has confirmed the request.
     """
 
     address: str
     accept_by: float
-    take_over_at: float
     is_accepted: bool = False
 
-    @property
-    def due_at(self) -> float:
-        """Monotonic time in seconds at which the coordinator is too late."""
-        return self.take_over_at if self.is_accepted else self.accept_by
-
 
 @dataclass(slots=True)
 class OpenRequest:
--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -188,7 +188,10 @@
         return DelegationFailed(request_id, outcome.value, outcome.may_have_run)
     header_by_name = dict(outcome.headers)
     if _COORDINATOR.encode() not in header_by_name:
-        return DelegationFailed(request_id, 'invalid', may_have_run=True)
+        # Another process has got the address; it knows no targets.
+        return DelegationFailed(
+            request_id, 'not_a_coordinator', may_have_run=False
+        )
     reason = header_by_name.get(_DECLINED.encode())
     if reason is not None:
         return DelegationFailed(
