--- a/nutmegstep/cli/experiment.py
+++ b/nutmegstep/cli/experiment.py
@@ -10,6 +10,7 @@
 from nutmegstep.experiment import InjectedFault, run_experiment
 from nutmegstep.experiment.examples import FLEETS
 from nutmegstep.experiment.fleet import FaultKind
+from nutmegstep.settings.fields import read_count
 
 __all__ = ['add_parser', 'execute']
 
@@ -33,7 +34,7 @@
     parser.add_argument('--seed', type=int, default=1, help='[default: 1]')
     parser.add_argument(
         '--vms',
-        type=int,
+        type=_read_vms,
         help='number of entry VMs, in place of that of the fleet',
     )
     parser.add_argument(
@@ -56,6 +57,14 @@
     parser.set_defaults(run=execute)
 
 
+def _read_vms(text: str) -> int:
+    try:
+        return read_count(text)
+    except ValueError as error:
+        message = f'not a whole number above 0: {text!r}'
+        raise argparse.ArgumentTypeError(message) from error
+
+
 def execute(arguments: argparse.Namespace) -> int:
     """Run the simulation and return the exit code."""
     fleet = FLEETS[arguments.fleet]
--- a/nutmegstep/engine/events.py
+++ b/nutmegstep/engine/events.py
@@ -96,7 +96,6 @@
 
     DEADLINE = 'deadline'
     HEDGE = 'hedge'
-    QUEUE = 'queue'
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/engine/explaining.py
+++ b/nutmegstep/engine/explaining.py
@@ -1,5 +1,6 @@
 """Records refused, partial and slow requests for operators."""
 
+from collections.abc import Iterable
 from typing import Final
 
 from nutmegstep.engine.explanation import Explanation
@@ -42,11 +43,12 @@
     query: QueryState,
     outcome: Answer | Refusal,
     now: float,
+    callers: Iterable[int] | None = None,
 ) -> None:
     """Record the outcome of a query if it is refused, partial or slow.
 
     A complete answer is slow if it took longer than the silence timeout of
-    the service.
+    the service. Without `callers`, it is the outcome of all of them.
     """
     seconds = now - query.arrived_at
     kind = _kind(query, outcome, seconds)
@@ -54,8 +56,9 @@
         return
     lacking = query.lacking_by_shard.items()
     tried = query.tried_targets_by_shard.values()
+    concerned = query.callers if callers is None else callers
     explanation = Explanation(
-        tuple(query.callers.values()),
+        tuple(query.callers[caller] for caller in concerned),
         query.service.name,
         kind,
         now,
--- a/nutmegstep/engine/scatter.py
+++ b/nutmegstep/engine/scatter.py
@@ -119,9 +119,9 @@
     effects: list[Effect],
 ) -> None:
     if len(query.callers) > 1:
-        detach_caller(state, query, query_id, effects)
         outcome = outcome_of(query)
-        record_outcome(state, query, outcome, now)
+        record_outcome(state, query, outcome, now, (query_id,))
+        detach_caller(state, query, query_id, effects)
         effects.append(_reply_effect(query_id, outcome))
         return
     for shard in query.pending_shards:
--- a/nutmegstep/gateway/vm_registration.py
+++ b/nutmegstep/gateway/vm_registration.py
@@ -123,12 +123,10 @@
         renews_at = self._clock.monotonic()
         while True:
             now = self._clock.monotonic()
-            is_done = True
-            if now >= renews_at:
-                is_done = await self._renew(random)
-                renews_at = now + RENEWAL_INTERVAL.total_seconds() * is_done
-            else:
-                is_done = await self._read()
+            is_written = now < renews_at or await self._renew(random)
+            if is_written and now >= renews_at:
+                renews_at = now + RENEWAL_INTERVAL.total_seconds()
+            is_done = is_written and await self._read()
             self.first_read.set()
             delay = (
                 next(first_delays, _READ_INTERVAL) if is_done else _RETRY_DELAY
@@ -147,7 +145,7 @@
             return False
         if self._is_first_start and not self.first_read.is_set():
             await asyncio.sleep(_FIRST_START_DELAY.total_seconds())
-        return await self._read()
+        return True
 
     async def _read(self) -> bool:
         listed = await self._store.list_vms()
--- a/nutmegstep/logs/core.py
+++ b/nutmegstep/logs/core.py
@@ -14,6 +14,7 @@
 """Maximum number of lines that wait to be written."""
 _FLUSH_SECONDS: Final = 0.25
 """Time in seconds for which lines are collected before a write."""
+_NEWLINE: Final = b'\n'
 _BATCH_BYTES: Final = 65536
 """Size in bytes at which a batch of lines is written."""
 
@@ -63,7 +64,9 @@
                 return
             except OSError:
                 # The reader has closed its end, so the error cannot be logged.
-                self.dropped += len(self._lines)
+                self.dropped += len(self._lines) + self._unwritten.count(
+                    _NEWLINE
+                )
                 self._lines.clear()
                 self._unwritten = b''
                 return
--- a/nutmegstep/peers/__init__.py
+++ b/nutmegstep/peers/__init__.py
@@ -1,5 +1,7 @@
 """gRPC interface between entry VMs, and from operators to entry VMs."""
 
+# gRPC reads the variable that this module sets when it is imported.
+from nutmegstep.peers.verbosity import GRPC_VERBOSITY  # isort: split
 from nutmegstep.peers.client import PeerClient
 from nutmegstep.peers.core import (
     ClaimReport,
@@ -23,7 +25,6 @@
 )
 from nutmegstep.peers.tls import TlsFiles
 from nutmegstep.peers.traffic import Traffic
-from nutmegstep.peers.verbosity import GRPC_VERBOSITY
 
 __all__ = [
     'GRPC_VERBOSITY',
--- a/nutmegstep/platform_api/connection.py
+++ b/nutmegstep/platform_api/connection.py
@@ -171,7 +171,6 @@
     for option, number in options:
         connected.setsockopt(socket.IPPROTO_TCP, option, number)
     set_user_timeout(connected, _USER_TIMEOUT_MS)
-    set_user_timeout(connected, _USER_TIMEOUT_MS)
 
 
 def _record_event(reply: HttpReply, event: h11.Event) -> None:
--- a/nutmegstep/telemetry/metrics.py
+++ b/nutmegstep/telemetry/metrics.py
@@ -40,7 +40,7 @@
         )
         self._early = Counter(
             'nutmegstep_early_refusals',
-            'Requests refused before they reached the reducer',
+            'Requests refused while they were read, without a decision',
             ('reason',),
             registry=self.registry,
         )
--- a/tests/cli/test_core.py
+++ b/tests/cli/test_core.py
@@ -69,3 +69,14 @@
     right = parser.parse_args(['drain', 'award-00-0'])
     assert await execute_control(right) == ExitCode.OK
     assert 'generation 1 of ilze is stored' in capsys.readouterr().err
+
+
+@pytest.mark.parametrize('count', ['0', '-3', 'many'])
+def test_experiment_without_vms_is_refused(count: str, capsys) -> None:
+    """Guards against a number of VMs that is silently replaced."""
+    with pytest.raises(SystemExit) as stopped:
+        main(['experiment', 'vidzeme', '--vms', count])
+    assert stopped.value.code == 2
+    assert 'argument --vms: not a whole number above 0' in (
+        capsys.readouterr().err
+    )
--- a/tests/engine/test_explaining.py
+++ b/tests/engine/test_explaining.py
@@ -38,3 +38,16 @@
     assert len(engine.state.explanations) == 512
     record = find_explanations(engine.state, 'r-599')[0]
     assert record.refusal.reason is Reason.DEADLINE_EXCEEDED
+
+
+def test_deadline_of_one_caller_is_recorded_for_that_caller(build) -> None:
+    """Guards against an explanation of a partial answer under the identifiers
+    of the callers that still wait for the same query.
+    """
+    engine = build(CoverageRule.PARTIAL)
+    engine.query(1, body=b'same')
+    engine.query(2, now=0.5, body=b'same')
+    timer = ev.TimerKey(ev.TimerKind.DEADLINE, 1)
+    engine.apply(ev.TimerFired(timer), 1)
+    assert find_explanations(engine.state, 'r-1')
+    assert not find_explanations(engine.state, 'r-2')
--- a/tests/gateway/test_vm_registration.py
+++ b/tests/gateway/test_vm_registration.py
@@ -6,13 +6,16 @@
 from random import Random
 
 import pytest
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from nutmegstep.clock import SystemClock
 from nutmegstep.coordinators import choose_coordinators
 from nutmegstep.dispatch.control_events import VmsCounted
 from nutmegstep.gateway.vm_registration import VmCallbacks, VmRegistrar
-from nutmegstep.platform_api.records import PlatformFailure
+from nutmegstep.platform_api.records import (
+    PlatformFailure,
+    PlatformFailureKind,
+)
 from nutmegstep.store_watch import StoreAvailability
 from nutmegstep.store_watch.vm_registry import VmEntry
 from tests.gateway.unimplemented_store import UnimplementedStore
@@ -39,6 +42,26 @@
         return Success(None)
 
 
+class _UnreadableStore(UnimplementedStore):
+    """Store that accepts entries and does not return them."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.writes = 0
+
+    async def list_vms(self) -> Result[dict[str, VmEntry], PlatformFailure]:
+        self.reads += 1
+        return Failure(PlatformFailure(PlatformFailureKind.TIMEOUT, 'no reply'))
+
+    async def put_vm(
+        self,
+        name: str,
+        entry: VmEntry,
+    ) -> Result[None, PlatformFailure]:
+        self.writes += 1
+        return Success(None)
+
+
 async def _run_registrar(
     *,
     is_first_start: bool,
@@ -94,3 +117,29 @@
     start = asyncio.get_running_loop().time()
     await _run_registrar(is_first_start=False, meanwhile=lambda store: None)
     assert asyncio.get_running_loop().time() - start < 0.5
+
+
+async def test_failed_read_does_not_repeat_the_write(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against writes, which are charged for, that follow a failed read
+    of the entries.
+    """
+    monkeypatch.setattr(
+        'nutmegstep.gateway.vm_registration._RETRY_DELAY',
+        timedelta(milliseconds=10),
+    )
+    store = _UnreadableStore()
+    callbacks = VmCallbacks(
+        lambda one: None, lambda choice: None, lambda one: None
+    )
+    registrar = VmRegistrar(
+        store, SystemClock(), 'vm-1', _OWN, callbacks, False
+    )
+    availability = StoreAvailability(SystemClock(), lambda: None)
+    task = asyncio.create_task(registrar.run(availability, Random(1)))
+    async with asyncio.timeout(5):
+        while store.reads < 3:
+            await asyncio.sleep(0.01)
+    task.cancel()
+    assert store.writes == 1
