Count connections of the backlog as pending at a stop

Change: connections that are being accepted count as pending.

Result: a test with a connection in the backlog fails before and passes.

--- a/nutmegstep/web/core.py
+++ b/nutmegstep/web/core.py
@@ -109,9 +109,13 @@
         """Number of connections that must not be cut.
 
         Their request is being read or handled, their response has not been
-        written completely, or they have just been accepted.
+        written completely, or they have just been accepted, possibly from the
+        backlog of the closed listening socket.
         """
-        return sum(one.cycle.is_pending for one in self._connections)
+        accepting = sum(not task.done() for task in self._backlog_tasks)
+        return accepting + sum(
+            one.cycle.is_pending for one in self._connections
+        )
 
     async def listen(self, host: str, port: int) -> None:
         """Start accepting connections.
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -1,6 +1,7 @@
 """Planned stop of a gateway: no request of a caller is cut."""
 
 import asyncio
+import socket
 from datetime import timedelta
 
 import pytest
@@ -34,6 +35,16 @@
         host, port = self.server.sockets[0].getsockname()
         return await asyncio.open_connection(host, port)
 
+    async def drain_with_backlog(self, connecting: socket.socket) -> bool:
+        """Stop with a connection that is not accepted yet; ask on it."""
+        self.server.close()
+        stopping = asyncio.create_task(self.drain())
+        assert self.server.pending_connections == 1
+        connecting.sendall(_GET)
+        answered = await stopping
+        assert connecting.recv(100).startswith(b'HTTP/1.1 200')
+        return answered
+
     async def drain(self) -> bool:
         """Stop as the process does."""
         return await drain(self.server, lambda: self.open_requests, _GRACE)
@@ -85,6 +96,15 @@
     assert await stopping
 
 
+async def test_connection_in_the_backlog_gets_its_answer(vm: _Vm) -> None:
+    """Guards against a stop that ends while a connection of the backlog is being
+    accepted. The day inc-617c of tagpuan-pahayag lost a request that way.
+    """
+    connecting = socket.create_connection(vm.server.sockets[0].getsockname())
+    assert await vm.drain_with_backlog(connecting)
+    connecting.close()
+
+
 async def test_idle_connections_do_not_delay_the_stop(vm: _Vm) -> None:
     """A connection whose caller waits for nothing is closed at the stop."""
     reader, writer = await vm.connect()
