--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP = $(VENV)/.installed-$(shell sha256sum requirements/dev.txt | cut -c1-16)
 SEED ?= 1
 
-.PHONY: demo test lint format check-format types unit measure binary proto golden fuzz capacity clean
+.PHONY: demo test lint format check-format types unit measure binary proto golden fuzz capacity regression clean
 
 $(STAMP): requirements/dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -53,5 +53,16 @@
 capacity: $(STAMP)
 	$(BIN)/python -m nutmegstep.measure.capacity_tables
 
+# Scores the operators' deployments, one after the other, a large day taking 5 GB:
+# make regression BENCH=PATH SITES=FOLDER WHY="what changed"
+REGRESSION_SITES ?= further/tagpuan-pahayag further-grown/tagpuan-pahayag-grown large/dzk-meklesana-large
+JOBS ?= 2
+WHY ?= regression
+regression:
+	@test -n "$(BENCH)" -a -n "$(SITES)" || { echo "set BENCH and SITES"; exit 2; }
+	for site in $(REGRESSION_SITES); do \
+	  "$(BENCH)" score "$(SITES)/$$site.toml" --jobs $(JOBS) --why "$(WHY)" || exit 1; \
+	done
+
 binary: $(STAMP)
 	bash packaging/build.sh $(BIN)/python
