Pass requests without local targets to coordinators of other domains

Cause: two of the five failure domains of the large deployment have no shard targets, so each part of their queries crossed between domains, at a price, and so did its request.

Change: if no target of the first three parts is in the failure domain of a VM, it delegates to a coordinator of another domain, also if it is a coordinator itself.

--- a/nutmegstep/coordinators/core.py
+++ b/nutmegstep/coordinators/core.py
@@ -40,6 +40,10 @@
     addresses : tuple of str
         ``host:port`` of the coordinators to which this VM passes queries, in
         the order in which to try them; empty if it scatters them itself.
+    remote_addresses : tuple of str
+        ``host:port`` of the coordinators of the other failure domains, in the
+        order in which to try them. They serve the requests for services that
+        have no target in the failure domain of this VM.
     is_coordinator : bool
         Whether this VM is a coordinator.
     in_domain : int
@@ -52,6 +56,7 @@
     """
 
     addresses: tuple[str, ...] = ()
+    remote_addresses: tuple[str, ...] = ()
     is_coordinator: bool = False
     in_domain: int = 0
     total: int = 0
@@ -99,21 +104,21 @@
     >>> choose_coordinators('vm-1', entries).addresses
     ()
     """
-    names_by_domain = _group_by_domain(entry_by_name)
     chosen_by_domain = {
         domain: _choose_in_domain(names, entry_by_name)
-        for domain, names in names_by_domain.items()
+        for domain, names in _group_by_domain(entry_by_name).items()
     }
-    own_domain = entry_by_name[own_name].failure_domain
-    chosen = chosen_by_domain[own_domain]
-    is_coordinator = own_name in chosen
-    order = () if is_coordinator else _rotate(chosen, own_name)
+    chosen = chosen_by_domain[entry_by_name[own_name].failure_domain]
     coordinators = frozenset(chain.from_iterable(chosen_by_domain.values()))
+    is_coordinator = own_name in chosen
+    local = () if is_coordinator else chosen
+    remote = tuple(sorted(coordinators.difference(chosen)))
     peers = (
         coordinators if is_coordinator else entry_by_name.keys() - coordinators
     )
     return CoordinatorChoice(
-        tuple(entry_by_name[name].address for name in order),
+        _addresses_in_order(local, own_name, entry_by_name),
+        _addresses_in_order(remote, own_name, entry_by_name),
         is_coordinator,
         len(chosen),
         len(coordinators),
@@ -151,12 +156,17 @@
     return tuple(able if len(able) > 1 else ranked[:_MIN_COORDINATORS])
 
 
-def _rotate(names: tuple[str, ...], own_name: str) -> tuple[str, ...]:
-    """Return the names in an order that spreads the VMs over them."""
+def _addresses_in_order(
+    names: tuple[str, ...],
+    own_name: str,
+    entry_by_name: Mapping[str, VmEntry],
+) -> tuple[str, ...]:
+    """Return the addresses in an order that spreads the VMs over them."""
     if not names:
         return ()
     start = _rank(own_name) % len(names)
-    return (*names[start:], *names[:start])
+    rotated = (*names[start:], *names[:start])
+    return tuple(entry_by_name[name].address for name in rotated)
 
 
 def _rank(name: str) -> int:
--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -161,7 +161,9 @@
     if (event.count, event.in_domain, event.coordinators) == known:
         return []
     state.coordinators = event.coordinators
-    state.coordinator_health.retain(event.coordinators.addresses)
+    state.coordinator_health.retain(
+        (*event.coordinators.addresses, *event.coordinators.remote_addresses)
+    )
     state.vm_count = event.count
     state.vms_in_domain = event.in_domain
     inputs = {
--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -47,6 +47,10 @@
 """Part of the time until a partial answer is due that is reserved for the way
 from the coordinator to this VM and on."""
 _MS_PER_SECOND: Final = 1000
+_REMOTE_HOP_SECONDS: Final = 0.005
+"""The same from a coordinator of another failure domain."""
+_SAMPLED_PARTS: Final = 3
+"""Parts of a query whose services are searched for local targets."""
 _MAX_BODY_BYTES: Final = 64 * 1024
 """Longest body of a request that is delegated."""
 _MAX_OPEN_REQUESTS: Final = 24
@@ -64,8 +68,10 @@
     request = open_request.request
     if configuration is None or not _is_eligible(open_request):
         return []
+    is_local = _has_local_targets(state, open_request)
+    choice = state.coordinators
     address = state.coordinator_health.first_usable(
-        state.coordinators.addresses, now
+        choice.addresses if is_local else choice.remote_addresses, now
     )
     if address is None:
         return []
@@ -73,9 +79,10 @@
     if open_request.deadline <= accept_by:
         return []
     open_request.delegation = Delegation(address, accept_by)
+    hop = _HOP_SECONDS if is_local else _REMOTE_HOP_SECONDS
     terms = DelegationTerms(
         configuration.version,
-        max(0, open_request.partial_answer_at - now - _HOP_SECONDS),
+        max(0, open_request.partial_answer_at - now - hop),
     )
     inputs = {'route': open_request.route.name, 'coordinator': address}
     return [
@@ -94,6 +101,15 @@
     return len(request.body) <= _MAX_BODY_BYTES
 
 
+def _has_local_targets(state: DispatchState, open_request: OpenRequest) -> bool:
+    # Without local targets, each part would cross to another failure domain.
+    return any(
+        target.failure_domain == state.own_domain
+        for part in open_request.parts[:_SAMPLED_PARTS]
+        for target in state.registry.of_service(part.service)
+    )
+
+
 def decline_if_unsuitable(
     state: DispatchState,
     request: RoutedRequest,
--- a/tests/dispatch/test_delegation.py
+++ b/tests/dispatch/test_delegation.py
@@ -10,7 +10,11 @@
 import pytest
 
 from nutmegstep.coordinators import CoordinatorChoice, DelegationTerms
-from nutmegstep.dispatch.control_events import ConfigurationChanged, VmsCounted
+from nutmegstep.dispatch.control_events import (
+    ConfigurationChanged,
+    TargetsListed,
+    VmsCounted,
+)
 from nutmegstep.dispatch.effects import (
     CancelDelegation,
     DeclineDelegation,
@@ -28,7 +32,13 @@
     RequestDue,
 )
 from nutmegstep.verdict import Verdict
-from tests.dispatch.conftest import SHARDS, Dispatcher, configuration, reply
+from tests.dispatch.conftest import (
+    SHARDS,
+    Dispatcher,
+    configuration,
+    records,
+    reply,
+)
 
 _FIRST = '10.0.0.7:7740'
 _SECOND = '10.0.0.8:7740'
@@ -268,3 +278,31 @@
     dispatcher.apply(VmsCounted(65, 22, coordinator))
     coordinator_share = 1 / state.bound_divisor
     assert 6 * coordinator_share + 59 * member_share == pytest.approx(1)
+
+
+_REMOTE = '10.1.0.7:7740'
+
+
+@pytest.mark.parametrize('is_coordinator', [False, True])
+def test_query_without_local_targets_goes_to_another_domain(
+    dispatcher: Dispatcher, is_coordinator: bool
+) -> None:
+    """Guards against a failure domain without shard targets whose VMs send and
+    receive every part over the priced links between failure domains.
+    """
+    local = [] if is_coordinator else [_FIRST]
+    choice = CoordinatorChoice(
+        tuple(local), (_REMOTE,), is_coordinator, total=6
+    )
+    dispatcher.apply(VmsCounted(65, 22, choice))
+    dispatcher.request()
+    assert _addresses(dispatcher) == local
+    remaining = {
+        name: record
+        for name, record in records().items()
+        if record.failure_domain != 'north'
+    }
+    dispatcher.apply(TargetsListed(remaining))
+    dispatcher.effects.clear()
+    dispatcher.request()
+    assert _addresses(dispatcher) == [_REMOTE]
