Suspend a shedding target for the time of its ramp

Cause: a suspension after refused requests kept the length of an earlier one, 10 s by default, so a target with a longer ramp came back before another VM could have warmed it.

Change: the length is computed as after slow answers.

Result: the new test (a ramp of 30 s steps) passes; 10 s would fail it.

--- a/nutmegstep/engine/warming.py
+++ b/nutmegstep/engine/warming.py
@@ -158,11 +158,12 @@
         until = now + _LEAVING_SECONDS
         state.leaving_until_by_target[attempt.target] = until
     stats = state.targets.stats_by_name.get(attempt.target)
-    if stats is None:
+    target = state.fleet.targets_by_name.get(attempt.target)
+    if stats is None or target is None:
         return
     if event.kind is FailureKind.SHED:
         stats.record_shed()
-        state.warmup.record_shed(attempt.target, event.boot_id, now)
+        state.warmup.record_shed(target, event.boot_id, now)
     elif event.kind in _UNANSWERED_KINDS:
         stats.record_cancelled(now - attempt.started)
     elif event.kind in _FAILED_KINDS:
--- a/nutmegstep/warmup/core.py
+++ b/nutmegstep/warmup/core.py
@@ -266,22 +266,23 @@
             return False
         return self._advance_ramp(state, target, now)
 
-    def record_shed(self, target: str, boot_id: str, now: float) -> None:
+    def record_shed(self, target: Target, boot_id: str, now: float) -> None:
         """Record that a target refused a request because of overload.
 
         Parameters
         ----------
-        target : str
-            Name of the target.
+        target : Target
+            The target.
         boot_id : str
             Boot identifier in the refusal, empty when it has none.
         now : float
             Monotonic time in seconds.
         """
-        state = self._state_of(target)
+        state = self._state_of(target.name)
         if boot_id and state.boot_id != boot_id:
             record_restart(state, boot_id)
         if state.record_outcome(bad=True) and state.warm_boot_id:
+            state.suspend_seconds = suspension_seconds(target)
             state.suspend(now)
         # During the ramp a refusal shows that the limit was raised too far.
         state.ramp_limit //= 2
--- a/tests/warmup/test_core.py
+++ b/tests/warmup/test_core.py
@@ -1,5 +1,8 @@
 """Tests of the detection of cold targets and of the ramp (guarantee G3)."""
 
+from dataclasses import replace
+from datetime import timedelta
+
 from nutmegstep.model import Target
 from nutmegstep.warmup import Warmup
 
@@ -40,7 +43,7 @@
     for _ in range(4):
         warmup.record_answer(TARGET, 'b1', 0.1, now=0)
     assert warmup.is_warm('a')
-    warmup.record_shed('a', 'b1', 0)
+    warmup.record_shed(TARGET, 'b1', 0)
     assert not warmup.is_warm('a')
 
 
@@ -85,13 +88,25 @@
     warmup = Warmup()
     warmup.record_warm_report('a', 'b1', 0)
     for _ in range(8):
-        warmup.record_shed('a', 'b1', 5)
+        warmup.record_shed(TARGET, 'b1', 5)
     assert not warmup.is_warm_or_leased('a', 14.9)
     assert warmup.is_warm_or_leased('a', 15)
     assert warmup.may_send(TARGET, 0, 15)
     assert not warmup.may_send(TARGET, 1, 15)
 
 
+def test_shedding_target_with_a_long_ramp_stays_suspended() -> None:
+    """Guards against a target that is used again before another VM can have
+    completed its ramp.
+    """
+    slow = replace(TARGET, ramp_step=timedelta(seconds=30))
+    warmup = Warmup()
+    warmup.record_warm_report('a', 'b1', 0)
+    for _ in range(8):
+        warmup.record_shed(slow, 'b1', 0)
+    assert not warmup.is_warm_or_leased('a', 60)
+
+
 def test_unconfirmed_target_is_tried_again_alone() -> None:
     """Guards against a target that is never used again after a disconnect.
 
