Soak failure domains with coordinators, and responses without end

It counts the sends of an attempt to a service, and targets may send a body that exceeds what is kept.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,6 +7,8 @@
 from tests.platform.deployment import Reply
 from tests.platform.standin import TargetStandIn
 
+_ATTEMPTS = 2
+"""Targets of a service that one attempt of a caller may be sent to."""
 _PROMISE_NOT_RUN = frozenset((408, 421, 429, 503))
 
 
@@ -51,6 +53,7 @@
             for target in targets.values()
             for seen in target.seen
         )
+        self._check_sends(targets)
         known = {attempt.caller_id for attempt in self.attempts}
         for caller_id in runs:
             if caller_id not in known:
@@ -70,3 +73,18 @@
         late = [one for one in self.attempts if one.asked >= since]
         served = [one for one in late if one.reply and one.reply.status == 200]
         return len(served) / max(1, len(late))
+
+    def _check_sends(self, targets: dict[str, TargetStandIn]) -> None:
+        sends = Counter(
+            (
+                seen.headers.get('x-nutmegstep-attempt-id', ''),
+                name.split('|')[1],
+            )
+            for name, target in targets.items()
+            for seen in target.seen
+        )
+        for (caller_id, service), count in sends.items():
+            if count > _ATTEMPTS:
+                self.broken.append(
+                    f'{caller_id} was sent {count} times to {service}'
+                )
--- a/tests/soak/core.py
+++ b/tests/soak/core.py
@@ -1,4 +1,7 @@
-"""Runs the soak: ``python -m tests.soak.core --seed 1 --seconds 20``."""
+"""Runs the soak: ``python -m tests.soak.core --seed 1 --seconds 20``.
+
+With ``--vms 10`` the first failure domain has ten VMs, so that it has coordinators.
+"""
 
 import argparse
 import asyncio
@@ -26,8 +29,22 @@
 _PATHS = ('/sweep/1', '/fetch/1', '/order/1')
 
 
-async def soak(seed: int, seconds: float, directory: Path) -> list[str]:
-    """Run one seed; return the promises that were broken."""
+async def soak(
+    seed: int, seconds: float, directory: Path, vms: int = 1
+) -> list[str]:
+    """Run one seed; return the promises that were broken.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the faults and of the callers.
+    seconds : float
+        Time in seconds for which faults are injected.
+    directory : pathlib.Path
+        Folder for settings and logs.
+    vms : int, optional
+        Gateways in the first failure domain; the others have one each.
+    """
     random = Random(seed)
     deployment = Deployment(directory)
     findings = Findings()
@@ -39,7 +56,7 @@
         for domain in DOMAINS:
             name = f'i|{service}|{domain}'
             target_links[name] = await _add_target(deployment, name)
-    for domain in DOMAINS:
+    for domain in (*DOMAINS[:1] * (vms - 1), *DOMAINS):
         link = PlatformLink(deployment.store_address)
         store_links.append(link)
         await deployment.start_gateway(domain, await link.start())
@@ -143,11 +160,14 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=20)
+    parser.add_argument('--vms', type=int, default=1)
     arguments = parser.parse_args()
     failed = False
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         directory = Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        broken = asyncio.run(soak(seed, arguments.seconds, directory))
+        broken = asyncio.run(
+            soak(seed, arguments.seconds, directory, arguments.vms)
+        )
         if broken:
             failed = True
             print(f'seed {seed} failed, logs in {directory}')
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,10 @@
 
 __all__ = ['FaultInjector']
 
+_ENDLESS = (
+    b'HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\n' + b'x' * 8_000_000
+)
+"""More than a gateway keeps of a response."""
 _LINK_MODES = (
     LinkMode.CUT,
     LinkMode.SILENT,
@@ -130,6 +134,7 @@
                 lambda seen: whole(seen) * 2,
                 lambda seen: b'',
                 lambda seen: b'\x00' * cut,
+                lambda seen: _ENDLESS,
             ),
         )
         target.script = spoil
