Look up delegated requests in one place

Cause: three handlers of delegation events repeated the same look-up, and a parameter named service also takes the names of targets.

Behaviour stays as it is.

--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -165,9 +165,9 @@
     now: float,
 ) -> list[Effect]:
     """Wait longer for a coordinator that has read the query."""
-    open_request = state.open_by_id.get(event.request_id)
-    if open_request is not None and open_request.delegation is not None:
-        open_request.delegation.is_accepted = True
+    delegated = _find_delegated(state, event.request_id)
+    if delegated is not None:
+        delegated[1].is_accepted = True
     return []
 
 
@@ -177,17 +177,17 @@
     now: float,
 ) -> list[Effect]:
     """Pass the answer of a coordinator on to the caller."""
-    open_request = state.open_by_id.get(event.request_id)
-    if open_request is None or open_request.delegation is None:
+    delegated = _find_delegated(state, event.request_id)
+    if delegated is None:
         return []
-    address = open_request.delegation.address
-    state.coordinator_health.record_success(address)
+    open_request, delegation = delegated
+    state.coordinator_health.record_success(delegation.address)
     open_request.delegation = None
     request = open_request.request
     inputs = {
         'route': open_request.route.name,
         'after_ms': round((now - request.arrived_at) * _MS_PER_SECOND),
-        'coordinator': address,
+        'coordinator': delegation.address,
         'status': event.reply.status,
     }
     return [
@@ -203,19 +203,29 @@
     now: float,
 ) -> list[Effect]:
     """Send the parts of a query that its coordinator did not serve."""
-    open_request = state.open_by_id.get(event.request_id)
-    if open_request is None or open_request.delegation is None:
+    delegated = _find_delegated(state, event.request_id)
+    if delegated is None:
         return []
+    open_request, delegation = delegated
     # Configurations differ between VMs for a short time only.
     if event.reason != 'other_version':
-        state.coordinator_health.record_failure(
-            open_request.delegation.address, now
-        )
+        state.coordinator_health.record_failure(delegation.address, now)
     return _take_over(
         state, open_request, now, event.reason, event.may_have_run
     )
 
 
+def _find_delegated(
+    state: DispatchState,
+    request_id: int,
+) -> tuple[OpenRequest, Delegation] | None:
+    """Return an open request and its delegation, or None without one."""
+    open_request = state.open_by_id.get(request_id)
+    if open_request is None or open_request.delegation is None:
+        return None
+    return open_request, open_request.delegation
+
+
 def _take_over(
     state: DispatchState,
     open_request: OpenRequest,
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -32,8 +32,8 @@
 
 
 @cache
-def _ring_offset(service: str) -> int:
-    return xxhash.xxh3_64_intdigest(service.encode())
+def _ring_offset(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
 
 
 class DispatchState:
