Read and log the request limits that targets state

Cause: neither logs nor metrics showed that a target states a limit, or how many requests a VM sends it meanwhile, so the hypotheses on the excess could not be told apart.

Change: the header becomes TargetReply.request_limit, and the dispatcher logs begin, change and end of each limit with the sends in between. Nothing is decided by it yet. A reply with 421 comes from another target and is kept out.

--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -132,6 +132,9 @@
         False when the target states that it did not run the request.
     is_misdirected : bool
         Whether a target other than the intended one answered.
+    request_limit : float or None
+        Requests per second that the target accepts from all VMs together;
+        None if it states no limit.
     """
 
     status: int
@@ -140,6 +143,7 @@
     signature: str
     was_executed: bool = True
     is_misdirected: bool = False
+    request_limit: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -142,6 +142,13 @@
 ) -> list[Effect]:
     health = state.health_of(send.target)
     state.reachability_of(send.target.failure_domain).record_reply(now)
+    if reply.is_misdirected:
+        health.record_rejection(now)
+        health.blocked_until = now + _MISDIRECTED_BLOCK_SECONDS
+        return []
+    effects: list[Effect] = list(
+        state.request_limits.record_reply(send.target, reply.request_limit, now)
+    )
     if reply.is_success:
         latency = state.latency_of(send.open_request.route)
         seconds = now - send.sent_at
@@ -149,11 +156,11 @@
         health.record_reply(ratio, now)
         latency.observe(seconds)
         is_slow = seconds >= _SLOW_SECONDS and ratio >= _SLOW_MEDIANS
-        return report_target(state, send.target, now) if is_slow else []
+        if is_slow:
+            effects.extend(report_target(state, send.target, now))
+        return effects
     health.record_rejection(now)
-    if reply.is_misdirected:
-        health.blocked_until = now + _MISDIRECTED_BLOCK_SECONDS
-    return []
+    return effects
 
 
 def _record_failure(
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -16,6 +16,7 @@
 from nutmegstep.dispatch.latency import INITIAL_INTERVAL, RequestInterval
 from nutmegstep.dispatch.limits import DispatchLimits
 from nutmegstep.dispatch.reachability import DomainReachability
+from nutmegstep.dispatch.request_limits import RequestLimits
 from nutmegstep.dispatch.requests import OpenRequest, Send
 from nutmegstep.dispatch.route_latency import RouteLatency
 
@@ -83,6 +84,8 @@
         Pending sends, by send identifier.
     health_by_target : dict
         Health of targets, by target identifier.
+    request_limits : RequestLimits
+        Limits that targets have stated in their replies.
     split_credits_by_route : dict
         For routes with several destinations, the round-robin credit of each
         service, by the name of the route.
@@ -113,6 +116,7 @@
         self.open_by_id: dict[int, OpenRequest] = {}
         self.sends_by_id: dict[int, Send] = {}
         self.health_by_target: dict[str, TargetHealth] = {}
+        self.request_limits = RequestLimits()
         self.split_credits_by_route: dict[str, dict[str, float]] = {}
         self.next_send_id = 1
         self._budget_by_service: dict[str, RepeatBudget] = {}
--- a/nutmegstep/gateway/decisions.py
+++ b/nutmegstep/gateway/decisions.py
@@ -18,6 +18,8 @@
         'configuration_in_force',
         'domains_withdrawn',
         'refused',
+        'request_limit_ended',
+        'request_limit_stated',
         'vms_counted',
     ),
 )
@@ -50,8 +52,8 @@
         """Write a log line if the rate allows it.
 
         The last tenth of the burst is reserved for refusals, changes of the
-        configuration in force, withdrawals of failure domains and changes of
-        the number of VMs.
+        configuration in force, withdrawals of failure domains, limits of
+        targets and changes of the number of VMs.
         """
         self._refill()
         required = (
--- a/nutmegstep/platform/wire.py
+++ b/nutmegstep/platform/wire.py
@@ -1,5 +1,6 @@
 """HTTP headers of callers and targets on the operators' platform."""
 
+import re
 from itertools import chain
 from typing import Final
 
@@ -25,6 +26,9 @@
 # Signature of a target's reply.
 _SIGNATURE: Final = b'x-nutmegstep-server-stamp'
 _NOT_EXECUTED: Final = b'x-nutmegstep-not-executed'
+# Requests per second that the target accepts from all VMs together.
+_REQUEST_LIMIT: Final = b'server-limit'
+_DECIMAL: Final = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 _PART_SIGNATURES: Final = 'X-Nutmegstep-Part-Stamps'
 _MISSING_PARTS: Final = 'X-Nutmegstep-Missing-Parts'
 
@@ -114,6 +118,7 @@
         signature=header_by_name.get(_SIGNATURE, b'').decode('latin-1'),
         was_executed=not is_misdirected and _NOT_EXECUTED not in header_by_name,
         is_misdirected=is_misdirected,
+        request_limit=_read_limit(header_by_name.get(_REQUEST_LIMIT, b'')),
     )
 
 
@@ -189,6 +194,11 @@
     return _HOP_BY_HOP.union(option.strip() for option in named)
 
 
+def _read_limit(text: bytes) -> float | None:
+    # A text that is no decimal number states no limit.
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
 def _read_deadline(text: str) -> float | None:
     return int(text) / _MS_PER_SECOND if text.isdigit() else None
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -193,6 +193,29 @@
     assert ('Retry-After', '0.040') in response.headers
 
 
+@pytest.mark.parametrize(
+    ('text', 'limit'),
+    [
+        (b'15.3', 15.3),
+        (b'0', 0),
+        (b'', None),
+        (b'-1', None),
+        (b'nan', None),
+        (b'inf', None),
+        (b'1e9', None),
+        (b'9' * 400, None),
+    ],
+)
+def test_request_limit_of_a_target_is_read(
+    text: bytes, limit: float | None
+) -> None:
+    """A text that is no plain decimal number states no limit."""
+    raw = RawReply(503, ((b'server-limit', text),), b'')
+    reply = CODEC.read_reply(_send(), raw)
+    assert reply is not None
+    assert reply.request_limit == limit
+
+
 def test_merged_answer_lists_its_parts() -> None:
     """Guards against a merged response that does not state which shards it
     covers and how many are missing.
