--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -38,6 +38,10 @@
 
 SHARDS = tuple(f'shard-{number}' for number in range(10))
 HOST = 'shop.example'
+LIMITS = DispatchLimits(
+    BudgetLimits(0.2, 54, timedelta(seconds=10)),
+    ColdLimits(1.5, 5),
+)
 _Kind = TypeVar('_Kind')
 
 
@@ -128,11 +132,7 @@
     """Applies events to a dispatcher state at times that the test sets."""
 
     def __init__(self) -> None:
-        limits = DispatchLimits(
-            BudgetLimits(0.2, 54, timedelta(seconds=10)),
-            ColdLimits(1.5, 5),
-        )
-        self.state = DispatchState('north', limits, Random(1), started=0)
+        self.state = DispatchState('north', LIMITS, Random(1), started=0)
         self.now = 100.0
         self.effects: list[Effect] = []
         self._ids = count(1)
