Let the loop turn in the stand-in of endless responses

Cause: the stand-in writes and awaits drain(), which returns without a turn of the event loop as long as the kernel takes the bytes, up to 32 MB a connection. Thirty of them write for seconds before the pool under test reads a byte.

Change: a turn of the loop after each block. Deadline, number of targets, bound and outcomes are as before. A new test fails without the turn on any machine (`assert [] == [1]`): the loop didn't turn during ten blocks.

Looked for elsewhere: the soak's link and the other stand-ins wait for bytes of their peer before they write, and the product has no loop over drain().

--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import suppress
+from typing import cast
 
 import pytest
 
@@ -56,6 +57,17 @@
         """Stop listening."""
         self._server.close()
 
+    async def flood(self, writer: asyncio.StreamWriter) -> None:
+        """Write without end until the connection is closed."""
+        first, rest = _ENDLESS[self.kind]
+        # drain() returns without a turn of the event loop while the kernel
+        # takes the bytes; the sleep lets the readers run.
+        writer.write(first)
+        while True:
+            writer.write(rest)
+            await writer.drain()
+            await asyncio.sleep(0)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -64,16 +76,25 @@
             writer.write(_HEALTHY_ANSWER)
         else:
             with suppress(ConnectionError):
-                await self._flood(writer)
+                await self.flood(writer)
             self.is_closed.set()
         writer.close()
 
-    async def _flood(self, writer: asyncio.StreamWriter) -> None:
-        first, rest = _ENDLESS[self.kind]
-        writer.write(first)
-        while True:
-            writer.write(rest)
-            await writer.drain()
+
+class _FastWriter:
+    """Connection whose kernel takes all bytes at once, for some blocks."""
+
+    def __init__(self) -> None:
+        self.blocks = 0
+
+    def write(self, block: bytes) -> None:
+        """Take the bytes."""
+
+    async def drain(self) -> None:
+        """Return at once; fail after ten blocks."""
+        self.blocks += 1
+        if self.blocks == 10:
+            raise ConnectionResetError
 
 
 class _Caller:
@@ -134,6 +155,19 @@
     made.pool.close()
 
 
+async def test_endless_target_lets_its_event_loop_turn() -> None:
+    """Guards against a stand-in that writes until the deadlines of the tests,
+    because the kernel takes its bytes at once, and no reader runs meanwhile.
+    """
+    turns: list[int] = []
+    writer = _FastWriter()
+    loop = asyncio.get_running_loop()
+    loop.call_soon(lambda: turns.append(writer.blocks))
+    with pytest.raises(ConnectionResetError):
+        await _Target('length').flood(cast(asyncio.StreamWriter, writer))
+    assert turns == [1]
+
+
 @pytest.mark.parametrize('kind', _ENDLESS)
 async def test_endless_response_ends_as_a_failure(
     caller: _Caller, kind: str
