Bound the bytes that wait in receive buffers of targets

What can be seen: a VM that is busy for a second while 30 targets send without end holds 39 to 41 MB in the kernel's receive buffers, beside what it has read. The smallest VMs have 200 MB.

Cause: the bound on responses counts what the process has read only; the kernel enlarges a connection's buffer, up to 32 MB, while its peer sends faster than the process reads.

Change: connections to targets, of the gateway and of the engine, get a receive buffer of 256 KB, which the kernel takes as 512 KB.

--- a/nutmegstep/gateway/pooled_connection.py
+++ b/nutmegstep/gateway/pooled_connection.py
@@ -10,7 +10,7 @@
 from nutmegstep.dispatch.events import HeaderItems, SendFailureKind
 from nutmegstep.gateway.codec import RawReply
 from nutmegstep.gateway.response_memory import ResponseMemory
-from nutmegstep.web.sockets import set_user_timeout
+from nutmegstep.web.sockets import limit_receive_buffer, set_user_timeout
 
 __all__ = ['PooledConnection', 'SendOutcome', 'SendOutcomeCallback']
 
@@ -24,6 +24,8 @@
 """Value of the TCP_USER_TIMEOUT option: the kernel closes a connection whose
 sent bytes are not acknowledged for this time. Without it a connection stays
 open for minutes after a network partition."""
+_RECEIVE_BUFFER_BYTES: Final = 256 * 1024
+"""Size of the kernel's buffer for bytes that the VM has not read yet."""
 _STATUS_MISDIRECTED: Final = 421
 _MAX_INTERIM_RESPONSES: Final = 8
 """Most interim responses (status 1xx) before a response."""
@@ -96,11 +98,14 @@
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Limit the time for which sent bytes may stay unacknowledged."""
+        """Limit the time for which sent bytes may stay unacknowledged, and the
+        received bytes that wait in the kernel.
+        """
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         sock = transport.get_extra_info('socket')
         set_user_timeout(sock, _TCP_USER_TIMEOUT_MS)
+        limit_receive_buffer(sock, _RECEIVE_BUFFER_BYTES)
 
     def send(
         self,
--- a/nutmegstep/targets/connection.py
+++ b/nutmegstep/targets/connection.py
@@ -15,13 +15,15 @@
     encode_request,
     read_outcome,
 )
-from nutmegstep.web.sockets import set_user_timeout
+from nutmegstep.web.sockets import limit_receive_buffer, set_user_timeout
 
 __all__ = ['OutcomeCallback', 'TargetConnection']
 
 OutcomeCallback = Callable[[Outcome], None]
 _ConnectionCallback = Callable[['TargetConnection'], None]
 
+_RECEIVE_BUFFER_BYTES: Final = 256 * 1024
+"""Size of the kernel's buffer for bytes that the VM has not read yet."""
 _USER_TIMEOUT_MS: Final = 1000
 _RESPONSE_BYTES_MAX: Final = 4 * 1024 * 1024
 
@@ -110,11 +112,12 @@
         return self._transport is not None and not self._transport.is_closing()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and set ``TCP_USER_TIMEOUT`` on its socket."""
+        """Store the transport and set the options of its socket."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         connection = transport.get_extra_info('socket')
         set_user_timeout(connection, _USER_TIMEOUT_MS)
+        limit_receive_buffer(connection, _RECEIVE_BUFFER_BYTES)
 
     def send(
         self,
--- a/nutmegstep/web/sockets.py
+++ b/nutmegstep/web/sockets.py
@@ -3,7 +3,7 @@
 import socket
 from asyncio.trsock import TransportSocket
 
-__all__ = ['set_user_timeout']
+__all__ = ['limit_receive_buffer', 'set_user_timeout']
 
 
 def set_user_timeout(
@@ -28,3 +28,22 @@
         socket.TCP_USER_TIMEOUT,
         milliseconds,
     )
+
+
+def limit_receive_buffer(
+    connection: socket.socket | TransportSocket,
+    size: int,
+) -> None:
+    """Set ``SO_RCVBUF`` on a connection.
+
+    Without it the kernel enlarges the buffer while a peer sends faster than
+    the process reads. The kernel allows itself twice the given size.
+
+    Parameters
+    ----------
+    connection : socket.socket or asyncio.trsock.TransportSocket
+        A connected socket.
+    size : int
+        Size of the buffer in bytes.
+    """
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
