Log which failed sends had the same content

What operators lacked: attempts of one request have identifiers of their own, so no log line told that the same request had crashed several targets; and a connection that closed before the first byte of an answer was logged as `invalid`, like bytes that are no answer.

Change: the failure kind `no_response` for connections that the target closed before the first byte, and in the `send_failed` line of such a send a digest of method, host, path, query and body.

No decision depends on the new kind.

--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -35,6 +35,8 @@
     CONNECT
         The request was not written: no connection could be opened, or none
         was free before the send expired.
+    NO_RESPONSE
+        The target closed the connection before the first byte of a response.
     RESET
         The connection was closed before the response was complete.
     INVALID
@@ -50,6 +52,7 @@
     """
 
     CONNECT = 'connect'
+    NO_RESPONSE = 'no_response'
     RESET = 'reset'
     INVALID = 'invalid'
     TIMEOUT = 'timeout'
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from nutmegstep.dispatch.completion import answer_if_due
+from nutmegstep.dispatch.content import content_digest
 from nutmegstep.dispatch.effects import Decision, Effect
 from nutmegstep.dispatch.events import (
     SendFailed,
@@ -93,21 +94,27 @@
         send.part.possible_runs -= 1
     if send.part.reply is not None or not _is_open(state, send):
         return reports
-    decision = Decision(
-        'send_failed',
-        send.open_request.request.attempt_id,
-        {
-            'target': send.target.target_id,
-            'kind': event.kind.value,
-            'after_ms': round((now - send.sent_at) * 1000),
-        },
-    )
+    decision = _failure_decision(send, event.kind, now)
     may_repeat = (
         send.open_request.route.is_idempotent or not event.kind.may_have_run
     )
     return [*reports, decision, *_repeat_or_fail(state, send, may_repeat, now)]
 
 
+def _failure_decision(
+    send: Send, kind: SendFailureKind, now: float
+) -> Decision:
+    request = send.open_request.request
+    inputs: dict[str, object] = {
+        'target': send.target.target_id,
+        'kind': kind.value,
+        'after_ms': round((now - send.sent_at) * 1000),
+    }
+    if kind is SendFailureKind.NO_RESPONSE:
+        inputs['content'] = content_digest(request)
+    return Decision('send_failed', request.attempt_id, inputs)
+
+
 def _repeat_or_fail(
     state: DispatchState,
     send: Send,
--- a/nutmegstep/gateway/pooled_connection.py
+++ b/nutmegstep/gateway/pooled_connection.py
@@ -44,6 +44,7 @@
 
     on_outcome: SendOutcomeCallback
     on_confirmed: Callable[[], None]
+    has_begun: bool = False
     status: int = 0
     headers: HeaderItems = ()
     chunks: list[bytes] = field(default_factory=list)
@@ -140,16 +141,26 @@
         if self._exchange is None:
             self.fail(SendFailureKind.INVALID)
             return
+        self._exchange.has_begun = True
         self._read(data)
 
     def eof_received(self) -> None:
         """Complete a response whose body ends when the target closes."""
-        if self._exchange is not None:
+        if self._exchange is None:
+            return
+        if self._exchange.has_begun:
             self._read(b'')
+        else:
+            self.fail(SendFailureKind.NO_RESPONSE)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in flight and tell the pool."""
-        self.fail(SendFailureKind.RESET)
+        exchange = self._exchange
+        is_closed_by_target = isinstance(exc, ConnectionError)
+        if exchange is None or exchange.has_begun or not is_closed_by_target:
+            self.fail(SendFailureKind.RESET)
+        else:
+            self.fail(SendFailureKind.NO_RESPONSE)
         self._on_closed(self)
 
     def _read(self, data: bytes) -> None:
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -267,10 +267,22 @@
     sender.target.script = lambda seen: b''
     sender.send()
     outcome = await sender.outcome()
-    assert isinstance(outcome, SendFailureKind)
+    assert outcome is SendFailureKind.NO_RESPONSE
     assert outcome.may_have_run
 
 
+async def test_response_that_has_begun_is_no_missing_response(
+    sender: _Sender,
+) -> None:
+    """Guards against taking a target that broke off its response for one that
+    closed the connection without any.
+    """
+    sender.target.script = lambda seen: b'HTTP/1.1 200'
+    sender.target.closes_after_answer = True
+    sender.send()
+    assert await sender.outcome() is SendFailureKind.INVALID
+
+
 async def test_refused_connection_has_not_run(sender: _Sender) -> None:
     """Guards against giving up a non-idempotent request that cannot have run,
     because its connection was refused.
