Show that a crashing request is sent to ever more targets

A fleet of 1 to 195 VMs with the real reducer, and targets that crash when they run a request which callers send again and again, with and without restarts of VMs, on routes of all kinds.

Measured: all 24 cases fail. In the minute of a case, 40 to 490 sends follow later than 4 s after the third crash, where 3 are allowed.

--- /dev/null
+++ b/tests/dispatch/test_crashing_fleet.py
@@ -0,0 +1,202 @@
+"""A request that crashes the targets that run it, over all VMs of a fleet.
+
+Callers send it again and again to any VM. A crashed target refuses connections
+until its announcement ends, and is replaced by another one.
+"""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from itertools import count
+from random import Random
+from typing import Final
+
+import pytest
+
+from nutmegstep.coordinators import DelegationTerms, choose_coordinators
+from nutmegstep.dispatch import DispatchState, reduce_event
+from nutmegstep.dispatch.control_events import (
+    ConfigurationChanged,
+    HousekeepingDue,
+    TargetAnnounced,
+    TargetRemoved,
+    TargetsListed,
+    VmsCounted,
+)
+from nutmegstep.dispatch.effects import Effect, SendRequest
+from nutmegstep.dispatch.events import (
+    Event,
+    RequestArrived,
+    RoutedRequest,
+    SendFailed,
+    SendFailureKind,
+)
+from nutmegstep.store_watch.vm_registry import VmEntry
+from tests.dispatch.conftest import HOST, LIMITS, configuration, records
+
+_DOMAINS: Final = ('north', 'south', 'west')
+_ADAPT_SECONDS: Final = 4.0
+"""Time after the third crash from which further sends count."""
+_CRASHES: Final = 3
+_TOLERATED_SENDS: Final = 3
+_RUN_SECONDS: Final = 0.05
+_LEASE_SECONDS: Final = 3.0
+"""Time after a crash at which the announcement of a target ends."""
+_REPLACE_SECONDS: Final = 4.0
+_HOUSEKEEPING_SECONDS: Final = 0.5
+
+
+@dataclass
+class _Fleet:
+    """VMs with the real reducer, and targets that a request crashes."""
+
+    vms: int
+    path: str
+    random: Random = field(default_factory=lambda: Random(1))
+    now: float = 100
+    sent_at: list[float] = field(default_factory=list)
+    crashed_at: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._ids = count(1)
+        self._steps: list[tuple[float, int, Callable[[], None]]] = []
+        self._sends_by_target: dict[str, list[tuple[int, int]]] = {}
+        self._target_by_id = dict(records())
+        self._crashed: set[str] = set()
+        self._entries = {
+            f'vm-{number:03}': VmEntry(
+                _DOMAINS[number % len(_DOMAINS)], f'10.0.0.{number}:7740', 1
+            )
+            for number in range(self.vms)
+        }
+        self.states = [self._build(name) for name in self._entries]
+        self._later(_HOUSEKEEPING_SECONDS, self._keep_house)
+
+    def run(self, seconds: float, per_second: float) -> None:
+        """Let callers send the request at a mean rate."""
+        ends = self.now + seconds
+        arrival = self.now
+        while arrival < ends:
+            arrival += self.random.expovariate(per_second)
+            self._run_until(arrival)
+            self._request(self.random.randrange(self.vms))
+        self._run_until(ends + _HOUSEKEEPING_SECONDS)
+
+    def restart(self, vm: int) -> None:
+        """Replace the state of a VM with that of a new process."""
+        self.states[vm] = self._build(tuple(self._entries)[vm])
+
+    def counted_sends(self) -> int:
+        """Return the number of sends later than the bound allows."""
+        if len(self.crashed_at) < _CRASHES:
+            return 0
+        begins = sorted(self.crashed_at)[_CRASHES - 1] + _ADAPT_SECONDS
+        return sum(at > begins for at in self.sent_at)
+
+    def _build(self, name: str) -> DispatchState:
+        domain = self._entries[name].failure_domain
+        state = DispatchState(domain, LIMITS, Random(name))
+        in_domain = sum(
+            one.failure_domain == domain for one in self._entries.values()
+        )
+        choice = choose_coordinators(name, self._entries)
+        for event in (
+            VmsCounted(self.vms, in_domain, choice),
+            ConfigurationChanged(configuration()),
+            TargetsListed(dict(self._target_by_id)),
+        ):
+            reduce_event(state, event, self.now)
+        return state
+
+    def _later(self, seconds: float, step: Callable[[], None]) -> None:
+        heapq.heappush(self._steps, (self.now + seconds, next(self._ids), step))
+
+    def _run_until(self, instant: float) -> None:
+        while self._steps and self._steps[0][0] <= instant:
+            due_at, _, step = heapq.heappop(self._steps)
+            self.now = due_at
+            step()
+        self.now = instant
+
+    def _keep_house(self) -> None:
+        self._apply_to_all(HousekeepingDue())
+        self._later(_HOUSEKEEPING_SECONDS, self._keep_house)
+
+    def _request(self, vm: int) -> None:
+        request = RoutedRequest(
+            next(self._ids),
+            f'attempt-{self.now}',
+            b'POST',
+            self.path.encode(),
+            HOST,
+            self.path,
+            (),
+            b'body',
+            2.0,
+            self.now,
+            # Served by this VM, whether or not it is a coordinator.
+            delegated=DelegationTerms(1, 1),
+        )
+        self._apply(vm, RequestArrived(request))
+
+    def _apply_to_all(self, event: Event) -> None:
+        for vm in range(self.vms):
+            self._apply(vm, event)
+
+    def _apply(self, vm: int, event: Event) -> None:
+        for effect in reduce_event(self.states[vm], event, self.now):
+            self._perform(vm, effect)
+
+    def _perform(self, vm: int, effect: Effect) -> None:
+        if isinstance(effect, SendRequest):
+            self._send(vm, effect)
+
+    def _send(self, vm: int, effect: SendRequest) -> None:
+        target_id = effect.target.target_id
+        if target_id in self._crashed:
+            refused = SendFailed(effect.send_id, SendFailureKind.CONNECT)
+            self._later(0.001, lambda: self._apply(vm, refused))
+            return
+        self.sent_at.append(self.now)
+        sends = self._sends_by_target.setdefault(target_id, [])
+        if not sends:
+            self._later(_RUN_SECONDS, lambda: self._crash(target_id))
+        sends.append((vm, effect.send_id))
+
+    def _crash(self, target_id: str) -> None:
+        self.crashed_at.append(self.now)
+        self._crashed.add(target_id)
+        self._later(_LEASE_SECONDS, lambda: self._end_lease(target_id))
+        self._later(_REPLACE_SECONDS, lambda: self._replace(target_id))
+        for vm, send_id in self._sends_by_target.pop(target_id):
+            self._apply(vm, SendFailed(send_id, SendFailureKind.NO_RESPONSE))
+
+    def _end_lease(self, target_id: str) -> None:
+        self._apply_to_all(TargetRemoved(target_id))
+
+    def _replace(self, target_id: str) -> None:
+        ended = self._target_by_id.pop(target_id)
+        name = f'{ended.service}-{next(self._ids)}'
+        started = replace(ended, target_id=name, started_ms=next(self._ids))
+        self._target_by_id[name] = started
+        self._apply_to_all(TargetAnnounced(started))
+
+
+@pytest.mark.known_red
+@pytest.mark.xfail(raises=AssertionError, strict=True, reason='KNOWN-RED.txt')
+@pytest.mark.parametrize('restarts', [False, True])
+@pytest.mark.parametrize('path', ['/fetch/x', '/order/x', '/sweep/x'])
+@pytest.mark.parametrize('vms', [1, 7, 65, 195])
+def test_crashing_request_is_not_sent_on(
+    vms: int, path: str, restarts: bool
+) -> None:
+    """Guards against a request that crashes one target after the other, as its
+    attempts reach VMs that do not know of the crashes before.
+    """
+    fleet = _Fleet(vms, path)
+    for round_number in range(12):
+        fleet.run(5, per_second=3)
+        if restarts:
+            fleet.restart(round_number % vms)
+    assert len(fleet.crashed_at) >= _CRASHES
+    assert fleet.counted_sends() <= _TOLERATED_SENDS
