--- a/nutmegstep/dispatch/arrivals.py
+++ b/nutmegstep/dispatch/arrivals.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from nutmegstep.configuration import Configuration, Route, match_route
+from nutmegstep.dispatch.crash_control import is_refused, refuse_crashing
 from nutmegstep.dispatch.delegation import decline_if_unsuitable, delegate
 from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
 from nutmegstep.dispatch.events import RequestArrived, RoutedRequest
@@ -38,8 +39,8 @@
 ) -> list[Effect]:
     """Delegate a request, send it to the targets of its route, or refuse it.
 
-    It is refused if this VM is not ready, if no route matches, or if too few
-    shards have a usable target for an answer.
+    It is refused if this VM is not ready, if no route matches, if it has crashed
+    too many targets, or if too few shards have a usable target for an answer.
     """
     request = event.request
     declined = decline_if_unsuitable(state, request, now)
@@ -58,6 +59,8 @@
         )
     open_request = _open(state, configuration, request, route)
     state.open_by_id[request.request_id] = open_request
+    if is_refused(state, open_request):
+        return refuse_crashing(state, open_request)
     delegation = delegate(state, open_request, now)
     return delegation or start_sends(state, open_request, now)
 
--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -15,6 +15,7 @@
     TargetsSuspected,
     VmsCounted,
 )
+from nutmegstep.dispatch.crash_control import settle_losses
 from nutmegstep.dispatch.effects import Decision, DropTarget, Effect
 from nutmegstep.dispatch.reporting import record_report
 from nutmegstep.dispatch.state import DispatchState
@@ -198,10 +199,11 @@
 ) -> list[Effect]:
     """Drop targets that were kept after an outage of the store and have not
     renewed their announcement in time, and the limits of departed targets.
+    Evaluate the losses of targets.
     """
     dropped = state.registry.expire(now)
     state.request_limits.forget_departed(state.registry.by_id, now)
-    return _drop(state, dropped)
+    return [*_drop(state, dropped), *settle_losses(state, event, now)]
 
 
 def _drop(state: DispatchState, target_ids: tuple[str, ...]) -> list[Effect]:
--- a/nutmegstep/dispatch/control_events.py
+++ b/nutmegstep/dispatch/control_events.py
@@ -10,12 +10,17 @@
 __all__ = [
     'ConfigurationChanged',
     'ControlEvent',
+    'CrashDeleted',
+    'CrashRecord',
+    'CrashStored',
+    'CrashesListed',
     'DomainsWithdrawn',
     'HousekeepingDue',
     'ProcessResumed',
     'StoreRecovered',
     'StoreRefreshed',
     'TargetAnnounced',
+    'TargetChecked',
     'TargetRemoved',
     'TargetsListed',
     'TargetsSuspected',
@@ -117,14 +122,71 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """Record in the store of a crash and of the content that was in flight.
+
+    Parameters
+    ----------
+    content : str
+        Digest of the content of a request that the target was running.
+    target_id : str
+        Identifier of the target that crashed.
+    """
+
+    content: str
+    target_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class CrashesListed:
+    """The complete list of crash records was read."""
+
+    records: frozenset[CrashRecord]
+
+
+@dataclass(frozen=True, slots=True)
+class CrashStored:
+    """A crash record was added to the store."""
+
+    record: CrashRecord
+
+
+@dataclass(frozen=True, slots=True)
+class CrashDeleted:
+    """A crash record was deleted from the store."""
+
+    record: CrashRecord
+
+
+@dataclass(frozen=True, slots=True)
+class TargetChecked:
+    """A target was checked after it had closed a connection.
+
+    Parameters
+    ----------
+    target_id : str
+        Identifier of the target.
+    is_listening : bool
+        False if it refuses connections.
+    """
+
+    target_id: str
+    is_listening: bool
+
+
 ControlEvent = (
     ConfigurationChanged
+    | CrashDeleted
+    | CrashStored
+    | CrashesListed
     | DomainsWithdrawn
     | HousekeepingDue
     | ProcessResumed
     | StoreRecovered
     | StoreRefreshed
     | TargetAnnounced
+    | TargetChecked
     | TargetRemoved
     | TargetsListed
     | TargetsSuspected
--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -5,17 +5,21 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from nutmegstep.dispatch import control, delegation
+from nutmegstep.dispatch import control, crash_control, delegation
 from nutmegstep.dispatch.arrivals import handle_arrival
 from nutmegstep.dispatch.completion import answer_if_due, close_request
 from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
+    CrashDeleted,
+    CrashesListed,
+    CrashStored,
     DomainsWithdrawn,
     HousekeepingDue,
     ProcessResumed,
     StoreRecovered,
     StoreRefreshed,
     TargetAnnounced,
+    TargetChecked,
     TargetRemoved,
     TargetsListed,
     TargetsSuspected,
@@ -129,5 +133,9 @@
         VmsCounted: control.set_vm_counts,
         TargetsSuspected: control.record_reports,
         HousekeepingDue: control.expire_targets,
+        TargetChecked: crash_control.record_check,
+        CrashesListed: crash_control.record_listed,
+        CrashStored: crash_control.record_stored,
+        CrashDeleted: crash_control.record_deleted,
     },
 )
--- /dev/null
+++ b/nutmegstep/dispatch/crash_control.py
@@ -0,0 +1,166 @@
+"""Handles losses of targets and changes of the crash records in the store."""
+
+from datetime import timedelta
+
+from nutmegstep.dispatch.completion import close_request
+from nutmegstep.dispatch.control_events import (
+    CrashDeleted,
+    CrashesListed,
+    CrashRecord,
+    CrashStored,
+    HousekeepingDue,
+    TargetChecked,
+)
+from nutmegstep.dispatch.crashes import KEEP_SECONDS
+from nutmegstep.dispatch.effects import (
+    CheckTarget,
+    Decision,
+    DeleteCrash,
+    DeliverRefusal,
+    Effect,
+    PublishCrash,
+)
+from nutmegstep.dispatch.losses import Loss
+from nutmegstep.dispatch.requests import OpenRequest, Send
+from nutmegstep.dispatch.state import DispatchState
+from nutmegstep.verdict import Reason, refuse
+
+__all__ = [
+    'is_refused',
+    'record_check',
+    'record_deleted',
+    'record_listed',
+    'record_loss',
+    'record_stored',
+    'record_success',
+    'refuse_crashing',
+    'settle_losses',
+]
+
+
+def record_loss(state: DispatchState, send: Send, now: float) -> list[Effect]:
+    """Record that a target closed a connection without a response."""
+    open_request = send.open_request
+    loss = Loss(
+        open_request.content,
+        (open_request.request.request_id, len(send.part.tried_targets)),
+        send.target.target_id,
+        now,
+    )
+    if state.losses.record(loss):
+        return [CheckTarget(send.target)]
+    return []
+
+
+def record_success(state: DispatchState, open_request: OpenRequest) -> None:
+    """Stop suspecting a request that a target has run."""
+    if not state.crashes.is_empty:
+        state.crashes.record_success(open_request.content)
+
+
+def is_refused(state: DispatchState, open_request: OpenRequest) -> bool:
+    """Return whether a request has crashed too many targets."""
+    return not state.crashes.is_empty and state.crashes.is_refused(
+        open_request.content
+    )
+
+
+def refuse_crashing(
+    state: DispatchState,
+    open_request: OpenRequest,
+) -> list[Effect]:
+    """Refuse a request that has crashed too many targets."""
+    request = open_request.request
+    refusal = refuse(
+        open_request.verdict,
+        Reason.CRASHES_TARGETS,
+        'targets that ran this request have crashed',
+        retry_after=timedelta(seconds=KEEP_SECONDS),
+    )
+    inputs = {
+        'route': open_request.route.name,
+        'reason': refusal.reason.value,
+        'host': request.host,
+        'content': open_request.content,
+    }
+    return [
+        Decision('refused', request.attempt_id, inputs),
+        *close_request(state, open_request),
+        DeliverRefusal(request.request_id, refusal),
+    ]
+
+
+def record_check(
+    state: DispatchState,
+    event: TargetChecked,
+    now: float,
+) -> list[Effect]:
+    """Record whether a target that closed a connection still listens."""
+    state.losses.record_check(event.target_id, is_listening=event.is_listening)
+    return []
+
+
+def settle_losses(
+    state: DispatchState,
+    event: HousekeepingDue,
+    now: float,
+) -> list[Effect]:
+    """Evaluate losses, publish crashes and forget old ones."""
+    crashes = state.crashes
+    observed = [
+        CrashRecord(loss.content, loss.target_id)
+        for loss in state.losses.settle(now)
+    ]
+    decisions = [
+        _refused_decision(state, record.content)
+        for record in observed
+        if crashes.record_crash(record, now)
+    ]
+    return [
+        *decisions,
+        *(PublishCrash(record) for record in crashes.take_unpublished()),
+        *(
+            DeleteCrash(record)
+            for record in crashes.expire(now, state.phase_of('crashes'))
+        ),
+    ]
+
+
+def record_listed(
+    state: DispatchState,
+    event: CrashesListed,
+    now: float,
+) -> list[Effect]:
+    """Replace the crashes that are known from the store."""
+    state.crashes.retain_stored(event.records)
+    return [
+        _refused_decision(state, record.content)
+        for record in event.records
+        if state.crashes.record_stored(record, now)
+    ]
+
+
+def record_stored(
+    state: DispatchState,
+    event: CrashStored,
+    now: float,
+) -> list[Effect]:
+    """Add a crash that a VM has published."""
+    if state.crashes.record_stored(event.record, now):
+        return [_refused_decision(state, event.record.content)]
+    return []
+
+
+def record_deleted(
+    state: DispatchState,
+    event: CrashDeleted,
+    now: float,
+) -> list[Effect]:
+    """Forget a crash whose record was deleted."""
+    state.crashes.forget(event.record)
+    return []
+
+
+def _refused_decision(state: DispatchState, content: str) -> Decision:
+    inputs = {'content': content, 'crashes': state.crashes.count(content)}
+    return Decision('content_refused', '', inputs)
--- /dev/null
+++ b/nutmegstep/dispatch/crashes.py
@@ -0,0 +1,155 @@
+"""Requests that crash the targets that run them.
+
+Callers send a failed request again, as a new attempt and to any VM. A request
+that crashes each target would end one after the other. So each VM records in
+the store which content was in flight on a target as it crashed, and all VMs
+refuse content that was there too often.
+"""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+from operator import itemgetter
+from typing import Final
+
+from nutmegstep.dispatch.control_events import CrashRecord
+
+__all__ = ['KEEP_SECONDS', 'CrashRecords']
+
+KEEP_SECONDS: Final = 1800.0
+"""Time for which a crash is remembered."""
+_MAX_CRASHES: Final = 3
+"""Crashes from which a request is refused."""
+_MAX_PUBLISHED: Final = 16
+"""Most crashes that are published at once. All content that was in flight on a
+crashed target is suspected at first."""
+_EXPIRY_SPREAD: Final = 0.1
+"""Share of the time by which VMs forget crashes at different moments, so that
+one of them deletes the record before the others try to."""
+
+
+@dataclass(slots=True)
+class _Crash:
+    """A crashed target on which some content was in flight.
+
+    Attributes
+    ----------
+    seen_at : float
+        Monotonic time in seconds at which this VM learned of it.
+    is_published : bool
+        Whether the record is in the store or on its way.
+    is_stored : bool
+        Whether the record has been read from the store.
+    is_suspicious : bool
+        False once the same content has run without a crash.
+    """
+
+    seen_at: float
+    is_published: bool = False
+    is_stored: bool = False
+    is_suspicious: bool = True
+
+
+class CrashRecords:
+    """Crashes that this VM has observed or read from the store."""
+
+    def __init__(self) -> None:
+        self._crashes_by_content: dict[str, dict[str, _Crash]] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no content is suspected."""
+        return not self._crashes_by_content
+
+    def count(self, content: str) -> int:
+        """Return the number of crashes for which content is suspected."""
+        crashes = self._crashes_by_content.get(content, {})
+        return sum(one.is_suspicious for one in crashes.values())
+
+    def is_refused(self, content: str) -> bool:
+        """Return whether content has crashed too many targets."""
+        return self.count(content) >= _MAX_CRASHES
+
+    def record_success(self, content: str) -> None:
+        """Stop suspecting content that a target has run."""
+        for crash in self._crashes_by_content.get(content, {}).values():
+            crash.is_suspicious = False
+
+    def record_crash(self, record: CrashRecord, now: float) -> bool:
+        """Add a crash that this VM has observed.
+
+        Returns
+        -------
+        bool
+            Whether the content is refused from now on.
+        """
+        was_refused = self.is_refused(record.content)
+        self._add(record, now)
+        return self.is_refused(record.content) and not was_refused
+
+    def take_unpublished(self) -> list[CrashRecord]:
+        """Return the crashes to write to the store, most suspected first."""
+        unpublished = [
+            (self.count(content), CrashRecord(content, target_id), crash)
+            for content, crashes in self._crashes_by_content.items()
+            for target_id, crash in crashes.items()
+            if crash.is_suspicious and not crash.is_published
+        ]
+        unpublished.sort(key=itemgetter(0), reverse=True)
+        taken = unpublished[:_MAX_PUBLISHED]
+        for _, _, crash in taken:
+            crash.is_published = True
+        return [record for _, record, _ in taken]
+
+    def record_stored(self, record: CrashRecord, now: float) -> bool:
+        """Add a crash from the store; return whether its content is refused
+        from now on.
+        """
+        was_refused = self.is_refused(record.content)
+        crash = self._add(record, now)
+        crash.is_published = True
+        crash.is_stored = True
+        return self.is_refused(record.content) and not was_refused
+
+    def retain_stored(self, listed: Collection[CrashRecord]) -> None:
+        """Forget crashes whose records have been deleted from the store."""
+        self._remove(
+            CrashRecord(content, target_id)
+            for content, crashes in self._crashes_by_content.items()
+            for target_id, crash in crashes.items()
+            if crash.is_stored and CrashRecord(content, target_id) not in listed
+        )
+
+    def forget(self, record: CrashRecord) -> None:
+        """Forget a crash whose record has been deleted from the store."""
+        self._remove((record,))
+
+    def expire(self, now: float, phase: float) -> list[CrashRecord]:
+        """Forget old crashes; return those to delete from the store.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        phase : float
+            Number from 0 to 1 that spreads the VMs.
+        """
+        seen_before = now - KEEP_SECONDS * (1 + _EXPIRY_SPREAD * phase)
+        expired = [
+            (CrashRecord(content, target_id), crash)
+            for content, crashes in self._crashes_by_content.items()
+            for target_id, crash in crashes.items()
+            if crash.seen_at < seen_before
+        ]
+        self._remove(record for record, _ in expired)
+        return [record for record, crash in expired if crash.is_published]
+
+    def _add(self, record: CrashRecord, now: float) -> _Crash:
+        crashes = self._crashes_by_content.setdefault(record.content, {})
+        return crashes.setdefault(record.target_id, _Crash(now))
+
+    def _remove(self, records: Iterable[CrashRecord]) -> None:
+        for record in tuple(records):
+            crashes = self._crashes_by_content.get(record.content, {})
+            crashes.pop(record.target_id, None)
+            if not crashes:
+                self._crashes_by_content.pop(record.content, None)
--- a/nutmegstep/dispatch/effects.py
+++ b/nutmegstep/dispatch/effects.py
@@ -5,20 +5,24 @@
 
 from nutmegstep.coordinators import DelegationTerms
 from nutmegstep.discovery import TargetRecord
+from nutmegstep.dispatch.control_events import CrashRecord
 from nutmegstep.dispatch.events import RoutedRequest, TargetReply
 from nutmegstep.verdict import Refusal
 
 __all__ = [
     'CancelDelegation',
     'CancelSend',
+    'CheckTarget',
     'Decision',
     'DeclineDelegation',
     'Delegate',
+    'DeleteCrash',
     'DeliverMerged',
     'DeliverRefusal',
     'DeliverReply',
     'DropTarget',
     'Effect',
+    'PublishCrash',
     'ReportSuspect',
     'SendRequest',
     'WakeAt',
@@ -108,6 +112,27 @@
     target_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class CheckTarget:
+    """Check whether a target that closed a connection still listens."""
+
+    target: TargetRecord
+
+
+@dataclass(frozen=True, slots=True)
+class PublishCrash:
+    """Write a crash record to the store."""
+
+    record: CrashRecord
+
+
+@dataclass(frozen=True, slots=True)
+class DeleteCrash:
+    """Delete a crash record from the store."""
+
+    record: CrashRecord
+
+
 @dataclass(frozen=True, slots=True)
 class WakeAt:
     """Schedule a `RequestDue` event; replaces an earlier one of the request.
@@ -201,9 +226,12 @@
 Effect = (
     SendRequest
     | CancelSend
+    | CheckTarget
     | Delegate
     | CancelDelegation
+    | DeleteCrash
     | DropTarget
+    | PublishCrash
     | ReportSuspect
     | WakeAt
     | DeliverReply
--- /dev/null
+++ b/nutmegstep/dispatch/losses.py
@@ -0,0 +1,105 @@
+"""Targets that are lost while they run requests.
+
+A target that closes a connection without a response may have crashed, because
+of the request or with many others at once, or it may be at its limit of
+connections.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+__all__ = ['Loss', 'Losses']
+
+_SETTLE_SECONDS: Final = 0.25
+"""Time between a loss and its evaluation. Targets that are lost within it are
+lost together."""
+_MASS_LOSSES: Final = 2
+"""Other targets lost together with one from which the request is not suspected:
+a failure domain or a rack lost its power, for instance."""
+_FORGET_SECONDS: Final = 2.0
+"""Time after which a loss is dropped; longer than any check of a target."""
+
+
+@dataclass(slots=True)
+class Loss:
+    """A send that ended as its target closed the connection without a response.
+
+    Attributes
+    ----------
+    content : str
+        Digest of the content of the request.
+    round_of_sends : tuple of int
+        Identifier of the request within this process, and the number of targets
+        that the part has been sent to. Losses of one round of sends to many
+        shards count as one; a power cut costs such a request many targets.
+    target_id : str
+        Identifier of the target.
+    at : float
+        Monotonic time of the loss in seconds.
+    is_crash : bool
+        Whether the target no longer listens.
+    is_settled : bool
+        Whether the loss has been evaluated.
+    """
+
+    content: str
+    round_of_sends: tuple[int, int]
+    target_id: str
+    at: float
+    is_crash: bool = False
+    is_settled: bool = False
+
+
+class Losses:
+    """Recent losses of this VM."""
+
+    def __init__(self) -> None:
+        self._losses: list[Loss] = []
+
+    def record(self, loss: Loss) -> bool:
+        """Record a loss; return whether its target has to be checked."""
+        is_first = all(one.target_id != loss.target_id for one in self._losses)
+        self._losses.append(loss)
+        return is_first
+
+    def record_check(self, target_id: str, *, is_listening: bool) -> None:
+        """Record whether a target still listens after a loss."""
+        if is_listening:
+            self._losses = [
+                one for one in self._losses if one.target_id != target_id
+            ]
+            return
+        for loss in self._losses:
+            loss.is_crash |= loss.target_id == target_id
+
+    def settle(self, now: float) -> list[Loss]:
+        """Return the crashes of which their request is suspected, once each."""
+        crashes = [
+            one
+            for one in self._losses
+            if one.is_crash and one.at <= now - _SETTLE_SECONDS
+        ]
+        suspicious: list[Loss] = []
+        for loss in crashes:
+            if not loss.is_settled and self._is_suspicious(loss):
+                suspicious.append(loss)
+            loss.is_settled = True
+        self._losses = [
+            one for one in self._losses if one.at > now - _FORGET_SECONDS
+        ]
+        return suspicious
+
+    def _is_suspicious(self, loss: Loss) -> bool:
+        together = [
+            one
+            for one in self._losses
+            if one.is_crash and abs(one.at - loss.at) <= _SETTLE_SECONDS
+        ]
+        own = {one.target_id for one in together if one.content == loss.content}
+        others = {one.target_id for one in together} - own
+        if len(others) >= _MASS_LOSSES:
+            return False
+        return not any(
+            one.is_settled and one.round_of_sends == loss.round_of_sends
+            for one in self._losses
+        )
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 from nutmegstep.dispatch.completion import answer_if_due
-from nutmegstep.dispatch.content import content_digest
+from nutmegstep.dispatch.crash_control import record_loss, record_success
 from nutmegstep.dispatch.effects import Decision, Effect
 from nutmegstep.dispatch.events import (
     SendFailed,
@@ -111,7 +111,7 @@
         'after_ms': round((now - send.sent_at) * 1000),
     }
     if kind is SendFailureKind.NO_RESPONSE:
-        inputs['content'] = content_digest(request)
+        inputs['content'] = send.open_request.content
     return Decision('send_failed', request.attempt_id, inputs)
 
 
@@ -162,6 +162,7 @@
         ratio = seconds / latency.median
         health.record_reply(ratio, now)
         latency.observe(seconds)
+        record_success(state, send.open_request)
         is_slow = seconds >= _SLOW_SECONDS and ratio >= _SLOW_MEDIANS
         if is_slow:
             effects.extend(report_target(state, send.target, now))
@@ -184,6 +185,8 @@
     if state.reachability_of(domain).record_no_reply(now):
         effects.append(Decision('domain_unreachable', '', {'domain': domain}))
     effects.extend(report_target(state, send.target, now))
+    if kind is SendFailureKind.NO_RESPONSE:
+        effects.extend(record_loss(state, send, now))
     return effects
 
 
--- a/nutmegstep/dispatch/requests.py
+++ b/nutmegstep/dispatch/requests.py
@@ -5,6 +5,7 @@
 
 from nutmegstep.configuration import Route
 from nutmegstep.discovery import TargetRecord
+from nutmegstep.dispatch.content import content_digest
 from nutmegstep.dispatch.events import RoutedRequest, TargetReply
 from nutmegstep.verdict import Verdict
 
@@ -112,6 +113,14 @@
     required: int
     answered: int = 0
     delegation: Delegation | None = None
+    _content: str = ''
+
+    @property
+    def content(self) -> str:
+        """Digest that all attempts with the same content share."""
+        if not self._content:
+            self._content = content_digest(self.request)
+        return self._content
 
     @property
     def verdict(self) -> Verdict:
--- a/nutmegstep/dispatch/starting.py
+++ b/nutmegstep/dispatch/starting.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from nutmegstep.dispatch.completion import answer_if_due, close_request
+from nutmegstep.dispatch.crash_control import is_refused, refuse_crashing
 from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
 from nutmegstep.dispatch.requests import OpenRequest
 from nutmegstep.dispatch.selection import is_usable, seconds_until_usable
@@ -29,8 +30,11 @@
 ) -> list[Effect]:
     """Send each part to a target, or refuse the request.
 
-    It is refused if too few shards have a usable target for an answer.
+    It is refused if it has crashed too many targets, or if too few shards have
+    a usable target for an answer.
     """
+    if is_refused(state, open_request):
+        return refuse_crashing(state, open_request)
     lacking = _lacking_services(state, open_request, now)
     covered = len(open_request.parts) - len(lacking)
     if covered < open_request.required:
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -12,9 +12,11 @@
 from nutmegstep.discovery import TargetRecord, TargetRegistry
 from nutmegstep.dispatch.budget import RepeatBudget, token_savers
 from nutmegstep.dispatch.coordinator_health import CoordinatorHealth
+from nutmegstep.dispatch.crashes import CrashRecords
 from nutmegstep.dispatch.health import TargetHealth
 from nutmegstep.dispatch.latency import INITIAL_INTERVAL, RequestInterval
 from nutmegstep.dispatch.limits import DispatchLimits
+from nutmegstep.dispatch.losses import Losses
 from nutmegstep.dispatch.reachability import DomainReachability
 from nutmegstep.dispatch.request_limits import RequestLimits
 from nutmegstep.dispatch.requests import OpenRequest, Send
@@ -86,6 +88,10 @@
         Health of targets, by target identifier.
     request_limits : RequestLimits
         Limits that targets have stated in their replies.
+    losses : Losses
+        Targets that closed a connection without a response.
+    crashes : CrashRecords
+        Content that was in flight on targets as they crashed.
     split_credits_by_route : dict
         For routes with several destinations, the round-robin credit of each
         service, by the name of the route.
@@ -119,6 +125,8 @@
         self.request_limits = RequestLimits(
             self.phase_of, lambda: self.bound_divisor
         )
+        self.losses = Losses()
+        self.crashes = CrashRecords()
         self.split_credits_by_route: dict[str, dict[str, float]] = {}
         self.next_send_id = 1
         self._budget_by_service: dict[str, RepeatBudget] = {}
--- a/nutmegstep/gateway/adapter.py
+++ b/nutmegstep/gateway/adapter.py
@@ -38,6 +38,16 @@
     async def delete_vm(self, name: str) -> Result[None, PlatformFailure]:
         """Delete the registry entry of a VM that no longer renews it."""
 
+    async def put_object(
+        self, kind: str, name: str
+    ) -> Result[None, PlatformFailure]:
+        """Create an object without contents, unless it exists."""
+
+    async def delete_object(
+        self, kind: str, name: str
+    ) -> Result[None, PlatformFailure]:
+        """Delete an object, if it exists."""
+
     def close(self) -> None:
         """Close idle connections."""
 
@@ -57,12 +67,16 @@
     withdrawals : str
         Kind of the objects that withdraw failure domains. The name of such an
         object is the name of the failure domain.
+    crashes : str
+        Kind of the records of crashes, which the gateways write. The name of
+        such an object holds all of the record.
     """
 
     configuration: str
     current: str
     targets: str
     withdrawals: str
+    crashes: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Mapping
-from itertools import count
 from typing import TYPE_CHECKING, Any, Final
 
 from nutmegstep.clock import Clock
@@ -29,11 +28,9 @@
     RequestArrived,
     RequestDue,
     RoutedRequest,
-    SendFailed,
-    SendFailureKind,
-    TargetReplied,
 )
 from nutmegstep.gateway.codec import Delivery, WireCodec
+from nutmegstep.gateway.crash_records import CrashReporter
 from nutmegstep.gateway.decisions import DecisionLog
 from nutmegstep.gateway.delegation import (
     DelegationClient,
@@ -43,10 +40,10 @@
     read_delegated,
 )
 from nutmegstep.gateway.metrics import GatewayMetrics
+from nutmegstep.gateway.outcomes import SendOutcome, read_outcome
 from nutmegstep.gateway.pause import PauseDetector
 from nutmegstep.gateway.pending import PendingRequest
 from nutmegstep.gateway.pool import ConnectionPool
-from nutmegstep.gateway.pooled_connection import SendOutcome
 from nutmegstep.web import HttpRequest, HttpResponse
 
 if TYPE_CHECKING:
@@ -82,6 +79,8 @@
     ----------
     pool : ConnectionPool
         Connections to targets.
+    crash_reporter : CrashReporter
+        Checks targets and writes records of crashes to the store.
     decisions : DecisionLog
         Log of the dispatcher's decisions.
     on_suspect : Callable
@@ -100,6 +99,7 @@
     ) -> None:
         self.state = state
         self.pool = ConnectionPool(clock, codec, self._finish_send)
+        self.crash_reporter = CrashReporter(self.dispatch)
         self._delegations = DelegationClient(clock, codec, self.dispatch)
         self.decisions = DecisionLog(clock)
         self.on_suspect: Callable[[str], None] = _ignore
@@ -109,7 +109,7 @@
         self._codec = codec
         self._metrics = metrics
         self._tracing = tracing
-        self._ids = count(1)
+        self._last_id = 0
         self._events: deque[Event] = deque()
         self._is_dispatching = False
         self._pending_by_request: dict[int, PendingRequest] = {}
@@ -126,6 +126,7 @@
             DeliverMerged: self._deliver,
             DeliverRefusal: self._deliver,
             Decision: self._log_decision,
+            **self.crash_reporter.handler_by_effect,
         }
 
     @property
@@ -170,11 +171,13 @@
     def close(self) -> None:
         """Close all connections to targets and coordinators."""
         self._delegations.close()
+        self.crash_reporter.close()
         self.pool.close()
 
     def _read_request(self, http_request: HttpRequest) -> RoutedRequest:
+        self._last_id += 1
         return self._codec.read_request(
-            http_request, next(self._ids), self._clock.monotonic()
+            http_request, self._last_id, self._clock.monotonic()
         )
 
     async def _answer(self, request: RoutedRequest) -> Delivery:
@@ -278,16 +281,7 @@
         self.dispatch(RequestDue(pending.request.request_id))
 
     def _finish_send(self, effect: SendRequest, outcome: SendOutcome) -> None:
-        event: Event
-        if isinstance(outcome, SendFailureKind):
-            event = SendFailed(effect.send_id, outcome)
-        else:
-            reply = self._codec.read_reply(effect, outcome)
-            event = (
-                SendFailed(effect.send_id, SendFailureKind.INVALID)
-                if reply is None
-                else TargetReplied(effect.send_id, reply)
-            )
+        event = read_outcome(self._codec, effect, outcome)
         self._metrics.count_send(event)
         if self._tracing is not None:
             self._tracing.end_send(event)
--- /dev/null
+++ b/nutmegstep/gateway/crash_records.py
@@ -0,0 +1,185 @@
+"""Checks targets that may have crashed, and keeps crash records in the store."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from types import MappingProxyType
+from typing import Any, Final
+
+from returns.pipeline import is_successful
+
+from nutmegstep.dispatch.control_events import (
+    CrashDeleted,
+    CrashesListed,
+    CrashRecord,
+    CrashStored,
+    TargetChecked,
+)
+from nutmegstep.dispatch.effects import CheckTarget, DeleteCrash, PublishCrash
+from nutmegstep.dispatch.events import Event
+from nutmegstep.gateway.adapter import Store
+from nutmegstep.store_watch import (
+    Listing,
+    ObjectChange,
+    ObjectChanges,
+    StoreAvailability,
+    Subscription,
+)
+
+__all__ = ['CrashReporter', 'crash_subscription']
+
+_LOG: Final = logging.getLogger(__name__)
+_CHECK_TIMEOUT_S: Final = 0.25
+"""Longest time for opening a connection to a target that may have crashed."""
+_RETRY_DELAY_S: Final = 0.5
+"""Time after a failed write before it is tried again."""
+_MAX_WAIT: Final = timedelta(seconds=20)
+"""Longest wait of one watch. Each call to the store is charged for."""
+_BATCH_PAUSE: Final = timedelta(milliseconds=100)
+"""Pause after a change, so that one call returns several changes."""
+_MAX_LAG: Final = timedelta(seconds=2)
+"""Time for which the watch may stay open after another watch has returned a
+newer revision. A request that crashes targets is refused within 4 s."""
+_SEPARATOR: Final = '.'
+
+
+class CrashReporter:
+    """Carries out the effects that concern crashes of targets.
+
+    Parameters
+    ----------
+    dispatch : Callable
+        Passes an event to the dispatcher.
+
+    Attributes
+    ----------
+    handler_by_effect : Mapping
+        Functions that carry out the effects.
+    """
+
+    def __init__(self, dispatch: Callable[[Event], None]) -> None:
+        self.handler_by_effect: Mapping[type, Callable[[Any], None]] = (
+            MappingProxyType(
+                {
+                    CheckTarget: self._check,
+                    PublishCrash: lambda one: self._write(one.record, True),
+                    DeleteCrash: lambda one: self._write(one.record, False),
+                }
+            )
+        )
+        self._dispatch = dispatch
+        self._checks: set[asyncio.Task[None]] = set()
+        self._is_kept_by_record: dict[CrashRecord, bool] = {}
+        self._has_writes = asyncio.Event()
+
+    async def run(
+        self, store: Store, kind: str, availability: StoreAvailability
+    ) -> None:
+        """Write the records to the store until cancelled.
+
+        Parameters
+        ----------
+        store : Store
+            Client of the store.
+        kind : str
+            Kind of the records in the store.
+        availability : StoreAvailability
+            No call is made while the store does not answer.
+        """
+        while True:
+            await self._has_writes.wait()
+            await availability.available.wait()
+            record, is_kept = next(iter(self._is_kept_by_record.items()))
+            name = f'{record.content}{_SEPARATOR}{record.target_id}'
+            call = store.put_object if is_kept else store.delete_object
+            called = await call(kind, name)
+            if not is_successful(called):
+                fields = {'record': name, 'detail': called.failure().detail}
+                _LOG.warning('crash record not written', extra=fields)
+                await asyncio.sleep(_RETRY_DELAY_S)
+                continue
+            if self._is_kept_by_record.get(record) is is_kept:
+                self._is_kept_by_record.pop(record)
+            if not self._is_kept_by_record:
+                self._has_writes.clear()
+
+    def close(self) -> None:
+        """End all checks."""
+        for check in tuple(self._checks):
+            check.cancel()
+
+    def _write(self, record: CrashRecord, is_kept: bool) -> None:
+        self._is_kept_by_record[record] = is_kept
+        self._has_writes.set()
+
+    def _check(self, effect: CheckTarget) -> None:
+        check = asyncio.get_running_loop().create_task(
+            self._check_listening(effect)
+        )
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
+
+    async def _check_listening(self, effect: CheckTarget) -> None:
+        target = effect.target
+        loop = asyncio.get_running_loop()
+        is_listening = True
+        try:
+            async with asyncio.timeout(_CHECK_TIMEOUT_S):
+                transport, _ = await loop.create_connection(
+                    asyncio.Protocol, target.host, target.port
+                )
+        except ConnectionRefusedError:
+            is_listening = False
+        except (OSError, TimeoutError):
+            # A target that cannot be reached need not have crashed.
+            return
+        else:
+            transport.abort()
+        self._dispatch(TargetChecked(target.target_id, is_listening))
+
+
+def crash_subscription(
+    kind: str, dispatch: Callable[[Event], None]
+) -> Subscription:
+    """Return the subscription to the crash records in the store.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of the records.
+    dispatch : Callable
+        Passes an event to the dispatcher.
+    """
+
+    def handle_listing(listing: Listing) -> None:
+        read = map(_read_record, listing.documents_by_name)
+        dispatch(CrashesListed(frozenset(filter(None, read))))
+
+    def handle_changes(found: ObjectChanges) -> None:
+        for change in found.changes:
+            _dispatch_change(change, dispatch)
+
+    return Subscription(
+        kind, _MAX_WAIT, _BATCH_PAUSE, _MAX_LAG, handle_listing, handle_changes
+    )
+
+
+def _dispatch_change(
+    change: ObjectChange, dispatch: Callable[[Event], None]
+) -> None:
+    record = _read_record(change.name)
+    if record is None:
+        return
+    if change.is_deleted:
+        dispatch(CrashDeleted(record))
+    else:
+        dispatch(CrashStored(record))
+
+
+def _read_record(name: str) -> CrashRecord | None:
+    content, _, target_id = name.partition(_SEPARATOR)
+    if content and target_id:
+        return CrashRecord(content, target_id)
+    _LOG.warning('crash record cannot be read', extra={'record': name})
+    return None
--- a/nutmegstep/gateway/decisions.py
+++ b/nutmegstep/gateway/decisions.py
@@ -16,6 +16,7 @@
 _PRIORITY_DECISIONS: Final = frozenset(
     (
         'configuration_in_force',
+        'content_refused',
         'domains_withdrawn',
         'refused',
         'request_limit_ended',
--- a/nutmegstep/gateway/lifecycle.py
+++ b/nutmegstep/gateway/lifecycle.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import logging
+import signal
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Final
 
 from nutmegstep.web import HttpServer
 
-__all__ = ['drain']
+__all__ = ['drain', 'install_signal_handlers']
 
 _LOG: Final = logging.getLogger(__name__)
 _BALANCER_DELAY_S: Final = 2.6
@@ -71,3 +72,14 @@
     # A request that is still being read, or one on a connection that has just
     # been accepted, is not among the open requests yet.
     return open_requests() + server.pending_connections
+
+
+def install_signal_handlers() -> tuple[asyncio.Event, asyncio.Event]:
+    """Return events that are set when a stop or a reload is requested."""
+    loop = asyncio.get_running_loop()
+    stop_requested = asyncio.Event()
+    reload_requested = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop_requested.set)
+    loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
+    return stop_requested, reload_requested
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import secrets
-import signal
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
@@ -16,7 +15,7 @@
 from nutmegstep.dispatch.control_events import HousekeepingDue
 from nutmegstep.gateway.adapter import PlatformAdapter
 from nutmegstep.gateway.core import Gateway
-from nutmegstep.gateway.lifecycle import drain
+from nutmegstep.gateway.lifecycle import drain, install_signal_handlers
 from nutmegstep.gateway.metrics import GatewayMetrics
 from nutmegstep.gateway.store_sync import StoreSync, StoreSyncParts
 from nutmegstep.gateway.suspect_reports import SuspectReportExchange
@@ -192,7 +191,7 @@
         Whether every request was answered before the process stopped.
     """
     process = _Process(adapter, settings)
-    stop_requested, reload_requested = _install_signal_handlers()
+    stop_requested, reload_requested = install_signal_handlers()
     caller_server = await serve_http(
         process.gateway.handle,
         *settings.callers_address,
@@ -245,6 +244,7 @@
         process.gateway.dispatch,
         process.report_exchange.replace_neighbours,
         process.answer_delegated,
+        process.gateway.crash_reporter,
     )
     store_sync = StoreSync(parts, process.settings)
     process.refresh_after_pauses(store_sync)
@@ -267,16 +267,6 @@
         stop_requested.set()
 
 
-def _install_signal_handlers() -> tuple[asyncio.Event, asyncio.Event]:
-    loop = asyncio.get_running_loop()
-    stop_requested = asyncio.Event()
-    reload_requested = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
-    return stop_requested, reload_requested
-
-
 def _build_tracing(settings: GatewaySettings) -> 'Tracing | None':
     if not settings.trace_ratio:
         return None
--- a/nutmegstep/gateway/store_sync.py
+++ b/nutmegstep/gateway/store_sync.py
@@ -15,6 +15,7 @@
 from nutmegstep.dispatch.control_events import StoreRecovered, StoreRefreshed
 from nutmegstep.dispatch.events import Event
 from nutmegstep.gateway.adapter import PlatformAdapter, Store
+from nutmegstep.gateway.crash_records import CrashReporter
 from nutmegstep.gateway.neighbours import serve_neighbours
 from nutmegstep.gateway.subscriptions import StoreSubscriptions
 from nutmegstep.gateway.vm_registration import VmCallbacks, VmRegistrar
@@ -29,9 +30,9 @@
     Listing,
     ObjectChanges,
     StoreAvailability,
+    Subscription,
     Watcher,
 )
-from nutmegstep.store_watch.core import Subscription
 from nutmegstep.store_watch.vm_registry import VmEntry
 from nutmegstep.web import Handler
 
@@ -64,6 +65,8 @@
         Called with the ``host:port`` addresses of the neighbours.
     answer_delegated : Handler
         Answers the queries that neighbours delegate to this VM.
+    crash_reporter : CrashReporter
+        Writes records of crashes to the store.
     """
 
     adapter: PlatformAdapter
@@ -73,6 +76,7 @@
     dispatch: Callable[[Event], None]
     on_neighbours: Callable[[Collection[str]], None]
     answer_delegated: Handler
+    crash_reporter: CrashReporter
 
 
 class StoreSync:
@@ -143,6 +147,9 @@
         await asyncio.gather(
             self._registrar.run(self._availability, parts.random),
             self._watch_store(subscriptions),
+            parts.crash_reporter.run(
+                parts.store, parts.adapter.kinds.crashes, self._availability
+            ),
         )
 
     async def refresh(self) -> None:
--- a/nutmegstep/gateway/subscriptions.py
+++ b/nutmegstep/gateway/subscriptions.py
@@ -18,6 +18,7 @@
 )
 from nutmegstep.dispatch.events import Event
 from nutmegstep.gateway.adapter import PlatformAdapter
+from nutmegstep.gateway.crash_records import crash_subscription
 from nutmegstep.store_watch import Listing, ObjectChange, ObjectChanges
 from nutmegstep.store_watch.core import Subscription
 
@@ -97,6 +98,7 @@
                 self._on_withdrawals_listed,
                 _for_each(self._on_withdrawal_changed),
             ),
+            crash_subscription(kinds.crashes, self._dispatch),
         )
 
     def _on_configurations_listed(self, listing: Listing) -> None:
--- a/nutmegstep/platform/core.py
+++ b/nutmegstep/platform/core.py
@@ -47,6 +47,7 @@
         current='main',
         targets='servers',
         withdrawals='evacuations',
+        crashes='nutmegstep-crashes',
     ),
     ready_path='/v1/ready',
     open_store=_open_store,
--- a/nutmegstep/platform/store.py
+++ b/nutmegstep/platform/store.py
@@ -1,8 +1,6 @@
 """Client of the operators' object store."""
 
-import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, replace
 from datetime import timedelta
 from functools import partial
 from typing import Any, Final, TypeVar
@@ -13,20 +11,23 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from nutmegstep.platform.store_documents import (
+    Page,
+    append_page,
+    last_name,
+    name_of,
+    read_changes,
+    read_page,
+    read_vm_entry,
+)
 from nutmegstep.platform_api.connection import HttpCall, HttpReply
 from nutmegstep.platform_api.records import (
     PlatformFailure,
     PlatformFailureKind,
 )
 from nutmegstep.platform_api.transport import HttpTransport
-from nutmegstep.settings.fields import read_address
-from nutmegstep.store_watch import (
-    HistoryGone,
-    Listing,
-    ObjectChange,
-    ObjectChanges,
-)
-from nutmegstep.store_watch.vm_registry import DEFAULT_CAPACITY, VmEntry
+from nutmegstep.store_watch import HistoryGone, Listing, ObjectChanges
+from nutmegstep.store_watch.vm_registry import VmEntry
 
 __all__ = ['KIND_VMS', 'ObjectStore']
 
@@ -45,19 +46,9 @@
 )
 _JSON: Final = (('Content-Type', 'application/json'),)
 
-_Object = Mapping[str, Any]
 _Decoded = TypeVar('_Decoded')
 
 
-@dataclass(frozen=True, slots=True)
-class _Page:
-    """Objects on one page of a listing, or on several pages joined."""
-
-    listed_objects: tuple[_Object, ...]
-    has_more: bool
-    revision: int
-
-
 class ObjectStore:
     """Reads and writes objects, which have a kind and a name.
 
@@ -79,7 +70,7 @@
         listed = await self._list_pages(kind, {})
         return listed.map(
             lambda page: Listing(
-                {_name_of(one): one.get('spec') for one in page.listed_objects},
+                {name_of(one): one.get('spec') for one in page.listed_objects},
                 page.revision,
             ),
         )
@@ -112,15 +103,14 @@
         reply = called.unwrap()
         if reply.status == _STATUS_GONE:
             return Success(HistoryGone())
-        return _decode(_read_changes, reply)
+        return _decode(read_changes, reply)
 
     async def list_vms(self) -> Result[dict[str, VmEntry], PlatformFailure]:
         """Return the registry entries of all VMs, possibly seconds stale."""
         listed = await self._list_pages(KIND_VMS, {'allow_stale': 1})
         return listed.map(
             lambda page: {
-                _name_of(one): _read_vm_entry(one)
-                for one in page.listed_objects
+                name_of(one): read_vm_entry(one) for one in page.listed_objects
             },
         )
 
@@ -161,8 +151,22 @@
 
     async def delete_vm(self, name: str) -> Result[None, PlatformFailure]:
         """Delete the registry entry of a VM that no longer renews it."""
-        path = _path(KIND_VMS, {})
-        call = HttpCall('DELETE', f'{path}/{quote(name)}')
+        return await self.delete_object(KIND_VMS, name)
+
+    async def put_object(
+        self, kind: str, name: str
+    ) -> Result[None, PlatformFailure]:
+        """Create an object without contents, unless it exists."""
+        body = orjson.dumps({'meta': {'name': name}, 'spec': {}})
+        call = HttpCall('POST', _path(kind, {}), body, _JSON)
+        called = await self._call('create', call, is_write=True)
+        return called.map(lambda _: None)
+
+    async def delete_object(
+        self, kind: str, name: str
+    ) -> Result[None, PlatformFailure]:
+        """Delete an object, if it exists."""
+        call = HttpCall('DELETE', f'{_path(kind, {})}/{quote(name)}')
         called = await self._call('delete', call, is_write=True)
         return called.map(lambda _: None)
 
@@ -174,26 +178,24 @@
         self,
         kind: str,
         query: Mapping[str, object],
-    ) -> Result[_Page, PlatformFailure]:
+    ) -> Result[Page, PlatformFailure]:
         found = await self._list_page(kind, query)
-        last_name = found.map(_last_name).value_or('')
-        while last_name:
-            next_page = await self._list_page(
-                kind, {**query, 'after': last_name}
-            )
+        after = found.map(last_name).value_or('')
+        while after:
+            next_page = await self._list_page(kind, {**query, 'after': after})
             # The result keeps the revision of the first page. A watch from
             # there repeats the changes made while the others were read.
-            found = found.bind(partial(_append_page, next_page))
-            last_name = next_page.map(_last_name).value_or('')
+            found = found.bind(partial(append_page, next_page))
+            after = next_page.map(last_name).value_or('')
         return found
 
     async def _list_page(
         self,
         kind: str,
         query: Mapping[str, object],
-    ) -> Result[_Page, PlatformFailure]:
+    ) -> Result[Page, PlatformFailure]:
         called = await self._call('list', HttpCall('GET', _path(kind, query)))
-        return called.bind(partial(_decode, _read_page))
+        return called.bind(partial(_decode, read_page))
 
     async def _call(
         self,
@@ -248,89 +250,6 @@
         )
 
 
-def _append_page(
-    next_page: Result[_Page, PlatformFailure],
-    first: _Page,
-) -> Result[_Page, PlatformFailure]:
-    return next_page.map(
-        lambda page: replace(
-            first,
-            listed_objects=(*first.listed_objects, *page.listed_objects),
-            has_more=page.has_more,
-        ),
-    )
-
-
-def _last_name(page: _Page) -> str:
-    return (
-        _name_of(page.listed_objects[-1])
-        if page.has_more and page.listed_objects
-        else ''
-    )
-
-
-def _read_page(document: Any) -> _Page:
-    return _Page(
-        tuple(one for one in document['items'] if _has_name(one)),
-        bool(document['more']),
-        int(document['at']),
-    )
-
-
-def _read_changes(document: Any) -> ObjectChanges:
-    events = [
-        event for event in document['events'] if _has_name(event['object'])
-    ]
-    changes = (
-        ObjectChange(
-            _name_of(event['object']),
-            event['object'].get('spec'),
-            bool(event['deleted']),
-        )
-        for event in events
-    )
-    return ObjectChanges(tuple(changes), int(document['at']))
-
-
-def _read_vm_entry(one: _Object) -> VmEntry:
-    spec = one.get('spec')
-    fields = spec if isinstance(spec, dict) else {}
-    revision = one['meta'].get('rev')
-    return VmEntry(
-        str(fields.get('failure_domain', '')),
-        _read_peer_address(fields.get('address')),
-        revision if isinstance(revision, int) else 0,
-        _read_capacity(fields.get('capacity')),
-    )
-
-
-def _read_capacity(number: object) -> float:
-    if isinstance(number, int | float) and 0 < number < math.inf:
-        return float(number)
-    return DEFAULT_CAPACITY
-
-
-def _read_peer_address(text: object) -> str:
-    # Other writers of the store may have written anything to an entry.
-    try:
-        read_address(str(text))
-    except ValueError:
-        return ''
-    return str(text)
-
-
-def _has_name(one: object) -> bool:
-    if not isinstance(one, dict):
-        return False
-    meta = one.get('meta')
-    return isinstance(meta, dict) and isinstance(meta.get('name'), str)
-
-
-def _name_of(one: _Object) -> str:
-    meta = one['meta']
-    return str(meta['name']) if isinstance(meta, dict) else ''
-
-
 def _path(kind: str, query: Mapping[str, object]) -> str:
     suffix = f'?{urlencode(query)}' if query else ''
     return f'/v1/objects/{kind}{suffix}'
--- /dev/null
+++ b/nutmegstep/platform/store_documents.py
@@ -0,0 +1,117 @@
+"""Decodes the answers of the operators' object store."""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from returns.result import Result
+
+from nutmegstep.platform_api.records import PlatformFailure
+from nutmegstep.settings.fields import read_address
+from nutmegstep.store_watch import ObjectChange, ObjectChanges
+from nutmegstep.store_watch.vm_registry import DEFAULT_CAPACITY, VmEntry
+
+__all__ = [
+    'Page',
+    'append_page',
+    'last_name',
+    'name_of',
+    'read_changes',
+    'read_page',
+    'read_vm_entry',
+]
+
+_Object = Mapping[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Objects on one page of a listing, or on several pages joined."""
+
+    listed_objects: tuple[_Object, ...]
+    has_more: bool
+    revision: int
+
+
+def append_page(
+    next_page: Result[Page, PlatformFailure],
+    first: Page,
+) -> Result[Page, PlatformFailure]:
+    return next_page.map(
+        lambda page: replace(
+            first,
+            listed_objects=(*first.listed_objects, *page.listed_objects),
+            has_more=page.has_more,
+        ),
+    )
+
+
+def last_name(page: Page) -> str:
+    return (
+        name_of(page.listed_objects[-1])
+        if page.has_more and page.listed_objects
+        else ''
+    )
+
+
+def read_page(document: Any) -> Page:
+    return Page(
+        tuple(one for one in document['items'] if _has_name(one)),
+        bool(document['more']),
+        int(document['at']),
+    )
+
+
+def read_changes(document: Any) -> ObjectChanges:
+    events = [
+        event for event in document['events'] if _has_name(event['object'])
+    ]
+    changes = (
+        ObjectChange(
+            name_of(event['object']),
+            event['object'].get('spec'),
+            bool(event['deleted']),
+        )
+        for event in events
+    )
+    return ObjectChanges(tuple(changes), int(document['at']))
+
+
+def read_vm_entry(one: _Object) -> VmEntry:
+    spec = one.get('spec')
+    fields = spec if isinstance(spec, dict) else {}
+    revision = one['meta'].get('rev')
+    return VmEntry(
+        str(fields.get('failure_domain', '')),
+        _read_peer_address(fields.get('address')),
+        revision if isinstance(revision, int) else 0,
+        _read_capacity(fields.get('capacity')),
+    )
+
+
+def _read_capacity(number: object) -> float:
+    if isinstance(number, int | float) and 0 < number < math.inf:
+        return float(number)
+    return DEFAULT_CAPACITY
+
+
+def _read_peer_address(text: object) -> str:
+    # Other writers of the store may have written anything to an entry.
+    try:
+        read_address(str(text))
+    except ValueError:
+        return ''
+    return str(text)
+
+
+def _has_name(one: object) -> bool:
+    if not isinstance(one, dict):
+        return False
+    meta = one.get('meta')
+    return isinstance(meta, dict) and isinstance(meta.get('name'), str)
+
+
+def name_of(one: _Object) -> str:
+    meta = one['meta']
+    return str(meta['name']) if isinstance(meta, dict) else ''
--- a/nutmegstep/store_watch/__init__.py
+++ b/nutmegstep/store_watch/__init__.py
@@ -1,7 +1,7 @@
 """Lists and watches kinds of objects in the platform's store."""
 
 from nutmegstep.store_watch.availability import StoreAvailability
-from nutmegstep.store_watch.core import Watcher
+from nutmegstep.store_watch.core import Subscription, Watcher
 from nutmegstep.store_watch.reader import (
     HistoryGone,
     Listing,
@@ -17,5 +17,6 @@
     'ObjectChanges',
     'StoreAvailability',
     'StoreReader',
+    'Subscription',
     'Watcher',
 ]
--- a/nutmegstep/verdict/core.py
+++ b/nutmegstep/verdict/core.py
@@ -35,6 +35,7 @@
     INCOMPLETE = 'incomplete'
     SNAPSHOT_UNAVAILABLE = 'snapshot_unavailable'
     TARGET_FAILED = 'target_failed'
+    CRASHES_TARGETS = 'crashes_targets'
     CLAIM_UNAVAILABLE = 'claim_unavailable'
     ALREADY_CLAIMED = 'already_claimed'
     KEY_EXPIRED = 'key_expired'
--- /dev/null
+++ b/tests/dispatch/test_crashes.py
@@ -0,0 +1,203 @@
+"""When a request is suspected of crashing targets, and when it is not."""
+
+import pytest
+
+from nutmegstep.dispatch.content import content_digest
+from nutmegstep.dispatch.control_events import (
+    CrashDeleted,
+    CrashesListed,
+    CrashRecord,
+    CrashStored,
+    HousekeepingDue,
+    TargetChecked,
+)
+from nutmegstep.dispatch.crashes import KEEP_SECONDS
+from nutmegstep.dispatch.effects import (
+    CheckTarget,
+    Decision,
+    DeleteCrash,
+    DeliverRefusal,
+    PublishCrash,
+    SendRequest,
+)
+from nutmegstep.dispatch.events import (
+    RoutedRequest,
+    SendFailed,
+    SendFailureKind,
+)
+from nutmegstep.verdict import Reason, Verdict
+from tests.dispatch.conftest import Dispatcher, reply
+
+_SETTLED_SECONDS = 0.5
+_PATH = '/order/x'
+
+
+def _lose(
+    dispatcher: Dispatcher, *, is_listening: bool = False, path: str = _PATH
+) -> RoutedRequest:
+    """Send a request whose targets close the connection."""
+    request = dispatcher.request(path)
+    sends = [
+        one
+        for one in dispatcher.effects_of(SendRequest)
+        if one.request is request
+    ]
+    for send in sends:
+        dispatcher.apply(SendFailed(send.send_id, SendFailureKind.NO_RESPONSE))
+        target_id = send.target.target_id
+        dispatcher.apply(TargetChecked(target_id, is_listening))
+    return request
+
+
+def _settle(dispatcher: Dispatcher) -> None:
+    dispatcher.now += _SETTLED_SECONDS
+    dispatcher.apply(HousekeepingDue())
+
+
+def _crash_thrice(dispatcher: Dispatcher) -> str:
+    """Let a request crash three targets; return its digest."""
+    for _ in range(3):
+        request = _lose(dispatcher)
+        _settle(dispatcher)
+    return content_digest(request)
+
+
+def _sends(dispatcher: Dispatcher) -> int:
+    return len(dispatcher.effects_of(SendRequest))
+
+
+def test_request_is_refused_at_once_after_three_crashes(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a caller that waits for a request that is not sent."""
+    content = _crash_thrice(dispatcher)
+    sent = _sends(dispatcher)
+    dispatcher.request(_PATH)
+    assert _sends(dispatcher) == sent
+    refusal = dispatcher.effects_of(DeliverRefusal)[-1].refusal
+    assert refusal.reason is Reason.CRASHES_TARGETS
+    assert refusal.verdict is Verdict.NOT_RUN
+    assert refusal.retry_after.total_seconds() == KEEP_SECONDS
+    refused = [
+        one.inputs
+        for one in dispatcher.effects_of(Decision)
+        if one.name == 'content_refused'
+    ]
+    assert refused == [{'content': content, 'crashes': 3}]
+
+
+def test_other_content_is_served(dispatcher: Dispatcher) -> None:
+    """Guards against refusing a whole route for one of its requests."""
+    _crash_thrice(dispatcher)
+    sent = _sends(dispatcher)
+    dispatcher.request('/order/y')
+    assert _sends(dispatcher) == sent + 1
+
+
+def test_crashes_are_published_once(dispatcher: Dispatcher) -> None:
+    """Guards against VMs that learn of their own crashes only, and against
+    repeated writes of the same record.
+    """
+    content = _crash_thrice(dispatcher)
+    _settle(dispatcher)
+    published = [one.record for one in dispatcher.effects_of(PublishCrash)]
+    assert len(published) == len(set(published)) == 3
+    assert {one.content for one in published} == {content}
+
+
+def test_crashes_of_other_vms_count(dispatcher: Dispatcher) -> None:
+    """Guards against a request that each VM sends until it has seen three
+    crashes itself.
+    """
+    content = content_digest(_lose(dispatcher))
+    _settle(dispatcher)
+    dispatcher.apply(CrashStored(CrashRecord(content, 'i-1')))
+    dispatcher.apply(CrashesListed(frozenset((CrashRecord(content, 'i-2'),))))
+    dispatcher.apply(CrashStored(CrashRecord(content, 'i-1')))
+    sent = _sends(dispatcher)
+    dispatcher.request(_PATH)
+    assert _sends(dispatcher) == sent
+
+
+def test_target_is_checked_once_for_all_its_requests(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a storm of connections to a target that is in trouble."""
+    _lose(dispatcher, is_listening=False)
+    targets = [one.target for one in dispatcher.effects_of(CheckTarget)]
+    assert len(targets) == 1
+
+
+def test_target_that_listens_has_not_crashed(dispatcher: Dispatcher) -> None:
+    """Guards against refusing requests whose connections an overloaded target
+    has reset.
+    """
+    for _ in range(9):
+        _lose(dispatcher, is_listening=True)
+        _settle(dispatcher)
+    assert not dispatcher.effects_of(PublishCrash)
+    sent = _sends(dispatcher)
+    dispatcher.now += 60
+    dispatcher.request(_PATH)
+    assert _sends(dispatcher) == sent + 1
+
+
+def test_mass_loss_suspects_nobody(dispatcher: Dispatcher) -> None:
+    """Guards against refusing requests that ran as many targets lost their
+    power at once.
+    """
+    for _ in range(3):
+        for path in (_PATH, '/order/y', '/order/z'):
+            _lose(dispatcher, path=path)
+        _settle(dispatcher)
+        dispatcher.now += 60
+    assert not dispatcher.effects_of(PublishCrash)
+
+
+def test_request_that_runs_is_no_longer_suspected(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against refusing a frequent request that was in flight on some
+    targets as they crashed for other reasons.
+    """
+    for _ in range(4):
+        _lose(dispatcher)
+        _settle(dispatcher)
+        dispatcher.now += 60
+        dispatcher.request(_PATH)
+        dispatcher.answer(dispatcher.effects_of(SendRequest)[-1:], reply())
+    refusals = [
+        one.refusal.reason for one in dispatcher.effects_of(DeliverRefusal)
+    ]
+    assert Reason.CRASHES_TARGETS not in refusals
+
+
+def test_lost_query_over_many_shards_counts_once(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against refusing a query after one power cut, which has cost it
+    the targets of many shards.
+    """
+    _lose(dispatcher, path='/sweep/x')
+    _settle(dispatcher)
+    assert len(dispatcher.effects_of(PublishCrash)) == 1
+
+
+@pytest.mark.parametrize('by_store', [False, True])
+def test_crashes_are_forgotten(dispatcher: Dispatcher, by_store: bool) -> None:
+    """Guards against requests that are refused for ever."""
+    _crash_thrice(dispatcher)
+    published = [one.record for one in dispatcher.effects_of(PublishCrash)]
+    for record in published:
+        dispatcher.apply(CrashStored(record))
+    if by_store:
+        dispatcher.apply(CrashDeleted(published[0]))
+        dispatcher.apply(CrashesListed(frozenset()))
+    else:
+        dispatcher.now += KEEP_SECONDS * 1.1
+        _settle(dispatcher)
+        deleted = [one.record for one in dispatcher.effects_of(DeleteCrash)]
+        assert set(deleted) == set(published)
+    sent = _sends(dispatcher)
+    dispatcher.request(_PATH)
+    assert _sends(dispatcher) == sent + 1
--- a/tests/gateway/unimplemented_store.py
+++ b/tests/gateway/unimplemented_store.py
@@ -41,5 +41,17 @@
         """Fail the test."""
         raise NotImplementedError
 
+    async def put_object(
+        self, kind: str, name: str
+    ) -> Result[None, PlatformFailure]:
+        """Fail the test."""
+        raise NotImplementedError
+
+    async def delete_object(
+        self, kind: str, name: str
+    ) -> Result[None, PlatformFailure]:
+        """Fail the test."""
+        raise NotImplementedError
+
     def close(self) -> None:
         """Do nothing; there are no connections."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -152,3 +152,24 @@
     pair.stand_in.put(KIND_VMS, 'foreign', spec)
     listed = (await pair.store.list_vms()).unwrap()
     assert listed['foreign'].address == ''
+
+
+async def test_objects_without_contents(pair: _StoreAndStandIn) -> None:
+    """Guards against a record that is taken for a failure as another VM has
+    written it, or deleted it, before.
+    """
+    for _ in range(2):
+        assert is_successful(await pair.store.put_object('records', 'a.b'))
+    assert pair.stand_in.names('records') == {'a.b'}
+    for _ in range(2):
+        assert is_successful(await pair.store.delete_object('records', 'a.b'))
+    assert not pair.stand_in.names('records')
+
+
+async def test_record_that_is_not_written_is_a_failure(
+    pair: _StoreAndStandIn,
+) -> None:
+    """Guards against a record that is lost in an outage of the store."""
+    pair.stand_in.is_away = True
+    assert not is_successful(await pair.store.put_object('records', 'a.b'))
+    assert not is_successful(await pair.store.delete_object('records', 'a.b'))
