Learn the limits of targets through coordinators

What could be seen: in a large fleet most VMs pass requests to coordinators and pass their answers on, with the header that states a target's limit. A VM that loses its coordinators sends requests itself, and its first ones ignored the limit: it had never heard of it. All VMs of a failure domain do so together.

Change: a coordinator names the target of a single reply, and its limit, in headers between VMs. The VM that passes the answer on records both, as from a reply of its own; a reply without a limit ends it.

Merged answers of queries over many shards carry no limits, as before.

--- a/nutmegstep/dispatch/completion.py
+++ b/nutmegstep/dispatch/completion.py
@@ -177,7 +177,11 @@
     return [
         _answered_decision(open_request, now, status=reply.status),
         *close_request(state, open_request),
-        DeliverReply(open_request.request.request_id, reply),
+        DeliverReply(
+            open_request.request.request_id,
+            reply,
+            open_request.parts[0].replied_by,
+        ),
     ]
 
 
--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -182,6 +182,12 @@
         return []
     open_request, delegation = delegated
     state.coordinator_health.record_success(delegation.address)
+    target = state.registry.by_id.get(event.target_id)
+    limits: list[Decision] = []
+    if target is not None:
+        limits = state.request_limits.record_reply(
+            target, event.reply.request_limit, now
+        )
     open_request.delegation = None
     request = open_request.request
     inputs = {
@@ -191,6 +197,7 @@
         'status': event.reply.status,
     }
     return [
+        *limits,
         Decision('answered', request.attempt_id, inputs),
         *close_request(state, open_request),
         DeliverReply(request.request_id, event.reply),
--- a/nutmegstep/dispatch/effects.py
+++ b/nutmegstep/dispatch/effects.py
@@ -151,10 +151,21 @@
 
 @dataclass(frozen=True, slots=True)
 class DeliverReply:
-    """Answer a request with the reply of a single target."""
+    """Answer a request with the reply of a single target.
+
+    Parameters
+    ----------
+    request_id : int
+        Request to answer.
+    reply : TargetReply
+        Reply of the target.
+    target_id : str
+        Identifier of the target; empty if a coordinator passed its reply on.
+    """
 
     request_id: int
     reply: TargetReply
+    target_id: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -200,10 +200,22 @@
 
 @dataclass(frozen=True, slots=True)
 class DelegationAnswered:
-    """A coordinator answered a delegated query, possibly with a refusal."""
+    """A coordinator answered a delegated query, possibly with a refusal.
+
+    Parameters
+    ----------
+    request_id : int
+        Request of the caller.
+    reply : TargetReply
+        Answer of the coordinator.
+    target_id : str
+        Identifier of the target whose reply the answer is; empty for a refusal
+        and for an answer that was merged from several replies.
+    """
 
     request_id: int
     reply: TargetReply
+    target_id: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -53,6 +53,7 @@
         send.part.possible_runs -= 1
     if send.part.reply is not None or not _is_open(state, send):
         return reports
+    send.part.replied_by = send.target.target_id
     if reply.is_success:
         send.part.reply = reply
         send.part.replied_at = now
--- a/nutmegstep/dispatch/requests.py
+++ b/nutmegstep/dispatch/requests.py
@@ -35,6 +35,8 @@
         Monotonic time in seconds of the usable reply.
     failure : TargetReply or None
         Latest reply that is not usable.
+    replied_by : str
+        Identifier of the target that sent the latest of both.
     hedge_at : float
         Monotonic time in seconds at which a hedge is due; infinite if none is.
     is_stalled : bool
@@ -50,6 +52,7 @@
     reply: TargetReply | None = None
     replied_at: float = 0
     failure: TargetReply | None = None
+    replied_by: str = ''
     hedge_at: float = math.inf
     is_stalled: bool = False
     is_failed: bool = False
--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -166,7 +166,8 @@
             delivery = await self._answer(request)
         except DelegationDeclined as declined:
             return decline(declined.reason)
-        return mark_answer(self._codec.write_response(request, delivery))
+        response = self._codec.write_response(request, delivery)
+        return mark_answer(response, delivery)
 
     def close(self) -> None:
         """Close all connections to targets and coordinators."""
--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -12,7 +12,7 @@
 from nutmegstep.clock import Clock
 from nutmegstep.coordinators import DelegationTerms
 from nutmegstep.discovery import TargetRecord
-from nutmegstep.dispatch.effects import Delegate, SendRequest
+from nutmegstep.dispatch.effects import Delegate, DeliverReply, SendRequest
 from nutmegstep.dispatch.events import (
     DelegationAccepted,
     DelegationAnswered,
@@ -23,7 +23,7 @@
     SendFailureKind,
     TargetReply,
 )
-from nutmegstep.gateway.codec import RawReply, WireCodec
+from nutmegstep.gateway.codec import Delivery, RawReply, WireCodec
 from nutmegstep.gateway.pool import ConnectionPool
 from nutmegstep.gateway.pooled_connection import SendOutcome
 from nutmegstep.settings.fields import read_address
@@ -45,9 +45,20 @@
 that has got the address of one."""
 _DECLINED: Final = 'nutmegstep-declined'
 """Response header with the reason why nothing was sent for the query."""
+_TARGET: Final = 'nutmegstep-target'
+"""Response header with the identifier of the target whose reply it is."""
+_REQUEST_LIMIT: Final = 'nutmegstep-request-limit'
+"""Response header with the requests per second that this target accepts."""
 _OWN_HEADERS: Final = frozenset(
     name.encode()
-    for name in (_VERSION, _PARTIAL_ANSWER_IN, _COORDINATOR, _DECLINED)
+    for name in (
+        _VERSION,
+        _PARTIAL_ANSWER_IN,
+        _COORDINATOR,
+        _DECLINED,
+        _TARGET,
+        _REQUEST_LIMIT,
+    )
 )
 _EXPECT: Final = (b'expect', b'100-continue')
 _STATUS_CONFLICT: Final = 409
@@ -155,9 +166,19 @@
     )
 
 
-def mark_answer(response: HttpResponse) -> HttpResponse:
-    """Return the answer to a delegated query with the coordinator's header."""
-    added = ((_COORDINATOR, '1'), _KEEP_ALIVE)
+def mark_answer(
+    response: HttpResponse, delivery: Delivery | None = None
+) -> HttpResponse:
+    """Return the answer to a delegated query with the coordinator's headers.
+
+    They state the limit of the target, so that the VM which passes the answer
+    on keeps to it when it sends requests itself.
+    """
+    added = [(_COORDINATOR, '1'), _KEEP_ALIVE]
+    if isinstance(delivery, DeliverReply):
+        added.append((_TARGET, delivery.target_id))
+        if delivery.reply.request_limit is not None:
+            added.append((_REQUEST_LIMIT, str(delivery.reply.request_limit)))
     return replace(response, headers=(*response.headers, *added))
 
 
@@ -197,10 +218,19 @@
         return DelegationFailed(
             request_id, reason.decode('latin-1'), may_have_run=False
         )
-    return DelegationAnswered(request_id, _as_reply(outcome))
+    return DelegationAnswered(
+        request_id,
+        _as_reply(outcome),
+        header_by_name.get(_TARGET.encode(), b'').decode('latin-1'),
+    )
 
 
 def _as_reply(raw: RawReply) -> TargetReply:
+    stated = dict(raw.headers).get(_REQUEST_LIMIT.encode())
     return TargetReply(
-        raw.status, _without_own(raw.headers), raw.body, signature=''
+        raw.status,
+        _without_own(raw.headers),
+        raw.body,
+        signature='',
+        request_limit=None if stated is None else float(stated),
     )
--- a/tests/dispatch/test_request_limits.py
+++ b/tests/dispatch/test_request_limits.py
@@ -4,13 +4,18 @@
 
 import pytest
 
+from nutmegstep.coordinators import CoordinatorChoice
 from nutmegstep.dispatch.control_events import (
     HousekeepingDue,
     TargetRemoved,
     VmsCounted,
 )
 from nutmegstep.dispatch.effects import Decision, DeliverRefusal, SendRequest
-from nutmegstep.dispatch.events import TargetReplied, TargetReply
+from nutmegstep.dispatch.events import (
+    DelegationAnswered,
+    TargetReplied,
+    TargetReply,
+)
 from nutmegstep.verdict import Reason, Verdict
 from tests.dispatch.conftest import Dispatcher, reply
 
@@ -42,6 +47,26 @@
     ]
 
 
+def test_limits_are_learned_through_coordinators(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against VMs that exceed a limit, or keep to one that has ended, as
+    soon as they send requests without a coordinator.
+    """
+    choice = CoordinatorChoice(('10.0.0.7:7740',), in_domain=1, total=3)
+    dispatcher.apply(VmsCounted(65, 22, choice))
+    for answer in (_LIMITED, reply()):
+        request = dispatcher.request('/fetch/x')
+        answered = DelegationAnswered(
+            request.request_id, answer, 'orders-north'
+        )
+        dispatcher.apply(answered)
+    assert [one.name for one in _limit_decisions(dispatcher)] == [
+        'request_limit_stated',
+        'request_limit_ended',
+    ]
+
+
 def test_begin_and_end_of_a_limit_are_logged(only_vm: Dispatcher) -> None:
     """The log shows from when a target was limited and what this VM sent."""
     send = _fetch(only_vm, _LIMITED)
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -48,11 +48,14 @@
         self.gateway.dispatch(TargetsListed(records()))
         self.has_sent = asyncio.Event()
 
-    def answer_targets(self) -> None:
-        """Let all targets answer that have been sent a request."""
+    def answer_targets(self, **fields: object) -> None:
+        """Let all targets answer that have been sent a request.
+
+        `fields` change their replies.
+        """
         for send in self.sends:
-            answer = TargetReplied(send.send_id, reply(b'r' * 16))
-            self.gateway.dispatch(answer)
+            answer = reply(b'r' * 16, **fields)  # type: ignore[arg-type]
+            self.gateway.dispatch(TargetReplied(send.send_id, answer))
 
     async def answer_delegated(self, request: HttpRequest) -> HttpResponse:
         """Handle a request on the port for neighbours."""
@@ -97,18 +100,20 @@
     server.close()
 
 
-def _query() -> HttpRequest:
+def _query(path: str = '/sweep/x') -> HttpRequest:
     items = (
         (b'host', b'shop.example'),
         (b'x-nutmegstep-attempt-id', b'caller-1'),
         (b'x-nutmegstep-deadline-ms', b'%d' % _DEADLINE_MS),
     )
     headers = {name.decode(): text.decode() for name, text in items}
-    return HttpRequest('GET', '/sweep/x', {}, headers, b'', b'/sweep/x', items)
+    return HttpRequest('GET', path, {}, headers, b'', path.encode(), items)
 
 
-async def _ask(pair: _Pair) -> 'asyncio.Task[HttpResponse]':
-    return asyncio.create_task(pair.member.gateway.handle(_query()))
+async def _ask(
+    pair: _Pair, path: str = '/sweep/x'
+) -> 'asyncio.Task[HttpResponse]':
+    return asyncio.create_task(pair.member.gateway.handle(_query(path)))
 
 
 async def _within(awaitable: Awaitable[object], seconds: float = 2) -> None:
@@ -136,6 +141,24 @@
     assert not pair.member.sends
 
 
+async def test_limit_of_a_target_is_learned_through_a_coordinator(
+    pair: _Pair,
+) -> None:
+    """Guards against a fleet whose VMs exceed the limit of a target all at once
+    as they lose their coordinators.
+    """
+    asked = await _ask(pair, '/fetch/x')
+    await _within(pair.coordinator.has_sent.wait())
+    target = pair.coordinator.sends[0].target
+    pair.coordinator.answer_targets(request_limit=float(0))
+    answer = await asked
+    assert answer.status == 200
+    assert not any(name.startswith('nutmegstep-') for name, _ in answer.headers)
+    limits = pair.member.gateway.state.request_limits
+    limits.record_send(target)
+    assert not limits.may_send(target, SystemClock().monotonic())
+
+
 async def test_waits_for_a_coordinator_that_confirmed(pair: _Pair) -> None:
     """The confirmation arrives before the answer, so that a slow query is not
     taken for a silent coordinator.
