Clear requests that run, in the store as well

Cause: a request that was in flight on a target as it crashed for another reason was cleared only on the VM that saw it run. The others went on suspecting it, and its records stayed in the store for 30 minutes.

Change: a success deletes all records of the content, whichever VM wrote them, and keeps losses that are not evaluated yet from being published. A request that crashes each target never has one, so its records stay.

--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -52,10 +52,16 @@
     return []
 
 
-def record_success(state: DispatchState, open_request: OpenRequest) -> None:
-    """Stop suspecting a request that a target has run."""
-    if not state.crashes.is_empty:
-        state.crashes.record_success(open_request.content)
+def record_success(
+    state: DispatchState, open_request: OpenRequest
+) -> list[Effect]:
+    """Stop suspecting a request that a target has run, on all VMs."""
+    if not state.losses.is_empty:
+        state.losses.clear(open_request.content)
+    if state.crashes.is_empty:
+        return []
+    cleared = state.crashes.clear(open_request.content)
+    return [DeleteCrash(record) for record in cleared]
 
 
 def is_refused(state: DispatchState, open_request: OpenRequest) -> bool:
--- a/nutmegstep/dispatch/crashes.py
+++ b/nutmegstep/dispatch/crashes.py
@@ -39,14 +39,11 @@
         Whether the record is in the store or on its way.
     is_stored : bool
         Whether the record has been read from the store.
-    is_suspicious : bool
-        False once the same content has run without a crash.
     """
 
     seen_at: float
     is_published: bool = False
     is_stored: bool = False
-    is_suspicious: bool = True
 
 
 class CrashRecords:
@@ -62,17 +59,26 @@
 
     def count(self, content: str) -> int:
         """Return the number of crashes for which content is suspected."""
-        crashes = self._crashes_by_content.get(content, {})
-        return sum(one.is_suspicious for one in crashes.values())
+        return len(self._crashes_by_content.get(content, ()))
 
     def is_refused(self, content: str) -> bool:
         """Return whether content has crashed too many targets."""
         return self.count(content) >= _MAX_CRASHES
 
-    def record_success(self, content: str) -> None:
-        """Stop suspecting content that a target has run."""
-        for crash in self._crashes_by_content.get(content, {}).values():
-            crash.is_suspicious = False
+    def clear(self, content: str) -> list[CrashRecord]:
+        """Forget the crashes of content that a target has run.
+
+        Returns
+        -------
+        list of CrashRecord
+            Records to delete from the store.
+        """
+        crashes = self._crashes_by_content.pop(content, {})
+        return [
+            CrashRecord(content, target_id)
+            for target_id, crash in crashes.items()
+            if crash.is_published
+        ]
 
     def record_crash(self, record: CrashRecord, now: float) -> bool:
         """Add a crash that this VM has observed.
@@ -92,7 +98,7 @@
             (self.count(content), CrashRecord(content, target_id), crash)
             for content, crashes in self._crashes_by_content.items()
             for target_id, crash in crashes.items()
-            if crash.is_suspicious and not crash.is_published
+            if not crash.is_published
         ]
         unpublished.sort(key=itemgetter(0), reverse=True)
         taken = unpublished[:_MAX_PUBLISHED]
--- a/nutmegstep/dispatch/losses.py
+++ b/nutmegstep/dispatch/losses.py
@@ -39,7 +39,7 @@
     is_crash : bool
         Whether the target no longer listens.
     is_settled : bool
-        Whether the loss has been evaluated.
+        Whether the loss has been evaluated, or need not be.
     """
 
     content: str
@@ -56,6 +56,11 @@
     def __init__(self) -> None:
         self._losses: list[Loss] = []
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is no recent loss."""
+        return not self._losses
+
     def record(self, loss: Loss) -> bool:
         """Record a loss; return whether its target has to be checked."""
         is_first = all(one.target_id != loss.target_id for one in self._losses)
@@ -72,6 +77,11 @@
         for loss in self._losses:
             loss.is_crash |= loss.target_id == target_id
 
+    def clear(self, content: str) -> None:
+        """Do not suspect content that a target has run."""
+        for loss in self._losses:
+            loss.is_settled |= loss.content == content
+
     def settle(self, now: float) -> list[Loss]:
         """Return the crashes of which their request is suspected, once each."""
         crashes = [
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -170,6 +170,35 @@
         one.refusal.reason for one in dispatcher.effects_of(DeliverRefusal)
     ]
     assert Reason.CRASHES_TARGETS not in refusals
+    published = [one.record for one in dispatcher.effects_of(PublishCrash)]
+    deleted = [one.record for one in dispatcher.effects_of(DeleteCrash)]
+    assert published == deleted
+
+
+def test_success_clears_the_records_of_other_vms(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a request that other VMs go on suspecting although it has
+    run here.
+    """
+    request = dispatcher.request(_PATH)
+    record = CrashRecord(content_digest(request), 'i-1')
+    dispatcher.apply(CrashStored(record))
+    dispatcher.answer(dispatcher.effects_of(SendRequest))
+    assert dispatcher.effects_of(DeleteCrash) == [DeleteCrash(record)]
+
+
+def test_request_that_runs_at_once_is_not_published(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a write to the store for each request that was lost with
+    its target and then repeated.
+    """
+    _lose(dispatcher)
+    dispatcher.request(_PATH)
+    dispatcher.answer(dispatcher.effects_of(SendRequest)[-1:])
+    _settle(dispatcher)
+    assert not dispatcher.effects_of(PublishCrash)
 
 
 def test_lost_query_over_many_shards_counts_once(
