Count each incarnation of a target, and losses seen late

Cause of two gaps in the refusal of crashing requests, found by reading it again: a target may keep its identifier when it starts again, and its second crash had the name of the first, so the request was never refused; and of two requests on a crashed target, the one whose connection closed after the check of the target was never suspected.

Change: records name the start of the target's process as well; a loss at a target that is known to have crashed needs no further check.

--- a/nutmegstep/dispatch/control_events.py
+++ b/nutmegstep/dispatch/control_events.py
@@ -130,12 +130,13 @@
     ----------
     content : str
         Digest of the content of a request that the target was running.
-    target_id : str
-        Identifier of the target that crashed.
+    incarnation : str
+        Identifier of the target that crashed, and the start of its process. A
+        target that is started again may keep its identifier.
     """
 
     content: str
-    target_id: str
+    incarnation: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -45,6 +45,7 @@
         open_request.content,
         (open_request.request.request_id, len(send.part.tried_targets)),
         send.target.target_id,
+        f'{send.target.target_id}-{send.target.started_ms}',
         now,
     )
     if state.losses.record(loss):
@@ -114,7 +115,7 @@
     """Evaluate losses, publish crashes and forget old ones."""
     crashes = state.crashes
     observed = [
-        CrashRecord(loss.content, loss.target_id)
+        CrashRecord(loss.content, loss.incarnation)
         for loss in state.losses.settle(now)
     ]
     decisions = [
--- a/nutmegstep/dispatch/crashes.py
+++ b/nutmegstep/dispatch/crashes.py
@@ -75,8 +75,8 @@
         """
         crashes = self._crashes_by_content.pop(content, {})
         return [
-            CrashRecord(content, target_id)
-            for target_id, crash in crashes.items()
+            CrashRecord(content, incarnation)
+            for incarnation, crash in crashes.items()
             if crash.is_published
         ]
 
@@ -95,9 +95,9 @@
     def take_unpublished(self) -> list[CrashRecord]:
         """Return the crashes to write to the store, most suspected first."""
         unpublished = [
-            (self.count(content), CrashRecord(content, target_id), crash)
+            (self.count(content), CrashRecord(content, incarnation), crash)
             for content, crashes in self._crashes_by_content.items()
-            for target_id, crash in crashes.items()
+            for incarnation, crash in crashes.items()
             if not crash.is_published
         ]
         unpublished.sort(key=itemgetter(0), reverse=True)
@@ -119,10 +119,11 @@
     def retain_stored(self, listed: Collection[CrashRecord]) -> None:
         """Forget crashes whose records have been deleted from the store."""
         self._remove(
-            CrashRecord(content, target_id)
+            CrashRecord(content, incarnation)
             for content, crashes in self._crashes_by_content.items()
-            for target_id, crash in crashes.items()
-            if crash.is_stored and CrashRecord(content, target_id) not in listed
+            for incarnation, crash in crashes.items()
+            if crash.is_stored
+            and CrashRecord(content, incarnation) not in listed
         )
 
     def forget(self, record: CrashRecord) -> None:
@@ -141,9 +142,9 @@
         """
         seen_before = now - KEEP_SECONDS * (1 + _EXPIRY_SPREAD * phase)
         expired = [
-            (CrashRecord(content, target_id), crash)
+            (CrashRecord(content, incarnation), crash)
             for content, crashes in self._crashes_by_content.items()
-            for target_id, crash in crashes.items()
+            for incarnation, crash in crashes.items()
             if crash.seen_at < seen_before
         ]
         self._remove(record for record, _ in expired)
@@ -151,11 +152,11 @@
 
     def _add(self, record: CrashRecord, now: float) -> _Crash:
         crashes = self._crashes_by_content.setdefault(record.content, {})
-        return crashes.setdefault(record.target_id, _Crash(now))
+        return crashes.setdefault(record.incarnation, _Crash(now))
 
     def _remove(self, records: Iterable[CrashRecord]) -> None:
         for record in tuple(records):
             crashes = self._crashes_by_content.get(record.content, {})
-            crashes.pop(record.target_id, None)
+            crashes.pop(record.incarnation, None)
             if not crashes:
                 self._crashes_by_content.pop(record.content, None)
--- a/nutmegstep/dispatch/losses.py
+++ b/nutmegstep/dispatch/losses.py
@@ -34,6 +34,8 @@
         shards count as one; a power cut costs such a request many targets.
     target_id : str
         Identifier of the target.
+    incarnation : str
+        The same, with the start of its process.
     at : float
         Monotonic time of the loss in seconds.
     is_crash : bool
@@ -45,6 +47,7 @@
     content: str
     round_of_sends: tuple[int, int]
     target_id: str
+    incarnation: str
     at: float
     is_crash: bool = False
     is_settled: bool = False
@@ -63,9 +66,10 @@
 
     def record(self, loss: Loss) -> bool:
         """Record a loss; return whether its target has to be checked."""
-        is_first = all(one.target_id != loss.target_id for one in self._losses)
+        known = [one for one in self._losses if one.target_id == loss.target_id]
+        loss.is_crash = any(one.is_crash for one in known)
         self._losses.append(loss)
-        return is_first
+        return not known
 
     def record_check(self, target_id: str, *, is_listening: bool) -> None:
         """Record whether a target still listens after a loss."""
--- a/nutmegstep/gateway/crash_records.py
+++ b/nutmegstep/gateway/crash_records.py
@@ -91,7 +91,7 @@
             await self._has_writes.wait()
             await availability.available.wait()
             record, is_kept = next(iter(self._is_kept_by_record.items()))
-            name = f'{record.content}{_SEPARATOR}{record.target_id}'
+            name = f'{record.content}{_SEPARATOR}{record.incarnation}'
             call = store.put_object if is_kept else store.delete_object
             called = await call(kind, name)
             if not is_successful(called):
@@ -178,8 +178,8 @@
 
 
 def _read_record(name: str) -> CrashRecord | None:
-    content, _, target_id = name.partition(_SEPARATOR)
-    if content and target_id:
-        return CrashRecord(content, target_id)
+    content, _, incarnation = name.partition(_SEPARATOR)
+    if content and incarnation:
+        return CrashRecord(content, incarnation)
     _LOG.warning('crash record cannot be read', extra={'record': name})
     return None
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -1,5 +1,7 @@
 """When a request is suspected of crashing targets, and when it is not."""
 
+from dataclasses import replace
+
 import pytest
 
 from nutmegstep.dispatch.content import content_digest
@@ -10,6 +12,7 @@
     CrashStored,
     HousekeepingDue,
     TargetChecked,
+    TargetsListed,
 )
 from nutmegstep.dispatch.crashes import KEEP_SECONDS
 from nutmegstep.dispatch.effects import (
@@ -26,7 +29,7 @@
     SendFailureKind,
 )
 from nutmegstep.verdict import Reason, Verdict
-from tests.dispatch.conftest import Dispatcher, reply
+from tests.dispatch.conftest import Dispatcher, records, reply
 
 _SETTLED_SECONDS = 0.5
 _PATH = '/order/x'
@@ -49,6 +52,13 @@
     return request
 
 
+def _list_one_target(dispatcher: Dispatcher, started_ms: int) -> None:
+    """Leave one target for orders, started at some time."""
+    known = records()['orders-north']
+    started = replace(known, started_ms=started_ms)
+    dispatcher.apply(TargetsListed({started.target_id: started}))
+
+
 def _settle(dispatcher: Dispatcher) -> None:
     dispatcher.now += _SETTLED_SECONDS
     dispatcher.apply(HousekeepingDue())
@@ -119,6 +129,40 @@
     assert _sends(dispatcher) == sent
 
 
+def test_restarts_with_the_same_identifier_count(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a request that goes on crashing a target which keeps its
+    identifier.
+    """
+    for started_ms in range(2, 5):
+        _list_one_target(dispatcher, started_ms)
+        _lose(dispatcher)
+        _settle(dispatcher)
+    _list_one_target(dispatcher, started_ms=5)
+    sent = _sends(dispatcher)
+    dispatcher.request(_PATH)
+    assert _sends(dispatcher) == sent
+
+
+def test_loss_that_is_seen_after_the_check_counts(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a request that is not suspected, as its connection closed
+    a moment after another one to the same target.
+    """
+    _list_one_target(dispatcher, started_ms=2)
+    for path in ('/order/y', _PATH):
+        dispatcher.request(path)
+    first, second = dispatcher.effects_of(SendRequest)
+    dispatcher.apply(SendFailed(first.send_id, SendFailureKind.NO_RESPONSE))
+    target_id = first.target.target_id
+    dispatcher.apply(TargetChecked(target_id, is_listening=False))
+    dispatcher.apply(SendFailed(second.send_id, SendFailureKind.NO_RESPONSE))
+    _settle(dispatcher)
+    assert len(dispatcher.effects_of(PublishCrash)) == 2
+
+
 def test_target_is_checked_once_for_all_its_requests(
     dispatcher: Dispatcher,
 ) -> None:
