--- a/tests/dispatch/test_crashing_fleet.py
+++ b/tests/dispatch/test_crashing_fleet.py
@@ -13,10 +13,9 @@
 
 import pytest
 
-from nutmegstep.coordinators import DelegationTerms, choose_coordinators
+from nutmegstep.coordinators import DelegationTerms
 from nutmegstep.dispatch import DispatchState, reduce_event
 from nutmegstep.dispatch.control_events import (
-    ConfigurationChanged,
     CrashDeleted,
     CrashesListed,
     CrashRecord,
@@ -25,8 +24,6 @@
     TargetAnnounced,
     TargetChecked,
     TargetRemoved,
-    TargetsListed,
-    VmsCounted,
 )
 from nutmegstep.dispatch.effects import (
     CheckTarget,
@@ -42,10 +39,9 @@
     SendFailed,
     SendFailureKind,
 )
-from nutmegstep.store_watch.vm_registry import VmEntry
-from tests.dispatch.conftest import HOST, LIMITS, configuration, records
+from tests.dispatch.conftest import HOST, records
+from tests.dispatch.fleet import entries_of_vms, start_vm
 
-_DOMAINS: Final = ('north', 'south', 'west')
 _ADAPT_SECONDS: Final = 4.0
 """Time after the third crash from which further sends count."""
 _CRASHES: Final = 3
@@ -77,12 +73,7 @@
         self._target_by_id = dict(records())
         self._crashed: set[str] = set()
         self._stored: set[CrashRecord] = set()
-        self._entries = {
-            f'vm-{number:03}': VmEntry(
-                _DOMAINS[number % len(_DOMAINS)], f'10.0.0.{number}:7740', 1
-            )
-            for number in range(self.vms)
-        }
+        self._entries = entries_of_vms(self.vms)
         self.states = [self._build(name) for name in self._entries]
         self._later(_HOUSEKEEPING_SECONDS, self._keep_house)
 
@@ -115,19 +106,11 @@
         return len(late)
 
     def _build(self, name: str) -> DispatchState:
-        domain = self._entries[name].failure_domain
-        state = DispatchState(domain, LIMITS, Random(name))
-        in_domain = sum(
-            one.failure_domain == domain for one in self._entries.values()
+        state = start_vm(
+            name, self._entries, dict(self._target_by_id), self.now
         )
-        choice = choose_coordinators(name, self._entries)
-        for event in (
-            VmsCounted(self.vms, in_domain, choice),
-            ConfigurationChanged(configuration()),
-            TargetsListed(dict(self._target_by_id)),
-            CrashesListed(frozenset(self._stored)),
-        ):
-            reduce_event(state, event, self.now)
+        listed = CrashesListed(frozenset(self._stored))
+        reduce_event(state, listed, self.now)
         return state
 
     def _later(self, seconds: float, step: Callable[[], None]) -> None:
--- a/tests/dispatch/test_limited_fleet.py
+++ b/tests/dispatch/test_limited_fleet.py
@@ -15,15 +15,10 @@
 
 import pytest
 
-from nutmegstep.coordinators import DelegationTerms, choose_coordinators
+from nutmegstep.coordinators import DelegationTerms
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch import DispatchState, reduce_event
-from nutmegstep.dispatch.control_events import (
-    ConfigurationChanged,
-    TargetRemoved,
-    TargetsListed,
-    VmsCounted,
-)
+from nutmegstep.dispatch.control_events import TargetRemoved, TargetsListed
 from nutmegstep.dispatch.effects import SendRequest
 from nutmegstep.dispatch.events import (
     Event,
@@ -31,16 +26,9 @@
     RoutedRequest,
     TargetReplied,
 )
-from nutmegstep.store_watch.vm_registry import VmEntry
-from tests.dispatch.conftest import (
-    HOST,
-    LIMITS,
-    configuration,
-    records,
-    reply,
-)
+from tests.dispatch.conftest import HOST, records, reply
+from tests.dispatch.fleet import entries_of_vms, start_vm
 
-_DOMAINS: Final = ('north', 'south', 'west')
 _SERVICE: Final = 'orders'
 _ADAPT_SECONDS: Final = 4.0
 """Time after the first statement of a limit from which it must be kept."""
@@ -73,13 +61,10 @@
         self.stated = self.limit
         self._ids = count(1)
         self._replies: list[tuple[float, int, int, str]] = []
-        entries = {
-            f'vm-{number:03}': VmEntry(
-                _DOMAINS[number % len(_DOMAINS)], f'10.0.0.{number}:7740', 1
-            )
-            for number in range(self.vms)
-        }
-        self.states = [self._build(name, entries) for name in entries]
+        entries = entries_of_vms(self.vms)
+        self.states = [
+            start_vm(name, entries, records(), self.now) for name in entries
+        ]
         coordinators = [
             number
             for number, state in enumerate(self.states)
@@ -128,21 +113,6 @@
         """Return the targets of the service."""
         return self.states[0].registry.of_service(_SERVICE)
 
-    def _build(self, name: str, entries: dict[str, VmEntry]) -> DispatchState:
-        domain = entries[name].failure_domain
-        state = DispatchState(domain, LIMITS, Random(name))
-        in_domain = sum(
-            one.failure_domain == domain for one in entries.values()
-        )
-        choice = choose_coordinators(name, entries)
-        for event in (
-            VmsCounted(len(entries), in_domain, choice),
-            ConfigurationChanged(configuration()),
-            TargetsListed(records()),
-        ):
-            reduce_event(state, event, self.now)
-        return state
-
     def _choose_vm(self) -> int:
         if self.random.random() < _FALLBACK_SHARE:
             return self.random.randrange(self.vms)
