Repeat the watch of crash records less often

Cause: the watch of the crash records was repeated 2 s after any change in the store, in case its answer was lost; each repetition is a call. The watch itself returns a record at once, and keep-alive probes end a silent connection.

Change: 10 s.

--- a/nutmegstep/gateway/crash_records.py
+++ b/nutmegstep/gateway/crash_records.py
@@ -38,9 +38,10 @@
 """Longest wait of one watch. Each call to the store is charged for."""
 _BATCH_PAUSE: Final = timedelta(milliseconds=100)
 """Pause after a change, so that one call returns several changes."""
-_MAX_LAG: Final = timedelta(seconds=2)
+_MAX_LAG: Final = timedelta(seconds=10)
 """Time for which the watch may stay open after another watch has returned a
-newer revision. A request that crashes targets is refused within 4 s."""
+newer revision. Each repeated watch costs a call, and the store changes often;
+the watch itself returns a record at once."""
 _SEPARATOR: Final = '.'
 
 
