Say that targets are at their limit, however long the wait

What callers saw: a request that limits kept from all targets was refused with `no_target` when the next token was further away than a third of the time left, as if no target ran. Found by a new test with real gateways: in the first seconds they count more VMs than there are, and their shares are small.

Change: `overloaded` whenever only limits are in the way; Retry-After is at most a third of the time left as before, since another VM may have a share left.

Measured: tests/platform/test_limits.py (two gateways, three targets with a limit of 3 requests/s, eight callers for 10 s).

--- a/nutmegstep/dispatch/starting.py
+++ b/nutmegstep/dispatch/starting.py
@@ -72,11 +72,16 @@
     wait: float,
     now: float,
 ) -> list[Effect]:
-    """Refuse a request that can be covered after `wait` seconds, if at all."""
+    """Refuse a request that can be covered after `wait` seconds.
+
+    The wait is infinite if not only limits of targets keep it from being
+    covered. A longer one than callers wait for is cut: another VM may have a
+    share of the limit left.
+    """
     request = open_request.request
     left = max(0, open_request.deadline - now)
     longest = left * _RETRY_AFTER_SHARE
-    if wait < longest:
+    if math.isfinite(wait):
         reason = Reason.OVERLOADED
         detail = 'the targets accept no more requests now'
     else:
--- /dev/null
+++ b/tests/platform/test_limits.py
@@ -0,0 +1,86 @@
+"""Gateway processes and targets that state a limit of requests."""
+
+import asyncio
+import json
+import time
+from collections import defaultdict
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from tests.platform.deployment import Deployment, GatewayProcess, ask
+from tests.platform.standin import Seen, TargetStandIn, respond
+
+_LIMIT = 3.0
+_ADAPT_SECONDS = 4.0
+"""Time after the first statement of a limit from which it must be kept."""
+_WINDOW_SECONDS = 4.0
+_ALLOWED = 1.5 * _LIMIT * _WINDOW_SECONDS + 5
+_LOAD_SECONDS = 10.0
+_CALLERS = 4
+
+
+@pytest.fixture
+async def deployment(tmp_path: Path) -> AsyncIterator[Deployment]:
+    """Return a deployment without gateways."""
+    made = Deployment(tmp_path)
+    await made.start()
+    yield made
+    await made.stop()
+
+
+def _limit(target: TargetStandIn) -> list[float]:
+    """Let a target state a limit; return the times of its requests."""
+    answer = respond(headers=f'server-limit: {_LIMIT}\r\n')
+    times: list[float] = []
+
+    def note(seen: Seen) -> bytes:
+        times.append(time.monotonic())
+        return answer(seen)
+
+    target.script = note
+    return times
+
+
+async def _load(gateway: GatewayProcess, reasons: dict[str, int]) -> None:
+    """Send requests one after the other and count the refusals by reason."""
+    ends = time.monotonic() + _LOAD_SECONDS
+    while time.monotonic() < ends:
+        reply = await ask(gateway.port, '/fetch/1')
+        if reply.status != 200:
+            reasons[json.loads(reply.body)['reason']] += 1
+        await asyncio.sleep(0.01)
+
+
+def _most_in_window(times: list[float]) -> int:
+    counted = [at for at in times if at > times[0] + _ADAPT_SECONDS]
+    return max(
+        sum(start <= at < start + _WINDOW_SECONDS for at in counted)
+        for start in counted
+    )
+
+
+async def test_gateways_keep_to_the_limits_of_targets_together(
+    deployment: Deployment,
+) -> None:
+    """Guards against gateways that each exceed a limit or use all of it, and
+    against requests that wait until their deadline for a limited target.
+    """
+    times_by_target = {
+        name: _limit(target)
+        for name, target in deployment.targets.items()
+        if 'orders' in name
+    }
+    gateways = [
+        await deployment.start_gateway(domain) for domain in ('north', 'south')
+    ]
+    for started in gateways:
+        await started.wait_ready()
+    reasons: dict[str, int] = defaultdict(int)
+    await asyncio.gather(
+        *(_load(gateway, reasons) for gateway in gateways * _CALLERS)
+    )
+    for times in times_by_target.values():
+        assert _most_in_window(times) <= _ALLOWED
+    assert set(reasons) == {'overloaded'}
