Evaluate many losses in linear time

Cause: each loss was compared with all others. A busy VM that loses all targets with 2,000 requests in flight would have stood still while it evaluated them.

Change: one pass over the losses and, for each, one over the lost targets. Losses are dropped before the evaluation, after 5 s instead of 2 s, so that a short pause of the process does not lose them.

--- a/nutmegstep/dispatch/losses.py
+++ b/nutmegstep/dispatch/losses.py
@@ -5,6 +5,8 @@
 connections.
 """
 
+from collections import defaultdict
+from collections.abc import Container, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -16,8 +18,9 @@
 _MASS_LOSSES: Final = 2
 """Other targets lost together with one from which the request is not suspected:
 a failure domain or a rack lost its power, for instance."""
-_FORGET_SECONDS: Final = 2.0
-"""Time after which a loss is dropped; longer than any check of a target."""
+_FORGET_SECONDS: Final = 5.0
+"""Time after which a loss is dropped; longer than any check of a target and most
+pauses of a process."""
 
 
 @dataclass(slots=True)
@@ -88,32 +91,34 @@
 
     def settle(self, now: float) -> list[Loss]:
         """Return the crashes of which their request is suspected, once each."""
-        crashes = [
-            one
-            for one in self._losses
-            if one.is_crash and one.at <= now - _SETTLE_SECONDS
+        self._losses = [
+            one for one in self._losses if one.at > now - _FORGET_SECONDS
         ]
+        crashes = [one for one in self._losses if one.is_crash]
+        lost_at_by_target = {one.target_id: one.at for one in crashes}
+        targets_by_content: dict[str, set[str]] = defaultdict(set)
+        for crash in crashes:
+            targets_by_content[crash.content].add(crash.target_id)
+        settled = {one.round_of_sends for one in crashes if one.is_settled}
         suspicious: list[Loss] = []
         for loss in crashes:
-            if not loss.is_settled and self._is_suspicious(loss):
-                suspicious.append(loss)
+            if loss.is_settled or loss.at > now - _SETTLE_SECONDS:
+                continue
             loss.is_settled = True
-        self._losses = [
-            one for one in self._losses if one.at > now - _FORGET_SECONDS
-        ]
+            own = targets_by_content[loss.content]
+            is_mass_loss = _is_mass_loss(loss, lost_at_by_target, own)
+            if not is_mass_loss and loss.round_of_sends not in settled:
+                suspicious.append(loss)
+            settled.add(loss.round_of_sends)
         return suspicious
 
-    def _is_suspicious(self, loss: Loss) -> bool:
-        together = [
-            one
-            for one in self._losses
-            if one.is_crash and abs(one.at - loss.at) <= _SETTLE_SECONDS
-        ]
-        own = {one.target_id for one in together if one.content == loss.content}
-        others = {one.target_id for one in together} - own
-        if len(others) >= _MASS_LOSSES:
-            return False
-        return not any(
-            one.is_settled and one.round_of_sends == loss.round_of_sends
-            for one in self._losses
-        )
+
+def _is_mass_loss(
+    loss: Loss, lost_at_by_target: Mapping[str, float], own: Container[str]
+) -> bool:
+    """Return whether targets without the request were lost with this one."""
+    others = sum(
+        abs(at - loss.at) <= _SETTLE_SECONDS and target_id not in own
+        for target_id, at in lost_at_by_target.items()
+    )
+    return others >= _MASS_LOSSES
