Use one piece where the change had written a second

- Three functions refused an open request, logged it and cancelled its sends: completion.refuse_open does it for all.
- handle_arrival refused crashing requests beside start_sends, which refuses them anyway.
- The subscription to crash records had its own loop and times beside those of the other subscriptions; it stands with them now.
- CrashRecords walked its nested mapping in three places and compared the count in two.
The headers of a coordinator's answer were decoded twice.
- The public functions that moved to store_documents have docstrings.

No test changed but for the module that one import names.

--- a/nutmegstep/dispatch/arrivals.py
+++ b/nutmegstep/dispatch/arrivals.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from nutmegstep.configuration import Configuration, Route, match_route
-from nutmegstep.dispatch.crash_control import is_refused, refuse_crashing
+from nutmegstep.dispatch.crash_control import is_refused
 from nutmegstep.dispatch.delegation import decline_if_unsuitable, delegate
 from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
 from nutmegstep.dispatch.events import RequestArrived, RoutedRequest
@@ -59,9 +59,9 @@
         )
     open_request = _open(state, configuration, request, route)
     state.open_by_id[request.request_id] = open_request
-    if is_refused(state, open_request):
-        return refuse_crashing(state, open_request)
-    delegation = delegate(state, open_request, now)
+    delegation: list[Effect] = []
+    if not is_refused(state, open_request):
+        delegation = delegate(state, open_request, now)
     return delegation or start_sends(state, open_request, now)
 
 
--- a/nutmegstep/dispatch/completion.py
+++ b/nutmegstep/dispatch/completion.py
@@ -13,6 +13,7 @@
 refused when no target is left or at the deadline.
 """
 
+from collections.abc import Mapping
 from datetime import timedelta
 from itertools import chain
 from typing import Final
@@ -38,6 +39,7 @@
     'close_request',
     'give_up',
     'give_up_at_deadline',
+    'refuse_open',
 ]
 
 _MS_PER_SECOND: Final = 1000
@@ -90,22 +92,40 @@
     refusal: Refusal,
 ) -> list[Effect]:
     """Refuse a request whose parts were sent; cancel its pending sends."""
+    missing = [
+        part.service for part in open_request.parts if part.reply is None
+    ]
+    inputs = {'verdict': refusal.verdict.value, 'missing': missing}
+    return refuse_open(state, open_request, refusal, inputs)
+
+
+def refuse_open(
+    state: DispatchState,
+    open_request: OpenRequest,
+    refusal: Refusal,
+    inputs: Mapping[str, object],
+) -> list[Effect]:
+    """Refuse an open request, log why, and cancel its pending sends.
+
+    Parameters
+    ----------
+    state : DispatchState
+        State of the dispatcher; modified in place.
+    open_request : OpenRequest
+        Request to refuse.
+    refusal : Refusal
+        The refusal.
+    inputs : Mapping
+        Values to be logged beside the reason and the route.
+    """
     request = open_request.request
+    logged = {
+        'reason': refusal.reason.value,
+        'route': open_request.route.name,
+        **inputs,
+    }
     return [
-        Decision(
-            'refused',
-            request.attempt_id,
-            {
-                'reason': refusal.reason.value,
-                'verdict': refusal.verdict.value,
-                'route': open_request.route.name,
-                'missing': [
-                    part.service
-                    for part in open_request.parts
-                    if part.reply is None
-                ],
-            },
-        ),
+        Decision('refused', request.attempt_id, logged),
         *close_request(state, open_request),
         DeliverRefusal(request.request_id, refusal),
     ]
--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from nutmegstep.dispatch.completion import close_request
+from nutmegstep.dispatch.completion import refuse_open
 from nutmegstep.dispatch.control_events import (
     CrashDeleted,
     CrashesListed,
@@ -16,7 +16,6 @@
     CheckTarget,
     Decision,
     DeleteCrash,
-    DeliverRefusal,
     Effect,
     PublishCrash,
 )
@@ -77,7 +76,6 @@
     open_request: OpenRequest,
 ) -> list[Effect]:
     """Refuse a request that has crashed too many targets."""
-    request = open_request.request
     refusal = refuse(
         open_request.verdict,
         Reason.CRASHES_TARGETS,
@@ -85,16 +83,10 @@
         retry_after=timedelta(seconds=KEEP_SECONDS),
     )
     inputs = {
-        'route': open_request.route.name,
-        'reason': refusal.reason.value,
-        'host': request.host,
+        'host': open_request.request.host,
         'content': open_request.content,
     }
-    return [
-        Decision('refused', request.attempt_id, inputs),
-        *close_request(state, open_request),
-        DeliverRefusal(request.request_id, refusal),
-    ]
+    return refuse_open(state, open_request, refusal, inputs)
 
 
 def record_check(
--- a/nutmegstep/dispatch/crashes.py
+++ b/nutmegstep/dispatch/crashes.py
@@ -6,7 +6,7 @@
 refuse content that was there too often.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 from operator import itemgetter
 from typing import Final
@@ -89,15 +89,15 @@
             Whether the content is refused from now on.
         """
         was_refused = self.is_refused(record.content)
-        self._add(record, now)
+        crashes = self._crashes_by_content.setdefault(record.content, {})
+        crashes.setdefault(record.incarnation, _Crash(now))
         return self.is_refused(record.content) and not was_refused
 
     def take_unpublished(self) -> list[CrashRecord]:
         """Return the crashes to write to the store, most suspected first."""
         unpublished = [
-            (self.count(content), CrashRecord(content, incarnation), crash)
-            for content, crashes in self._crashes_by_content.items()
-            for incarnation, crash in crashes.items()
+            (self.count(record.content), record, crash)
+            for record, crash in self._items()
             if not crash.is_published
         ]
         unpublished.sort(key=itemgetter(0), reverse=True)
@@ -110,20 +110,18 @@
         """Add a crash from the store; return whether its content is refused
         from now on.
         """
-        was_refused = self.is_refused(record.content)
-        crash = self._add(record, now)
+        is_refused_now = self.record_crash(record, now)
+        crash = self._crashes_by_content[record.content][record.incarnation]
         crash.is_published = True
         crash.is_stored = True
-        return self.is_refused(record.content) and not was_refused
+        return is_refused_now
 
     def retain_stored(self, listed: Collection[CrashRecord]) -> None:
         """Forget crashes whose records have been deleted from the store."""
         self._remove(
-            CrashRecord(content, incarnation)
-            for content, crashes in self._crashes_by_content.items()
-            for incarnation, crash in crashes.items()
-            if crash.is_stored
-            and CrashRecord(content, incarnation) not in listed
+            record
+            for record, crash in self._items()
+            if crash.is_stored and record not in listed
         )
 
     def forget(self, record: CrashRecord) -> None:
@@ -142,17 +140,17 @@
         """
         seen_before = now - KEEP_SECONDS * (1 + _EXPIRY_SPREAD * phase)
         expired = [
-            (CrashRecord(content, incarnation), crash)
-            for content, crashes in self._crashes_by_content.items()
-            for incarnation, crash in crashes.items()
+            (record, crash)
+            for record, crash in self._items()
             if crash.seen_at < seen_before
         ]
         self._remove(record for record, _ in expired)
         return [record for record, crash in expired if crash.is_published]
 
-    def _add(self, record: CrashRecord, now: float) -> _Crash:
-        crashes = self._crashes_by_content.setdefault(record.content, {})
-        return crashes.setdefault(record.incarnation, _Crash(now))
+    def _items(self) -> Iterator[tuple[CrashRecord, _Crash]]:
+        for content, crashes in self._crashes_by_content.items():
+            for incarnation, crash in crashes.items():
+                yield CrashRecord(content, incarnation), crash
 
     def _remove(self, records: Iterable[CrashRecord]) -> None:
         for record in tuple(records):
--- a/nutmegstep/dispatch/starting.py
+++ b/nutmegstep/dispatch/starting.py
@@ -5,9 +5,9 @@
 from itertools import chain
 from typing import Final
 
-from nutmegstep.dispatch.completion import answer_if_due, close_request
+from nutmegstep.dispatch.completion import answer_if_due, refuse_open
 from nutmegstep.dispatch.crash_control import is_refused, refuse_crashing
-from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
+from nutmegstep.dispatch.effects import Effect
 from nutmegstep.dispatch.requests import OpenRequest
 from nutmegstep.dispatch.selection import is_usable, seconds_until_usable
 from nutmegstep.dispatch.sending import send_first
@@ -78,7 +78,6 @@
     covered. A longer one than callers wait for is cut: another VM may have a
     share of the limit left.
     """
-    request = open_request.request
     left = max(0, open_request.deadline - now)
     longest = left * _RETRY_AFTER_SHARE
     if math.isfinite(wait):
@@ -96,13 +95,7 @@
         ),
     )
     inputs = {
-        'route': open_request.route.name,
-        'reason': refusal.reason.value,
-        'host': request.host,
+        'host': open_request.request.host,
         'retry_after_ms': refusal.retry_after // _MILLISECOND,
     }
-    return [
-        Decision('refused', request.attempt_id, inputs),
-        *close_request(state, open_request),
-        DeliverRefusal(request.request_id, refusal),
-    ]
+    return refuse_open(state, open_request, refusal, inputs)
--- a/nutmegstep/gateway/crash_records.py
+++ b/nutmegstep/gateway/crash_records.py
@@ -3,45 +3,24 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
-from datetime import timedelta
 from types import MappingProxyType
 from typing import Any, Final
 
 from returns.pipeline import is_successful
 
-from nutmegstep.dispatch.control_events import (
-    CrashDeleted,
-    CrashesListed,
-    CrashRecord,
-    CrashStored,
-    TargetChecked,
-)
+from nutmegstep.dispatch.control_events import CrashRecord, TargetChecked
 from nutmegstep.dispatch.effects import CheckTarget, DeleteCrash, PublishCrash
 from nutmegstep.dispatch.events import Event
 from nutmegstep.gateway.adapter import Store
-from nutmegstep.store_watch import (
-    Listing,
-    ObjectChange,
-    ObjectChanges,
-    StoreAvailability,
-    Subscription,
-)
+from nutmegstep.store_watch import StoreAvailability
 
-__all__ = ['CrashReporter', 'crash_subscription']
+__all__ = ['CrashReporter', 'read_record']
 
 _LOG: Final = logging.getLogger(__name__)
 _CHECK_TIMEOUT_S: Final = 0.25
 """Longest time for opening a connection to a target that may have crashed."""
 _RETRY_DELAY_S: Final = 0.5
 """Time after a failed write before it is tried again."""
-_MAX_WAIT: Final = timedelta(seconds=20)
-"""Longest wait of one watch. Each call to the store is charged for."""
-_BATCH_PAUSE: Final = timedelta(milliseconds=100)
-"""Pause after a change, so that one call returns several changes."""
-_MAX_LAG: Final = timedelta(seconds=10)
-"""Time for which the watch may stay open after another watch has returned a
-newer revision. Each repeated watch costs a call, and the store changes often;
-the watch itself returns a record at once."""
 _SEPARATOR: Final = '.'
 
 
@@ -140,45 +119,8 @@
         self._dispatch(TargetChecked(target.target_id, is_listening))
 
 
-def crash_subscription(
-    kind: str, dispatch: Callable[[Event], None]
-) -> Subscription:
-    """Return the subscription to the crash records in the store.
-
-    Parameters
-    ----------
-    kind : str
-        Kind of the records.
-    dispatch : Callable
-        Passes an event to the dispatcher.
-    """
-
-    def handle_listing(listing: Listing) -> None:
-        read = map(_read_record, listing.documents_by_name)
-        dispatch(CrashesListed(frozenset(filter(None, read))))
-
-    def handle_changes(found: ObjectChanges) -> None:
-        for change in found.changes:
-            _dispatch_change(change, dispatch)
-
-    return Subscription(
-        kind, _MAX_WAIT, _BATCH_PAUSE, _MAX_LAG, handle_listing, handle_changes
-    )
-
-
-def _dispatch_change(
-    change: ObjectChange, dispatch: Callable[[Event], None]
-) -> None:
-    record = _read_record(change.name)
-    if record is None:
-        return
-    if change.is_deleted:
-        dispatch(CrashDeleted(record))
-    else:
-        dispatch(CrashStored(record))
-
-
-def _read_record(name: str) -> CrashRecord | None:
+def read_record(name: str) -> CrashRecord | None:
+    """Decode the name of a record in the store; None if it cannot be read."""
     content, _, incarnation = name.partition(_SEPARATOR)
     if content and incarnation:
         return CrashRecord(content, incarnation)
--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -218,19 +218,20 @@
         return DelegationFailed(
             request_id, reason.decode('latin-1'), may_have_run=False
         )
+    stated = header_by_name.get(_REQUEST_LIMIT.encode())
+    limit = None if stated is None else float(stated)
     return DelegationAnswered(
         request_id,
-        _as_reply(outcome),
+        _as_reply(outcome, limit),
         header_by_name.get(_TARGET.encode(), b'').decode('latin-1'),
     )
 
 
-def _as_reply(raw: RawReply) -> TargetReply:
-    stated = dict(raw.headers).get(_REQUEST_LIMIT.encode())
+def _as_reply(raw: RawReply, request_limit: float | None) -> TargetReply:
     return TargetReply(
         raw.status,
         _without_own(raw.headers),
         raw.body,
         signature='',
-        request_limit=None if stated is None else float(stated),
+        request_limit=request_limit,
     )
--- a/nutmegstep/gateway/subscriptions.py
+++ b/nutmegstep/gateway/subscriptions.py
@@ -11,6 +11,9 @@
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
+    CrashDeleted,
+    CrashesListed,
+    CrashStored,
     DomainsWithdrawn,
     TargetAnnounced,
     TargetRemoved,
@@ -18,11 +21,15 @@
 )
 from nutmegstep.dispatch.events import Event
 from nutmegstep.gateway.adapter import PlatformAdapter
-from nutmegstep.gateway.crash_records import crash_subscription
-from nutmegstep.store_watch import Listing, ObjectChange, ObjectChanges
-from nutmegstep.store_watch.core import Subscription
+from nutmegstep.gateway.crash_records import read_record
+from nutmegstep.store_watch import (
+    Listing,
+    ObjectChange,
+    ObjectChanges,
+    Subscription,
+)
 
-__all__ = ['StoreSubscriptions']
+__all__ = ['StoreSubscriptions', 'crash_subscription']
 
 _LOG: Final = logging.getLogger(__name__)
 _PROBER_MAX_WAIT: Final = timedelta(seconds=2)
@@ -38,6 +45,10 @@
 """Time for which the watch of withdrawals may stay open after another watch has
 returned a newer revision. With a shorter time each change of a target, which is
 frequent, would cost a call. A withdrawal must be in force after 5 s."""
+_CRASHES_MAX_LAG: Final = timedelta(seconds=10)
+"""Time for which the watch of crash records may stay open after another watch
+has returned a newer revision. Each repeated watch costs a call, and the store
+changes often; the watch itself returns a record at once."""
 _BATCH_PAUSE: Final = timedelta(milliseconds=100)
 """Pause after a change of the configuration or of the withdrawals, so that one
 call returns several changes."""
@@ -179,3 +190,36 @@
             handle(change)
 
     return handle_all
+
+
+def crash_subscription(
+    kind: str, dispatch: Callable[[Event], None]
+) -> Subscription:
+    """Return the subscription to the crash records in the store.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of the records.
+    dispatch : Callable
+        Passes an event to the dispatcher.
+    """
+
+    def handle_listing(listing: Listing) -> None:
+        read = map(read_record, listing.documents_by_name)
+        dispatch(CrashesListed(frozenset(filter(None, read))))
+
+    def handle_change(change: ObjectChange) -> None:
+        record = read_record(change.name)
+        if record is not None:
+            event = CrashDeleted if change.is_deleted else CrashStored
+            dispatch(event(record))
+
+    return Subscription(
+        kind,
+        _MAX_WAIT,
+        _BATCH_PAUSE,
+        _CRASHES_MAX_LAG,
+        handle_listing,
+        _for_each(handle_change),
+    )
--- a/nutmegstep/platform/store_documents.py
+++ b/nutmegstep/platform/store_documents.py
@@ -38,6 +38,7 @@
     next_page: Result[Page, PlatformFailure],
     first: Page,
 ) -> Result[Page, PlatformFailure]:
+    """Return both pages joined, or the failure of the next one."""
     return next_page.map(
         lambda page: replace(
             first,
@@ -48,6 +49,7 @@
 
 
 def last_name(page: Page) -> str:
+    """Return the name after which the next page begins; empty without one."""
     return (
         name_of(page.listed_objects[-1])
         if page.has_more and page.listed_objects
@@ -56,6 +58,13 @@
 
 
 def read_page(document: Any) -> Page:
+    """Decode a page of a listing; leave objects without a name out.
+
+    Raises
+    ------
+    KeyError, TypeError or ValueError
+        The document does not have the form of a page.
+    """
     return Page(
         tuple(one for one in document['items'] if _has_name(one)),
         bool(document['more']),
@@ -64,6 +73,13 @@
 
 
 def read_changes(document: Any) -> ObjectChanges:
+    """Decode the answer of a watch; leave objects without a name out.
+
+    Raises
+    ------
+    KeyError, TypeError or ValueError
+        The document does not have the form of such an answer.
+    """
     events = [
         event for event in document['events'] if _has_name(event['object'])
     ]
@@ -79,6 +95,7 @@
 
 
 def read_vm_entry(one: _Object) -> VmEntry:
+    """Decode the registry entry of a VM; unreadable fields get defaults."""
     spec = one.get('spec')
     fields = spec if isinstance(spec, dict) else {}
     revision = one['meta'].get('rev')
@@ -113,5 +130,6 @@
 
 
 def name_of(one: _Object) -> str:
+    """Return the name of an object."""
     meta = one['meta']
     return str(meta['name']) if isinstance(meta, dict) else ''
--- a/tests/gateway/test_crash_records.py
+++ b/tests/gateway/test_crash_records.py
@@ -17,7 +17,8 @@
 )
 from nutmegstep.dispatch.effects import CheckTarget, DeleteCrash, PublishCrash
 from nutmegstep.dispatch.events import Event
-from nutmegstep.gateway.crash_records import CrashReporter, crash_subscription
+from nutmegstep.gateway.crash_records import CrashReporter
+from nutmegstep.gateway.subscriptions import crash_subscription
 from nutmegstep.platform_api.records import (
     PlatformFailure,
     PlatformFailureKind,
