Log the era of the store and the revision of an ignored listing

The logs could not tell whether a listing was ignored because a relay lagged or because the store had gone back: they named the known revision only, and nobody read the header Store-Era. Now both are logged. The decisions stay as they are.

--- a/nutmegstep/platform/store.py
+++ b/nutmegstep/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the operators' object store."""
 
+import logging
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from functools import partial
@@ -34,6 +35,10 @@
 KIND_VMS: Final = 'nutmegstep-vms'
 """Kind of the entries by which VMs find and count each other."""
 
+_LOG: Final = logging.getLogger(__name__)
+_ERA_HEADER: Final = 'store-era'
+"""Response header with the number of times that the store has been restored
+from a copy."""
 _MILLISECOND: Final = timedelta(milliseconds=1)
 _NO_WAIT: Final = timedelta(0)
 _STATUS_OK: Final = 200
@@ -64,6 +69,7 @@
         self._transport = transport
         self._counter = counter
         self._has_entry = False
+        self._era = 0
 
     async def list_kind(self, kind: str) -> Result[Listing, PlatformFailure]:
         """Return all objects of a kind, at the revision of the first page."""
@@ -210,6 +216,8 @@
             is_write=is_write,
             poll=poll,
         )
+        if is_successful(called):
+            self._log_new_era(_era_of(called.unwrap()))
         checked = called.bind(lambda reply: _check_status(http, reply))
         outcome = 'ok'
         if not is_successful(checked):
@@ -217,6 +225,12 @@
         self._counter.labels(operation, outcome).inc()
         return checked
 
+    def _log_new_era(self, era: int) -> None:
+        if era > self._era:
+            fields = {'era': era, 'previous': self._era}
+            _LOG.warning('store era changed', extra=fields)
+            self._era = era
+
 
 def _conflicts(called: Result[HttpReply, PlatformFailure]) -> bool:
     # 409: the object to create exists. 404: the one to replace does not.
@@ -224,6 +238,11 @@
     return is_successful(called) and called.unwrap().status in missed
 
 
+def _era_of(reply: HttpReply) -> int:
+    text = reply.header_by_name.get(_ERA_HEADER, '')
+    return int(text) if text.isdecimal() else 0
+
+
 def _check_status(
     http: HttpCall,
     reply: HttpReply,
--- a/nutmegstep/platform_api/connection.py
+++ b/nutmegstep/platform_api/connection.py
@@ -33,12 +33,27 @@
 
 @dataclass(slots=True)
 class HttpReply:
-    """An HTTP response; `version` is its entity tag."""
+    """An HTTP response.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    header_by_name : dict
+        Values of the headers; the names are in lower case.
+    chunks : list of bytes
+        Parts of the body.
+    """
 
     status: int = 0
-    version: str = ''
+    header_by_name: dict[str, str] = field(default_factory=dict)
     chunks: list[bytes] = field(default_factory=list)
 
+    @property
+    def version(self) -> str:
+        """Entity tag of the object; empty without one."""
+        return self.header_by_name.get('etag', '')
+
     @property
     def body(self) -> bytes:
         """Body of the response."""
@@ -176,8 +191,10 @@
 def _record_event(reply: HttpReply, event: h11.Event) -> None:
     if isinstance(event, h11.Response):
         reply.status = event.status_code
-        header_by_name = dict(event.headers)
-        reply.version = header_by_name.get(b'etag', b'').decode('latin-1')
+        reply.header_by_name = {
+            name.decode('latin-1'): text.decode('latin-1')
+            for name, text in event.headers
+        }
     elif isinstance(event, h11.Data):
         reply.chunks.append(bytes(event.data))
     elif isinstance(event, h11.ConnectionClosed):
--- a/nutmegstep/store_watch/core.py
+++ b/nutmegstep/store_watch/core.py
@@ -162,6 +162,7 @@
             fields = {
                 'kind': self._subscription.kind,
                 'known': self._highest_revision,
+                'listed': listing.revision,
             }
             _LOG.info('older listing ignored', extra=fields)
             return False
