Tell revisions of a restored store from those given out before

Cause: a VM compared revisions across the restoration. The store had gone from 67 back to 52, so each listing looked like that of a relay that lags and was ignored, until as many revisions had been given out again. Once they had, a watch from the known number succeeded, and what had been written below it was missed without a sign. Relays passed both on. Class of fault: a number is compared outside the range in which it orders anything.

Change: the store client composes revisions of the store's era, from the header Store-Era, and its number. They only grow, so the rule for listings that lag holds unchanged, in relays too. A watch from an earlier era ends as if the history were gone, pages of two eras are not joined, and one watcher that sees a new era lets the others list. Relays have another path, since earlier versions would take the composed revisions for very new ones.

--- a/nutmegstep/platform/store.py
+++ b/nutmegstep/platform/store.py
@@ -28,6 +28,7 @@
 )
 from nutmegstep.platform_api.transport import HttpTransport
 from nutmegstep.store_watch import HistoryGone, Listing, ObjectChanges
+from nutmegstep.store_watch.revisions import era_of, number_of
 from nutmegstep.store_watch.vm_registry import VmEntry
 
 __all__ = ['KIND_VMS', 'ObjectStore']
@@ -69,7 +70,7 @@
         self._transport = transport
         self._counter = counter
         self._has_entry = False
-        self._era = 0
+        self._era: int | None = None
 
     async def list_kind(self, kind: str) -> Result[Listing, PlatformFailure]:
         """Return all objects of a kind, at the revision of the first page."""
@@ -89,6 +90,9 @@
     ) -> Result[ObjectChanges | HistoryGone, PlatformFailure]:
         """Return the changes after a revision; wait until there are any.
 
+        The history of an earlier era is gone, also if the store has given out
+        the same number again.
+
         Parameters
         ----------
         kind : str
@@ -98,7 +102,8 @@
         wait : datetime.timedelta
             Longest wait; after it no changes are returned.
         """
-        query = {'watch': revision, 'wait_ms': wait // _MILLISECOND}
+        number = number_of(revision)
+        query = {'watch': number, 'wait_ms': wait // _MILLISECOND}
         called = await self._call(
             'watch',
             HttpCall('GET', _path(kind, query)),
@@ -107,7 +112,8 @@
         if not is_successful(called):
             return Failure(called.failure())
         reply = called.unwrap()
-        if reply.status == _STATUS_GONE:
+        is_same_era = _era_of(reply) == era_of(revision)
+        if reply.status == _STATUS_GONE or not is_same_era:
             return Success(HistoryGone())
         return _decode(read_changes, reply)
 
@@ -226,10 +232,12 @@
         return checked
 
     def _log_new_era(self, era: int) -> None:
-        if era > self._era:
+        if era == self._era:
+            return
+        if self._era is not None:
             fields = {'era': era, 'previous': self._era}
             _LOG.warning('store era changed', extra=fields)
-            self._era = era
+        self._era = era
 
 
 def _conflicts(called: Result[HttpReply, PlatformFailure]) -> bool:
@@ -257,11 +265,11 @@
 
 
 def _decode(
-    read: Callable[[Any], _Decoded],
+    read: Callable[[Any, int], _Decoded],
     reply: HttpReply,
 ) -> Result[_Decoded, PlatformFailure]:
     try:
-        return Success(read(orjson.loads(reply.body)))
+        return Success(read(orjson.loads(reply.body), _era_of(reply)))
     except (KeyError, TypeError, ValueError) as error:
         detail = f'malformed reply: {error!r}'
         return Failure(
--- a/nutmegstep/platform/store_documents.py
+++ b/nutmegstep/platform/store_documents.py
@@ -3,13 +3,18 @@
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Any
 
-from returns.result import Result
+from returns.result import Failure, Result, Success
 
-from nutmegstep.platform_api.records import PlatformFailure
+from nutmegstep.platform_api.records import (
+    PlatformFailure,
+    PlatformFailureKind,
+)
 from nutmegstep.settings.fields import read_address
 from nutmegstep.store_watch import ObjectChange, ObjectChanges
+from nutmegstep.store_watch.revisions import compose_revision, era_of
 from nutmegstep.store_watch.vm_registry import DEFAULT_CAPACITY, VmEntry
 
 __all__ = [
@@ -38,14 +43,24 @@
     next_page: Result[Page, PlatformFailure],
     first: Page,
 ) -> Result[Page, PlatformFailure]:
-    """Return both pages joined, or the failure of the next one."""
-    return next_page.map(
-        lambda page: replace(
-            first,
-            listed_objects=(*first.listed_objects, *page.listed_objects),
-            has_more=page.has_more,
-        ),
+    """Return both pages joined, or a failure.
+
+    It fails if the next page does, or if the store was restored from a copy
+    between the two pages.
+    """
+    return next_page.bind(partial(_join, first))
+
+
+def _join(first: Page, page: Page) -> Result[Page, PlatformFailure]:
+    if era_of(page.revision) != era_of(first.revision):
+        detail = 'store restored between two pages of a listing'
+        return Failure(PlatformFailure(PlatformFailureKind.UNAVAILABLE, detail))
+    joined = replace(
+        first,
+        listed_objects=(*first.listed_objects, *page.listed_objects),
+        has_more=page.has_more,
     )
+    return Success(joined)
 
 
 def last_name(page: Page) -> str:
@@ -57,9 +72,16 @@
     )
 
 
-def read_page(document: Any) -> Page:
+def read_page(document: Any, era: int) -> Page:
     """Decode a page of a listing; leave objects without a name out.
 
+    Parameters
+    ----------
+    document : Any
+        Decoded JSON value.
+    era : int
+        Era of the store that sent it.
+
     Raises
     ------
     KeyError, TypeError or ValueError
@@ -68,13 +90,20 @@
     return Page(
         tuple(one for one in document['items'] if _has_name(one)),
         bool(document['more']),
-        int(document['at']),
+        compose_revision(era, int(document['at'])),
     )
 
 
-def read_changes(document: Any) -> ObjectChanges:
+def read_changes(document: Any, era: int) -> ObjectChanges:
     """Decode the answer of a watch; leave objects without a name out.
 
+    Parameters
+    ----------
+    document : Any
+        Decoded JSON value.
+    era : int
+        Era of the store that sent it.
+
     Raises
     ------
     KeyError, TypeError or ValueError
@@ -91,7 +120,9 @@
         )
         for event in events
     )
-    return ObjectChanges(tuple(changes), int(document['at']))
+    return ObjectChanges(
+        tuple(changes), compose_revision(era, int(document['at']))
+    )
 
 
 def read_vm_entry(one: _Object) -> VmEntry:
--- a/nutmegstep/relay/encoding.py
+++ b/nutmegstep/relay/encoding.py
@@ -12,12 +12,16 @@
 from nutmegstep.store_watch import Listing, ObjectChange, ObjectChanges
 
 __all__ = [
+    'OBJECTS_PATH',
     'decode_changes',
     'decode_listing',
     'encode_changes',
     'encode_listing',
 ]
 
+OBJECTS_PATH: Final = '/objects/'
+"""Start of the URL paths of a relay; the kind of objects follows. Relays of
+earlier versions, whose revisions lack the era, use another one."""
 _COMPRESSION_LEVEL: Final = 1
 """Fastest level; higher levels save a tenth of the bytes in twice the time."""
 _MAX_DECODED_BYTES: Final = 64 * 2**20
--- a/nutmegstep/relay/reader.py
+++ b/nutmegstep/relay/reader.py
@@ -14,7 +14,11 @@
     PlatformFailureKind,
 )
 from nutmegstep.platform_api.transport import HttpTransport
-from nutmegstep.relay.encoding import decode_changes, decode_listing
+from nutmegstep.relay.encoding import (
+    OBJECTS_PATH,
+    decode_changes,
+    decode_listing,
+)
 from nutmegstep.settings.fields import read_address
 from nutmegstep.store_watch import HistoryGone, Listing, ObjectChanges
 
@@ -45,7 +49,8 @@
 
     async def list_kind(self, kind: str) -> Result[Listing, PlatformFailure]:
         """Return all objects of a kind."""
-        called = await self._transport.call(HttpCall('GET', f'/kinds/{kind}'))
+        call = HttpCall('GET', f'{OBJECTS_PATH}{kind}')
+        called = await self._transport.call(call)
         return called.bind(_read_listing)
 
     async def watch_kind(
@@ -57,7 +62,8 @@
         """Return the changes after a revision, waiting until there are any."""
         poll = wait / _WAIT_DIVISOR
         query = {'watch': revision, 'wait_s': poll.total_seconds()}
-        call = HttpCall('GET', f'/kinds/{kind}?{urlencode(query)}')
+        path = f'{OBJECTS_PATH}{kind}?{urlencode(query)}'
+        call = HttpCall('GET', path)
         called = await self._transport.call(call, poll=poll)
         return called.bind(_read_changes)
 
--- a/nutmegstep/relay/server.py
+++ b/nutmegstep/relay/server.py
@@ -5,7 +5,11 @@
 from typing import Final
 
 from nutmegstep.relay.cache import RelayCache
-from nutmegstep.relay.encoding import encode_changes, encode_listing
+from nutmegstep.relay.encoding import (
+    OBJECTS_PATH,
+    encode_changes,
+    encode_listing,
+)
 from nutmegstep.store_watch import HistoryGone, ObjectChanges
 from nutmegstep.store_watch.waiting import wait_any
 from nutmegstep.web import HttpRequest, HttpResponse
@@ -55,12 +59,13 @@
         self._responses_by_cache: dict[RelayCache, _ResponseByRange] = {}
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
-        """Answer ``GET /kinds/KIND``, which lists or watches a kind.
+        """Answer ``GET /objects/KIND``, which lists or watches a kind.
 
         The query parameter ``watch`` is the revision from which to watch, and
         ``wait_s`` the longest wait in seconds.
         """
-        cache = self._cache_by_kind.get(request.path.removeprefix('/kinds/'))
+        kind = request.path.removeprefix(OBJECTS_PATH)
+        cache = self._cache_by_kind.get(kind)
         if cache is None:
             return _UNKNOWN_KIND
         if not self._is_serving():
--- a/nutmegstep/store_watch/core.py
+++ b/nutmegstep/store_watch/core.py
@@ -22,6 +22,7 @@
     ObjectChanges,
     StoreReader,
 )
+from nutmegstep.store_watch.revisions import era_of
 from nutmegstep.store_watch.waiting import cancel_on_event, wait_any
 
 __all__ = ['Subscription', 'Watcher']
@@ -146,9 +147,13 @@
         )
 
     async def _call(self) -> bool:
-        if self._revision is None:
+        revision = self._revision
+        # A watch from a number of an earlier era may wait for changes although
+        # the store has given out that number again.
+        latest_era = era_of(self._availability.latest_revision)
+        if revision is None or era_of(revision) < latest_era:
             return await self._list()
-        return await self._watch(self._revision)
+        return await self._watch(revision)
 
     async def _list(self) -> bool:
         listed = await self._reader.list_kind(self._subscription.kind)
@@ -228,8 +233,10 @@
         ):
             await wait_any((call,), (self._availability.revision_advanced,))
             return False
-        lag = self._subscription.max_lag.total_seconds()
-        await asyncio.wait((call,), timeout=lag)
+        latest_era = era_of(self._availability.latest_revision)
+        if latest_era == era_of(self._highest_revision):
+            lag = self._subscription.max_lag.total_seconds()
+            await asyncio.wait((call,), timeout=lag)
         # The newer revision may be that of another kind of objects, so one
         # revision causes at most one repeated watch.
         self._checked_revision = self._availability.latest_revision
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 
 import orjson
@@ -13,6 +13,14 @@
 _PAGE = 50
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """State of a store at one revision."""
+
+    revision: int
+    objects: dict[str, dict[str, dict[str, object]]]
+
+
 class StoreStandIn:
     """Store in memory, with revisions, watches and outages."""
 
@@ -21,6 +29,7 @@
         self.is_away = False
         self.calls: list[str] = []
         self.first_revision = 0
+        self.era = 1
         self._objects: dict[str, dict[str, dict[str, object]]] = {}
         self._events: list[tuple[int, str, dict[str, object], bool]] = []
         self._changed = asyncio.Event()
@@ -60,10 +69,41 @@
         self.first_revision = self.revision
         self._events.clear()
 
+    def copy(self) -> 'StoreCopy':
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(
+            self.revision,
+            {kind: dict(by_name) for kind, by_name in self._objects.items()},
+        )
+
+    def restore(self, copied: 'StoreCopy') -> None:
+        """Lose all that was written after a copy was made.
+
+        The next revisions are those that were given out after the copy.
+        """
+        self.era += 1
+        self.revision = copied.revision
+        self._objects = {
+            kind: dict(by_name) for kind, by_name in copied.objects.items()
+        }
+        self._events = [
+            event for event in self._events if event[0] <= copied.revision
+        ]
+        self._wake_watches()
+
+    def go_away(self) -> None:
+        """Answer with errors from now on, waiting watches included."""
+        self.is_away = True
+        self._wake_watches()
+
     def names(self, kind: str) -> set[str]:
         """Return the names of a kind's objects."""
         return set(self._objects.get(kind, {}))
 
+    def spec_of(self, kind: str, name: str) -> object:
+        """Return what an object holds."""
+        return self._objects[kind][name]['spec']
+
     def _note(
         self,
         kind: str,
@@ -71,10 +111,18 @@
         is_deleted: bool,
     ) -> None:
         self._events.append((self.revision, kind, changed, is_deleted))
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
+        response = await self._answer_in_era(request)
+        era = ('Store-Era', str(self.era))
+        return replace(response, headers=(*response.headers, era))
+
+    async def _answer_in_era(self, request: HttpRequest) -> HttpResponse:
         self.calls.append(f'{request.method} {request.path}')
         if self.is_away:
             return HttpResponse(503, b'{}')
@@ -120,7 +168,8 @@
 
     async def _watch(self, kind: str, request: HttpRequest) -> HttpResponse:
         since = int(request.query['watch'])
-        if since < self.first_revision:
+        era = self.era
+        if since < self.first_revision or since > self.revision:
             return HttpResponse(410, b'{}')
         loop = asyncio.get_running_loop()
         ends = loop.time() + int(request.query['wait_ms']) / 1000
@@ -133,7 +182,7 @@
                 )
             if self.is_away:
                 return HttpResponse(503, b'{}')
-            if since < self.first_revision:
+            if since < self.first_revision or era != self.era:
                 return HttpResponse(410, b'{}')
             found = self._changes(kind, since)
         reply = {'events': found, 'at': self.revision}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,10 +11,12 @@
 from nutmegstep.platform.store import KIND_VMS, ObjectStore
 from nutmegstep.platform_api.transport import HttpTransport
 from nutmegstep.store_watch import HistoryGone, ObjectChanges
+from nutmegstep.store_watch.revisions import compose_revision
 from nutmegstep.store_watch.vm_registry import VmEntry
 from tests.platform.standin import StoreStandIn
 
 _WAIT = timedelta(seconds=1)
+_FIRST = compose_revision(1, 1)
 
 
 class _StoreAndStandIn:
@@ -71,7 +73,7 @@
     """Guards against polling, since each call is charged for: a watch has to
     stay open until an object changes.
     """
-    watch = asyncio.create_task(pair.store.watch_kind('servers', 1, _WAIT))
+    watch = asyncio.create_task(pair.store.watch_kind('servers', _FIRST, _WAIT))
     await asyncio.sleep(0.05)
     pair.stand_in.put('servers', 'b', 2)
     async with asyncio.timeout(0.5):
@@ -88,7 +90,7 @@
     """
     pair.stand_in.put('servers', 'a', 1)
     pair.stand_in.forget_history()
-    found = await pair.store.watch_kind('servers', 1, _WAIT)
+    found = await pair.store.watch_kind('servers', _FIRST, _WAIT)
     assert found.unwrap() == HistoryGone()
 
 
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from nutmegstep.relay import RelayCache, RelayServer
+from nutmegstep.relay.encoding import OBJECTS_PATH
 from nutmegstep.store_watch import Listing, ObjectChange, ObjectChanges
 from nutmegstep.web import HttpRequest
 
@@ -36,7 +37,7 @@
 
 async def _watch(relay: RelayServer, revision: int) -> bytes:
     query = {'watch': str(revision), 'wait_s': '0'}
-    request = HttpRequest('GET', f'/kinds/{_KIND}', query, {}, b'')
+    request = HttpRequest('GET', f'{OBJECTS_PATH}{_KIND}', query, {}, b'')
     return (await relay.answer(request)).body
 
 
