Keep departures of targets when the store is restored from a copy

What could happen: the copy announces targets that have left since it was made, until the store removes the entries of those that have ended, and undoes the draining of others. Requests went to them again.

Cause: the copy was taken for the present. Class of fault: state that only moves one way in reality (a process leaves, a process drains) was replaced as a whole by whatever was read last.

Change: when a new era is noticed, missing targets are kept for 2 s as after an outage, and targets that left before are held back for 5 s, longer than the three heartbeats after which the store removes the entry of a silent target. Draining ends with the process only.

--- a/nutmegstep/discovery/core.py
+++ b/nutmegstep/discovery/core.py
@@ -5,8 +5,9 @@
 outage may lack live targets.
 """
 
+import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Final
 
@@ -15,6 +16,13 @@
 RETURN_GRACE: Final = timedelta(seconds=2)
 """Time after an outage of the store within which live targets have announced
 themselves again; specified by the platform."""
+_RESTORED_HOLD_S: Final = 5.0
+"""Time in seconds after the restoration of the store for which a target that
+had left is not used again. The store removes its announcement after three of the
+target's heartbeats without a renewal, 3.6 s."""
+_KEEP_DEPARTED_S: Final = 60.0
+"""Time in seconds for which a departed target is remembered; the copy from which
+the store is restored is some seconds old."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +79,10 @@
     `RETURN_GRACE` after an outage of the store. In that time it is kept and
     expires at the end, unless it is announced again.
 
+    A store that is restored from a copy announces targets again that had left.
+    They are held back until the store has had time to remove those that have
+    ended. A target that has begun to drain never returns from it.
+
     Attributes
     ----------
     by_id : dict
@@ -82,6 +94,9 @@
         self._by_service: dict[str, tuple[TargetRecord, ...]] = {}
         self._expiry_by_id: dict[str, float] = {}
         self._grace_until = float(0)
+        self._departed_by_id: dict[str, tuple[TargetRecord, float]] = {}
+        self._held_by_id: dict[str, TargetRecord] = {}
+        self._restored_at = -math.inf
 
     def of_service(self, service: str) -> tuple[TargetRecord, ...]:
         """Return the targets of a service, sorted by identifier."""
@@ -106,6 +121,16 @@
         """
         self._grace_until = now + RETURN_GRACE.total_seconds()
 
+    def start_hold(self, now: float) -> None:
+        """Hold back the targets that left before the store was restored.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds at which the restoration was noticed.
+        """
+        self._restored_at = now
+
     def replace_all(
         self,
         records: Mapping[str, TargetRecord],
@@ -126,23 +151,32 @@
             Identifiers of the targets that were removed.
         """
         missing = [name for name in self.by_id if name not in records]
+        self._held_by_id.clear()
         for record in records.values():
-            self.update(record)
+            self.update(record, now)
         return tuple(name for name in missing if self.remove(name, now))
 
-    def update(self, record: TargetRecord) -> bool:
-        """Add or replace a record.
+    def update(self, record: TargetRecord, now: float) -> bool:
+        """Add or replace a record, or hold it back.
 
         Returns
         -------
         bool
             Whether the target is new or was restarted.
         """
+        if self._must_hold(record, now):
+            self._held_by_id[record.target_id] = record
+            return False
         known = self.by_id.get(record.target_id)
+        is_new = known is None or not known.is_same_process(record)
+        if known is not None and not is_new and known.is_draining:
+            record = replace(record, is_draining=True)
         self.by_id[record.target_id] = record
         self._expiry_by_id.pop(record.target_id, None)
+        self._held_by_id.pop(record.target_id, None)
+        self._departed_by_id.pop(record.target_id, None)
         self._by_service.clear()
-        return known is None or not known.is_same_process(record)
+        return is_new
 
     def remove(self, target_id: str, now: float) -> bool:
         """Remove a target, or let it expire later if the store was unreachable.
@@ -152,31 +186,58 @@
         bool
             Whether the target was removed at once.
         """
+        self._held_by_id.pop(target_id, None)
         if target_id not in self.by_id:
             return False
         if now < self._grace_until:
             self._expiry_by_id[target_id] = self._grace_until
             return False
-        self._drop((target_id,))
+        self._drop((target_id,), now)
         return True
 
     def expire(self, now: float) -> tuple[str, ...]:
-        """Remove targets that were not announced again; return their names."""
+        """Remove targets that were not announced again; return their names.
+
+        Those that were held back and are still announced are added.
+        """
         expired = tuple(
             name
             for name, expires_at in self._expiry_by_id.items()
             if expires_at <= now
         )
-        self._drop(expired)
+        self._drop(expired, now)
+        self._forget_departed(now)
+        if not self._is_holding(now):
+            for record in tuple(self._held_by_id.values()):
+                self.update(record, now)
         return expired
 
     def next_expiry(self) -> float | None:
         """Return the monotonic time of the next expiry in seconds, or None."""
         return min(self._expiry_by_id.values(), default=None)
 
-    def _drop(self, target_ids: Iterable[str]) -> None:
+    def _must_hold(self, record: TargetRecord, now: float) -> bool:
+        departed = self._departed_by_id.get(record.target_id)
+        if departed is None or not self._is_holding(now):
+            return False
+        known, departed_at = departed
+        return departed_at < self._restored_at and known.is_same_process(record)
+
+    def _is_holding(self, now: float) -> bool:
+        return now < self._restored_at + _RESTORED_HOLD_S
+
+    def _forget_departed(self, now: float) -> None:
+        self._departed_by_id = {
+            name: (record, departed_at)
+            for name, (record, departed_at) in self._departed_by_id.items()
+            if now < departed_at + _KEEP_DEPARTED_S
+        }
+
+    def _drop(self, target_ids: Iterable[str], now: float) -> None:
         for target_id in target_ids:
-            self.by_id.pop(target_id, None)
+            record = self.by_id.pop(target_id, None)
+            if record is not None:
+                self._departed_by_id[target_id] = (record, now)
             self._expiry_by_id.pop(target_id, None)
         self._by_service.clear()
 
--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -9,6 +9,7 @@
     ProcessResumed,
     StoreRecovered,
     StoreRefreshed,
+    StoreRestored,
     TargetAnnounced,
     TargetRemoved,
     TargetsListed,
@@ -23,6 +24,7 @@
 __all__ = [
     'apply_configuration',
     'await_refresh',
+    'distrust_copy',
     'end_refresh',
     'expire_targets',
     'record_reports',
@@ -73,9 +75,12 @@
 
     Connections to an earlier incarnation of the target are closed.
     """
-    record = event.record
-    known = state.registry.by_id.get(record.target_id)
-    is_new = state.registry.update(record)
+    target_id = event.record.target_id
+    known = state.registry.by_id.get(target_id)
+    is_new = state.registry.update(event.record, now)
+    record = state.registry.by_id.get(target_id)
+    if record is None:
+        return [Decision('target_held', '', {'target': target_id})]
     is_logged = (
         is_new or known is None or known.is_draining != record.is_draining
     )
@@ -152,6 +157,22 @@
     return []
 
 
+def distrust_copy(
+    state: DispatchState,
+    event: StoreRestored,
+    now: float,
+) -> list[Effect]:
+    """Keep for a limited time what the copy of the store does not know.
+
+    It lacks the targets that were announced since it was made, and holds those
+    that have left since. Live targets renew their announcements, and those of
+    the others expire.
+    """
+    state.registry.start_return_grace(now)
+    state.registry.start_hold(now)
+    return [Decision('store_restored', '', {})]
+
+
 def set_vm_counts(
     state: DispatchState,
     event: VmsCounted,
--- a/nutmegstep/dispatch/control_events.py
+++ b/nutmegstep/dispatch/control_events.py
@@ -19,6 +19,7 @@
     'ProcessResumed',
     'StoreRecovered',
     'StoreRefreshed',
+    'StoreRestored',
     'TargetAnnounced',
     'TargetChecked',
     'TargetRemoved',
@@ -78,6 +79,14 @@
     """The store answers again after an outage."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The store has lost what was written to it in the last seconds.
+
+    It was restored from a copy. Nothing has been read from it since.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class VmsCounted:
     """The number of VMs that share the targets was estimated.
@@ -186,6 +195,7 @@
     | ProcessResumed
     | StoreRecovered
     | StoreRefreshed
+    | StoreRestored
     | TargetAnnounced
     | TargetChecked
     | TargetRemoved
--- a/nutmegstep/gateway/store_sync.py
+++ b/nutmegstep/gateway/store_sync.py
@@ -12,7 +12,11 @@
 from typing import Final
 
 from nutmegstep.clock import Clock
-from nutmegstep.dispatch.control_events import StoreRecovered, StoreRefreshed
+from nutmegstep.dispatch.control_events import (
+    StoreRecovered,
+    StoreRefreshed,
+    StoreRestored,
+)
 from nutmegstep.dispatch.events import Event
 from nutmegstep.gateway.adapter import PlatformAdapter, Store
 from nutmegstep.gateway.crash_records import CrashReporter
@@ -99,6 +103,7 @@
         self._availability = StoreAvailability(
             parts.clock,
             lambda: parts.dispatch(StoreRecovered()),
+            lambda: parts.dispatch(StoreRestored()),
         )
         self._watchers: list[Watcher] = []
         self._reader = FallbackReader(
--- a/tests/discovery/test_core.py
+++ b/tests/discovery/test_core.py
@@ -19,7 +19,7 @@
 
 def _registry() -> TargetRegistry:
     registry = TargetRegistry()
-    registry.update(_RECORD)
+    registry.update(_RECORD, 100)
     return registry
 
 
@@ -60,7 +60,7 @@
     registry = _registry()
     registry.start_return_grace(100)
     registry.replace_all({}, 100.1)
-    registry.update(_RECORD)
+    registry.update(_RECORD, 100)
     assert not registry.expire(200)
     assert registry.of_service('shard') == (_RECORD,)
 
@@ -82,11 +82,65 @@
     It announces itself under the same identifier.
     """
     registry = _registry()
-    assert not registry.update(replace(_RECORD, is_draining=True))
-    assert registry.update(replace(_RECORD, started_ms=2))
+    assert not registry.update(replace(_RECORD, is_draining=True), 100)
+    assert registry.update(replace(_RECORD, started_ms=2), 100)
 
 
 def test_reused_address_is_another_process() -> None:
     """Guards against reusing connections to a process of another service."""
     assert not _RECORD.is_same_process(replace(_RECORD, service='other'))
     assert not _RECORD.is_same_process(replace(_RECORD, port=81))
+
+
+def test_target_that_left_is_not_used_when_the_store_is_restored() -> None:
+    """Guards against requests to a target that has left, when the store comes
+    back from a copy in which it is still announced.
+    """
+    registry = _registry()
+    registry.remove('t1', 100)
+    registry.start_hold(110)
+    registry.replace_all({'t1': _RECORD}, 110)
+    assert not registry.of_service('shard')
+    registry.remove('t1', 113.6)
+    registry.expire(116)
+    assert not registry.of_service('shard')
+
+
+def test_target_that_lives_is_used_after_the_hold() -> None:
+    """Guards against a live target that is never used again, because its
+    announcement had expired before the store was restored.
+    """
+    registry = _registry()
+    registry.remove('t1', 100)
+    registry.start_hold(110)
+    registry.replace_all({'t1': _RECORD}, 110)
+    registry.expire(112)
+    assert not registry.of_service('shard')
+    registry.expire(115)
+    assert registry.of_service('shard') == (_RECORD,)
+
+
+def test_restarted_target_is_used_at_once_after_a_restoration() -> None:
+    """Guards against a hold that applies to another process under the same
+    identifier, or to a target that was away in the restoration only.
+    """
+    registry = _registry()
+    registry.remove('t1', 100)
+    registry.start_hold(110)
+    restarted = replace(_RECORD, started_ms=2)
+    registry.update(restarted, 110)
+    registry.remove('t1', 112)
+    registry.update(restarted, 113)
+    assert registry.of_service('shard') == (restarted,)
+
+
+def test_draining_target_stays_draining() -> None:
+    """Guards against new requests to a target that drains, when an older
+    announcement of the same process is read again.
+    """
+    registry = _registry()
+    registry.update(replace(_RECORD, is_draining=True), 100)
+    registry.update(_RECORD, 101)
+    assert registry.by_id['t1'].is_draining
+    registry.update(replace(_RECORD, started_ms=2), 102)
+    assert not registry.by_id['t1'].is_draining
--- a/tests/dispatch/test_control.py
+++ b/tests/dispatch/test_control.py
@@ -7,6 +7,7 @@
 from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
     StoreRecovered,
+    StoreRestored,
     TargetAnnounced,
     TargetRemoved,
     TargetsListed,
@@ -123,3 +124,25 @@
     assert not dispatcher.effects_of(CancelSend)
     dispatcher.answer([send])
     assert dispatcher.effects_of(DeliverReply)
+
+
+def test_copy_of_the_store_does_not_undo_departures(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against requests to targets that have left or drain, and against
+    the loss of new targets, when the store is restored from an older copy.
+    """
+    known = records()
+    new = replace(known['orders-north'], target_id='new', started_ms=2)
+    dispatcher.apply(TargetRemoved('orders-south'))
+    draining = replace(known['orders-west'], is_draining=True)
+    dispatcher.apply(TargetAnnounced(draining))
+    dispatcher.apply(TargetRemoved('orders-north'))
+    dispatcher.apply(TargetAnnounced(new))
+    dispatcher.now += 1
+    dispatcher.apply(StoreRestored())
+    dispatcher.apply(TargetsListed(known))
+    for _ in range(20):
+        dispatcher.request('/fetch/x')
+    sends = dispatcher.effects_of(SendRequest)
+    assert {send.target.target_id for send in sends} == {'new'}
