Keep withdrawals when the store is restored from a copy

Change: for 5 s after a restoration the set of withdrawn domains only grows; then it is what the store holds.

Evidence: two tests; without the change the first ends with {'west'} alone. 327 tests of dispatch and policy pass.

--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -2,6 +2,8 @@
 domains and the number of VMs.
 """
 
+from typing import Final
+
 from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
     DomainsWithdrawn,
@@ -36,6 +38,10 @@
     'update_target',
 ]
 
+_KEEP_WITHDRAWALS_SECONDS: Final = 5.0
+"""Time after a restoration of the store in which the operators write the
+withdrawals again that it has lost."""
+
 
 def apply_configuration(
     state: DispatchState,
@@ -114,13 +120,12 @@
     event: DomainsWithdrawn,
     now: float,
 ) -> list[Effect]:
-    """Replace the set of withdrawn failure domains."""
-    if event.domains == state.withdrawn_domains:
-        return []
-    state.withdrawn_domains = event.domains
-    return [
-        Decision('domains_withdrawn', '', {'domains': sorted(event.domains)})
-    ]
+    """Replace the set of withdrawn failure domains.
+
+    After a restoration of the store, domains are only added for some time.
+    """
+    state.stored_withdrawals = event.domains
+    return _update_withdrawals(state, now)
 
 
 def await_refresh(
@@ -166,10 +171,12 @@
 
     It lacks the targets that were announced since it was made, and holds those
     that have left since. Live targets renew their announcements, and those of
-    the others expire.
+    the others expire. It also lacks the latest withdrawals, until the operators
+    have written them again.
     """
     state.registry.start_return_grace(now)
     state.registry.start_hold(now)
+    state.keep_withdrawals_until = now + _KEEP_WITHDRAWALS_SECONDS
     return [Decision('store_restored', '', {})]
 
 
@@ -220,11 +227,26 @@
 ) -> list[Effect]:
     """Drop targets that were kept after an outage of the store and have not
     renewed their announcement in time, and the limits of departed targets.
-    Evaluate the losses of targets.
+    End withdrawals that the store has not held for some time after its
+    restoration. Evaluate the losses of targets.
     """
     dropped = state.registry.expire(now)
     state.request_limits.forget_departed(state.registry.by_id, now)
-    return [*_drop(state, dropped), *settle_losses(state, event, now)]
+    return [
+        *_drop(state, dropped),
+        *_update_withdrawals(state, now),
+        *settle_losses(state, event, now),
+    ]
+
+
+def _update_withdrawals(state: DispatchState, now: float) -> list[Effect]:
+    domains = state.stored_withdrawals
+    if now < state.keep_withdrawals_until:
+        domains |= state.withdrawn_domains
+    if domains == state.withdrawn_domains:
+        return []
+    state.withdrawn_domains = domains
+    return [Decision('domains_withdrawn', '', {'domains': sorted(domains)})]
 
 
 def _drop(state: DispatchState, target_ids: tuple[str, ...]) -> list[Effect]:
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -72,6 +72,11 @@
         process was paused and the store has not been read again.
     withdrawn_domains : frozenset of str
         Failure domains that get no requests.
+    stored_withdrawals : frozenset of str
+        Withdrawn failure domains according to the store.
+    keep_withdrawals_until : float
+        Monotonic time in seconds until which a withdrawal stays in force
+        although the store does not hold it.
     vm_count : int
         Number of all VMs, including this one.
     vms_in_domain : int
@@ -115,6 +120,8 @@
         self.has_targets = False
         self.refresh_until = float(0)
         self.withdrawn_domains: frozenset[str] = frozenset()
+        self.stored_withdrawals: frozenset[str] = frozenset()
+        self.keep_withdrawals_until = float(0)
         self.vm_count = _INITIAL_VM_COUNT
         self.vms_in_domain = max(1, _INITIAL_VM_COUNT // 3)
         self.coordinators = CoordinatorChoice()
--- a/tests/dispatch/test_control.py
+++ b/tests/dispatch/test_control.py
@@ -6,6 +6,8 @@
 from nutmegstep.dispatch.budget import BudgetLimits
 from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
+    DomainsWithdrawn,
+    HousekeepingDue,
     StoreRecovered,
     StoreRestored,
     TargetAnnounced,
@@ -146,3 +148,35 @@
         dispatcher.request('/fetch/x')
     sends = dispatcher.effects_of(SendRequest)
     assert {send.target.target_id for send in sends} == {'new'}
+
+
+def test_copy_of_the_store_does_not_undo_a_withdrawal(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against requests to a withdrawn failure domain while the operators
+    write the withdrawal again that the restored store has lost.
+    """
+    dispatcher.apply(DomainsWithdrawn(frozenset(('north',))))
+    dispatcher.apply(StoreRestored())
+    dispatcher.apply(DomainsWithdrawn(frozenset(('west',))))
+    dispatcher.now += 4
+    dispatcher.apply(HousekeepingDue())
+    assert dispatcher.state.withdrawn_domains == {'north', 'west'}
+    dispatcher.apply(DomainsWithdrawn(frozenset(('north', 'west'))))
+    dispatcher.now += 60
+    dispatcher.apply(HousekeepingDue())
+    assert dispatcher.state.withdrawn_domains == {'north', 'west'}
+
+
+def test_withdrawal_that_ended_stays_ended_after_a_restoration(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a failure domain that stays without requests, because its
+    withdrawal is kept although nobody writes it again.
+    """
+    dispatcher.apply(DomainsWithdrawn(frozenset(('north',))))
+    dispatcher.apply(StoreRestored())
+    dispatcher.apply(DomainsWithdrawn(frozenset()))
+    dispatcher.now += 5
+    dispatcher.apply(HousekeepingDue())
+    assert not dispatcher.state.withdrawn_domains
