Write the entries of VMs again after the store was restored

What could happen: the operators and targets write again what a restored store has lost, but nobody wrote the entries of the VMs that had registered since the copy for up to five minutes. Each VM counted too few others, so that its share of the bounds over all VMs (extra sends, cold targets, limits, connections) was too large, and coordinators and relays were chosen from a part of the VMs.

Cause: what this system writes to the store was taken as kept for ever. Class of fault: an acknowledged write that is not repeated when its loss is known.

Change: on a new era each VM writes its entry again within 2 s, spread at random. Entries that the store lacks are counted until they expire, for VMs that cannot reach the store.

Evidence: test_entry_is_written_again_after_a_restoration fails with a time-out without the change of the registrar. 54 tests of the registrar, store_watch and the store client pass.

--- a/nutmegstep/gateway/vm_registration.py
+++ b/nutmegstep/gateway/vm_registration.py
@@ -21,6 +21,7 @@
     VmEntry,
     VmRegistry,
 )
+from nutmegstep.store_watch.waiting import wait_any
 
 __all__ = ['VmCallbacks', 'VmRegistrar']
 
@@ -40,6 +41,9 @@
 costs a tenth of a call."""
 _RETRY_DELAY: Final = timedelta(seconds=2)
 """Shortest time after a failed write or read before it is tried again."""
+_RESTORED_SPREAD_S: Final = 2.0
+"""Time in seconds over which the VMs write their entries again after a
+restoration of the store."""
 _REVISION_BITS: Final = 31
 
 
@@ -122,6 +126,7 @@
         first_delays = iter((_DELAY_AFTER_FIRST_READ, _DELAY_AFTER_SECOND_READ))
         renews_at = self._clock.monotonic()
         while True:
+            restored = availability.restored
             now = self._clock.monotonic()
             is_written = now < renews_at or await self._renew(random)
             if is_written and now >= renews_at:
@@ -131,7 +136,13 @@
             delay = (
                 next(first_delays, _READ_INTERVAL) if is_done else _RETRY_DELAY
             )
-            await asyncio.sleep(delay.total_seconds() * (1 + random.random()))
+            seconds = delay.total_seconds() * (1 + random.random())
+            await wait_any((), (restored,), seconds)
+            if restored.is_set():
+                # The copy may lack the entries of all VMs.
+                self._registry.keep_missing(self._clock.monotonic())
+                await asyncio.sleep(_RESTORED_SPREAD_S * random.random())
+                renews_at = self._clock.monotonic()
             await availability.available.wait()
 
     async def _renew(self, random: Random) -> bool:
--- a/nutmegstep/store_watch/vm_registry.py
+++ b/nutmegstep/store_watch/vm_registry.py
@@ -80,6 +80,20 @@
         self._own_domain = own_domain
         self._entry_by_name: dict[str, VmEntry] = {}
         self._renewed_at_by_name: dict[str, float] = {}
+        self._keep_missing_until = float(0)
+
+    def keep_missing(self, now: float) -> None:
+        """Count VMs until they expire although the store lacks their entries.
+
+        It was restored from a copy, and VMs that cannot reach it do not write
+        their entries again.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds at which the restoration was noticed.
+        """
+        self._keep_missing_until = now + EXPIRE_AFTER.total_seconds()
 
     def update(self, entry_by_name: Mapping[str, VmEntry], now: float) -> None:
         """Record the entries that were read from the store.
@@ -91,6 +105,12 @@
         now : float
             Monotonic time of the read in seconds.
         """
+        if now < self._keep_missing_until:
+            kept = self._other_names(now)
+            entry_by_name = {
+                **{name: self._entry_by_name[name] for name in kept},
+                **entry_by_name,
+            }
         renewed = {
             name: now
             for name, entry in entry_by_name.items()
--- a/tests/gateway/test_vm_registration.py
+++ b/tests/gateway/test_vm_registration.py
@@ -17,6 +17,7 @@
     PlatformFailureKind,
 )
 from nutmegstep.store_watch import StoreAvailability
+from nutmegstep.store_watch.revisions import compose_revision
 from nutmegstep.store_watch.vm_registry import VmEntry
 from tests.gateway.unimplemented_store import UnimplementedStore
 
@@ -143,3 +144,36 @@
             await asyncio.sleep(0.01)
     task.cancel()
     assert store.writes == 1
+
+
+async def test_entry_is_written_again_after_a_restoration(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against shares of bounds that are too large: the store is restored
+    from a copy that lacks the entries of the VMs, which each would count none
+    of the others until the next renewal.
+    """
+    monkeypatch.setattr(
+        'nutmegstep.gateway.vm_registration._RESTORED_SPREAD_S', 0.02
+    )
+    store = _Store()
+    _others_write(store)
+    counts: list[VmsCounted] = []
+    callbacks = VmCallbacks(
+        counts.append, lambda choice: None, lambda one: None
+    )
+    registrar = VmRegistrar(
+        store, SystemClock(), 'vm-1', _OWN, callbacks, False
+    )
+    availability = StoreAvailability(SystemClock(), lambda: None)
+    availability.record_revision(compose_revision(1, 9))
+    task = asyncio.create_task(registrar.run(availability, Random(1)))
+    await asyncio.wait_for(registrar.first_read.wait(), 5)
+    store.entries.clear()
+    availability.record_revision(compose_revision(2, 3))
+    async with asyncio.timeout(0.4):
+        while 'vm-1' not in store.entries:
+            await asyncio.sleep(0.01)
+    await asyncio.sleep(0)
+    task.cancel()
+    assert {one.count for one in counts} == {22}
--- a/tests/store_watch/test_vm_registry.py
+++ b/tests/store_watch/test_vm_registry.py
@@ -44,3 +44,16 @@
     registry = VmRegistry('vm-1', 'north')
     registry.update({'vm-2': _entry(2), 'vm-3': _entry(3, 'south')}, 0)
     assert set(registry.neighbours(0)) == {'vm-2'}
+
+
+def test_entries_that_a_restored_store_lacks_are_counted() -> None:
+    """Guards against exceeding bounds over all VMs: those that cannot reach the
+    restored store do not write the entries again that it has lost.
+    """
+    registry = VmRegistry('vm-1', 'north')
+    registry.update({'vm-2': _entry(2), 'vm-3': _entry(3)}, 0)
+    registry.keep_missing(10)
+    registry.update({'vm-2': _entry(9)}, 11)
+    assert registry.count(11) == 3
+    registry.update({'vm-2': _entry(10)}, _AFTER_EXPIRY_S)
+    assert registry.count(_AFTER_EXPIRY_S) == 2
