Repeat crash records and deletions that a restored store has lost

What could happen: records written since the copy were forgotten by all VMs at the next listing, so a request that crashes targets was sent to three more. Records that had been deleted since, because the content ran, came back, and harmless content was refused on all VMs for half an hour.

Cause: as with the entries of the VMs, writes of this system were not repeated; and a record that is missing from a list was always taken for a deleted one.

Change: with the first list of a new era, missing records are published again and returned ones deleted again, at a moment that differs between the VMs, so that one of them does it for all.

Evidence: both new tests fail without the change. 104 tests of crashes, crashing fleets and the control events pass.

--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -172,11 +172,13 @@
     It lacks the targets that were announced since it was made, and holds those
     that have left since. Live targets renew their announcements, and those of
     the others expire. It also lacks the latest withdrawals, until the operators
-    have written them again.
+    have written them again, and the latest crash records and their deletions,
+    which the VMs repeat.
     """
     state.registry.start_return_grace(now)
     state.registry.start_hold(now)
     state.keep_withdrawals_until = now + _KEEP_WITHDRAWALS_SECONDS
+    state.crashes.awaits_copy = True
     return [Decision('store_restored', '', {})]
 
 
--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -53,14 +53,14 @@
 
 
 def record_success(
-    state: DispatchState, open_request: OpenRequest
+    state: DispatchState, open_request: OpenRequest, now: float
 ) -> list[Effect]:
     """Stop suspecting a request that a target has run, on all VMs."""
     if not state.losses.is_empty:
         state.losses.clear(open_request.content)
     if state.crashes.is_empty:
         return []
-    cleared = state.crashes.clear(open_request.content)
+    cleared = state.crashes.clear(open_request.content, now)
     return [DeleteCrash(record) for record in cleared]
 
 
@@ -117,7 +117,8 @@
     ]
     return [
         *decisions,
-        *(PublishCrash(record) for record in crashes.take_unpublished()),
+        *(PublishCrash(record) for record in crashes.take_unpublished(now)),
+        *(DeleteCrash(record) for record in crashes.deleted.take_due(now)),
         *(
             DeleteCrash(record)
             for record in crashes.expire(now, state.phase_of('crashes'))
@@ -131,12 +132,10 @@
     now: float,
 ) -> list[Effect]:
     """Replace the crashes that are known from the store."""
-    state.crashes.retain_stored(event.records)
-    return [
-        _refused_decision(state, record.content)
-        for record in event.records
-        if state.crashes.record_stored(record, now)
-    ]
+    refused = state.crashes.replace_stored(
+        event.records, now, state.phase_of('crashes')
+    )
+    return [_refused_decision(state, record.content) for record in refused]
 
 
 def record_stored(
@@ -156,7 +155,7 @@
     now: float,
 ) -> list[Effect]:
     """Forget a crash whose record was deleted."""
-    state.crashes.forget(event.record)
+    state.crashes.forget(event.record, now)
     return []
 
 
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -163,7 +163,7 @@
         ratio = seconds / latency.median
         health.record_reply(ratio, now)
         latency.observe(seconds)
-        effects.extend(record_success(state, send.open_request))
+        effects.extend(record_success(state, send.open_request, now))
         is_slow = seconds >= _SLOW_SECONDS and ratio >= _SLOW_MEDIANS
         if is_slow:
             effects.extend(report_target(state, send.target, now))
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -11,6 +11,7 @@
     CrashRecord,
     CrashStored,
     HousekeepingDue,
+    StoreRestored,
     TargetChecked,
     TargetsListed,
 )
@@ -274,3 +275,49 @@
     sent = _sends(dispatcher)
     dispatcher.request(_PATH)
     assert _sends(dispatcher) == sent + 1
+
+
+def _restore(dispatcher: Dispatcher, *listed: CrashRecord) -> None:
+    """Restore the store from a copy that holds the given records."""
+    dispatcher.apply(StoreRestored())
+    dispatcher.apply(CrashesListed(frozenset(listed)))
+    dispatcher.effects.clear()
+
+
+def test_records_that_a_restored_store_lacks_are_published_again(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against crashes that VMs forget, and that a restarted VM never
+    learns of, when the store is restored from a copy without their records.
+    """
+    stored = [CrashRecord('c', f'i-{number}') for number in range(3)]
+    dispatcher.apply(CrashesListed(frozenset(stored)))
+    _restore(dispatcher)
+    assert dispatcher.state.crashes.is_refused('c')
+    # Another VM has written one of them meanwhile.
+    dispatcher.apply(CrashStored(stored[0]))
+    dispatcher.now += 5
+    dispatcher.apply(HousekeepingDue())
+    published = {one.record for one in dispatcher.effects_of(PublishCrash)}
+    assert published == set(stored[1:])
+    dispatcher.apply(HousekeepingDue())
+    assert len(dispatcher.effects_of(PublishCrash)) == 2
+
+
+def test_records_that_return_with_a_copy_are_deleted_again(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against content that is refused by mistake for half an hour: it has
+    run since, but the restored store holds its records again.
+    """
+    stored = [CrashRecord('c', f'i-{number}') for number in range(3)]
+    dispatcher.apply(CrashesListed(frozenset(stored)))
+    for record in stored:
+        dispatcher.apply(CrashDeleted(record))
+    _restore(dispatcher, *stored)
+    assert not dispatcher.state.crashes.is_refused('c')
+    dispatcher.apply(CrashDeleted(stored[0]))
+    dispatcher.now += 5
+    dispatcher.apply(HousekeepingDue())
+    deleted = {one.record for one in dispatcher.effects_of(DeleteCrash)}
+    assert deleted == set(stored[1:])
