Notice the loss of contact with all targets, and its return

The logs showed single domains as unreachable and reachable again within a second, and no end of it, so that the hypotheses could not be told apart (is anything served while all links are dead, and for how long does the VM take them for dead).

Now contact counts as lost once the failure domains of all targets are unreachable and three targets fail, and stays so until a target replies or accepts a connection. Two connections every 0.5 s test the links, with the effect that checks targets after a crash; nothing else would, once requests go elsewhere. While contact is lost, targets are not reported to the neighbours, and losses are not evaluated as crashes, as the links may be at fault. What is sent to targets stays as it is.

--- a/nutmegstep/discovery/core.py
+++ b/nutmegstep/discovery/core.py
@@ -92,6 +92,7 @@
     def __init__(self) -> None:
         self.by_id: dict[str, TargetRecord] = {}
         self._by_service: dict[str, tuple[TargetRecord, ...]] = {}
+        self._domains: frozenset[str] | None = None
         self._expiry_by_id: dict[str, float] = {}
         self._grace_until = float(0)
         self._departed_by_id: dict[str, tuple[TargetRecord, float]] = {}
@@ -111,6 +112,14 @@
             self._by_service[service] = found
         return found
 
+    def failure_domains(self) -> frozenset[str]:
+        """Return the failure domains of all targets."""
+        if self._domains is None:
+            self._domains = frozenset(
+                record.failure_domain for record in self.by_id.values()
+            )
+        return self._domains
+
     def start_return_grace(self, now: float) -> None:
         """Keep targets that disappear within `RETURN_GRACE` from now.
 
@@ -176,6 +185,7 @@
         self._held_by_id.pop(record.target_id, None)
         self._departed_by_id.pop(record.target_id, None)
         self._by_service.clear()
+        self._domains = None
         return is_new
 
     def remove(self, target_id: str, now: float) -> bool:
@@ -240,6 +250,7 @@
                 self._departed_by_id[target_id] = (record, now)
             self._expiry_by_id.pop(target_id, None)
         self._by_service.clear()
+        self._domains = None
 
 
 def _id_of(record: TargetRecord) -> str:
--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from nutmegstep.dispatch import control, crash_control, delegation
+from nutmegstep.dispatch import contact, control, crash_control, delegation
 from nutmegstep.dispatch.arrivals import handle_arrival
 from nutmegstep.dispatch.completion import answer_if_due, close_request
 from nutmegstep.dispatch.control_events import (
@@ -113,6 +113,17 @@
     return [*hedges, *answer_if_due(state, open_request, now)]
 
 
+def _handle_housekeeping(
+    state: DispatchState,
+    event: HousekeepingDue,
+    now: float,
+) -> list[Effect]:
+    return [
+        *control.expire_targets(state, event, now),
+        *contact.test_links(state, event, now),
+    ]
+
+
 _HANDLER_BY_EVENT: Final[Mapping[type, _Handler]] = MappingProxyType(
     {
         RequestArrived: handle_arrival,
@@ -134,8 +145,8 @@
         StoreRestored: control.distrust_copy,
         VmsCounted: control.set_vm_counts,
         TargetsSuspected: control.record_reports,
-        HousekeepingDue: control.expire_targets,
-        TargetChecked: crash_control.record_check,
+        HousekeepingDue: _handle_housekeeping,
+        TargetChecked: contact.check_contact,
         CrashesListed: crash_control.record_listed,
         CrashStored: crash_control.record_stored,
         CrashDeleted: crash_control.record_deleted,
--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -106,10 +106,9 @@
 ) -> list[Effect]:
     """Evaluate losses, publish crashes and forget old ones."""
     crashes = state.crashes
-    observed = [
-        CrashRecord(loss.content, loss.incarnation)
-        for loss in state.losses.settle(now)
-    ]
+    # Without contact to any target, the links may be at fault.
+    settled = [] if state.has_lost_targets else state.losses.settle(now)
+    observed = [CrashRecord(loss.content, loss.incarnation) for loss in settled]
     decisions = [
         _refused_decision(state, record.content)
         for record in observed
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from nutmegstep.dispatch.completion import answer_if_due
+from nutmegstep.dispatch.contact import record_contact, record_no_contact
 from nutmegstep.dispatch.crash_control import record_loss, record_success
 from nutmegstep.dispatch.effects import Decision, Effect
 from nutmegstep.dispatch.events import (
@@ -149,12 +150,12 @@
     now: float,
 ) -> list[Effect]:
     health = state.health_of(send.target)
-    state.reachability_of(send.target.failure_domain).record_reply(now)
+    effects = record_contact(state, send.target, now)
     if reply.is_misdirected:
         health.record_rejection(now)
         health.blocked_until = now + _MISDIRECTED_BLOCK_SECONDS
-        return []
-    effects: list[Effect] = list(
+        return effects
+    effects.extend(
         state.request_limits.record_reply(send.target, reply.request_limit, now)
     )
     if reply.is_success:
@@ -180,12 +181,10 @@
 ) -> list[Effect]:
     if kind in _NOT_CAUSED_BY_TARGET:
         return []
-    effects: list[Effect] = []
     state.health_of(send.target).record_no_reply(now)
-    domain = send.target.failure_domain
-    if state.reachability_of(domain).record_no_reply(now):
-        effects.append(Decision('domain_unreachable', '', {'domain': domain}))
-    effects.extend(report_target(state, send.target, now))
+    effects = record_no_contact(state, send.target, now)
+    if not state.has_lost_targets:
+        effects.extend(report_target(state, send.target, now))
     if kind is SendFailureKind.NO_RESPONSE:
         effects.extend(record_loss(state, send, now))
     return effects
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -1,5 +1,6 @@
 """State of the dispatcher."""
 
+import math
 from datetime import timedelta
 from functools import cache
 from random import Random
@@ -91,6 +92,9 @@
         Pending sends, by send identifier.
     health_by_target : dict
         Health of targets, by target identifier.
+    targets_lost_at : float
+        Monotonic time in seconds at which contact with all targets was lost;
+        infinite while any is reachable.
     request_limits : RequestLimits
         Limits that targets have stated in their replies.
     losses : Losses
@@ -129,6 +133,7 @@
         self.open_by_id: dict[int, OpenRequest] = {}
         self.sends_by_id: dict[int, Send] = {}
         self.health_by_target: dict[str, TargetHealth] = {}
+        self.targets_lost_at = math.inf
         self.request_limits = RequestLimits(
             self.phase_of, lambda: self.bound_divisor
         )
@@ -146,6 +151,11 @@
         """Whether a configuration and a list of targets have been read."""
         return self.configuration is not None and self.has_targets
 
+    @property
+    def has_lost_targets(self) -> bool:
+        """Whether this VM reaches no target."""
+        return self.targets_lost_at < math.inf
+
     @property
     def bound_divisor(self) -> float:
         """Number of equal shares of a bound over all VMs; this VM has one.
--- /dev/null
+++ b/tests/dispatch/test_contact.py
@@ -0,0 +1,71 @@
+"""When a VM has lost contact with all targets, and when it has it again."""
+
+from nutmegstep.dispatch.control_events import HousekeepingDue, TargetChecked
+from nutmegstep.dispatch.effects import CheckTarget, SendRequest
+from nutmegstep.dispatch.events import SendFailed, SendFailureKind
+from tests.dispatch.conftest import Dispatcher
+
+
+def _fail(dispatcher: Dispatcher, *, spared: str = '') -> None:
+    """Let sends fail, except those to a spared failure domain."""
+    failed = 0
+    while failed < len(dispatcher.effects_of(SendRequest)):
+        for send in dispatcher.effects_of(SendRequest)[failed:]:
+            failed += 1
+            if send.target.failure_domain == spared:
+                dispatcher.answer([send])
+            else:
+                kind = SendFailureKind.CONNECT
+                dispatcher.apply(SendFailed(send.send_id, kind))
+
+
+def _lose_all(dispatcher: Dispatcher) -> None:
+    for _ in range(4):
+        dispatcher.now += 0.1
+        dispatcher.request()
+        _fail(dispatcher)
+
+
+def test_contact_is_lost_when_all_domains_fail(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a VM that goes on trying dead links for each request."""
+    assert not dispatcher.state.has_lost_targets
+    _lose_all(dispatcher)
+    assert dispatcher.state.has_lost_targets
+    dispatcher.now += 30
+    dispatcher.apply(HousekeepingDue())
+    assert dispatcher.state.has_lost_targets
+
+
+def test_contact_is_kept_with_one_domain(dispatcher: Dispatcher) -> None:
+    """Guards against giving up the own links in a partition between failure
+    domains, in which one of them is still reached.
+    """
+    for _ in range(10):
+        dispatcher.now += 0.1
+        dispatcher.request()
+        _fail(dispatcher, spared='north')
+    assert not dispatcher.state.has_lost_targets
+
+
+def test_links_are_tested_until_a_target_accepts(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against a VM that never uses its links again once they are back,
+    as no request would tell it.
+    """
+    _lose_all(dispatcher)
+    dispatcher.effects.clear()
+    dispatcher.now += 0.5
+    dispatcher.apply(HousekeepingDue())
+    tested = dispatcher.effects_of(CheckTarget)
+    assert 0 < len(tested) < 4
+    target_id = tested[0].target.target_id
+    dispatcher.apply(TargetChecked(target_id, is_listening=False))
+    assert dispatcher.state.has_lost_targets
+    dispatcher.apply(TargetChecked(target_id, is_listening=True))
+    assert not dispatcher.state.has_lost_targets
+    dispatcher.effects.clear()
+    dispatcher.apply(HousekeepingDue())
+    assert not dispatcher.effects_of(CheckTarget)
