Pass requests to other VMs while no target is reached

On the grown site coordinators without links also failed what other VMs had passed to them.

Cause: a VM served with its own links only. The way over another VM existed for some requests of large fleets; it was chosen by the size of the fleet and the kind of request, never by reachability, and a coordinator accepted work without asking itself whether it could do it. Class of fault: a decision to serve that does not depend on the means to serve.

Change: delegation, the existing way, is extended. Without contact each request goes to a substitute; a VM without contact declines; a request that could not be sent at all is passed on too; what may have run counts as an attempt, and a request that must not run twice is sent nowhere else. Suspect links are tested by connections to all failure domains, so that detection does not need much traffic. Crashes are not concluded from losses while the links are suspect: in the fleet test, links that are reset made all VMs refuse a harmless request for half an hour.

--- a/nutmegstep/coordinators/core.py
+++ b/nutmegstep/coordinators/core.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from itertools import chain, groupby
 from operator import itemgetter
@@ -26,6 +26,10 @@
 """VMs of a failure domain for each of its coordinators."""
 _MIN_COORDINATORS: Final = 2
 """Fewest coordinators of a failure domain; one of them may fail at any time."""
+_MAX_LOCAL_SUBSTITUTES: Final = 4
+"""Most substitutes of a VM in its own failure domain."""
+_MAX_REMOTE_SUBSTITUTES: Final = 8
+"""Most substitutes of a VM in the other failure domains."""
 _MIN_CAPACITY_SHARE: Final = 0.5
 """Smallest capacity of a coordinator as a share of the largest one in its
 failure domain. A slower VM would delay the queries of several others."""
@@ -53,6 +57,9 @@
     rank : int
         Position of this VM among the coordinators or, if it is not one, among
         the other VMs.
+    substitutes : tuple of str
+        ``host:port`` of the VMs that serve the requests of this one while it
+        reaches no target, in the order in which to try them.
     """
 
     addresses: tuple[str, ...] = ()
@@ -61,6 +68,7 @@
     in_domain: int = 0
     total: int = 0
     rank: int = 0
+    substitutes: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,10 +81,14 @@
         Version of the configuration that the coordinator must use.
     partial_answer_in : float
         Seconds until a partial answer is due.
+    possible_runs : int
+        Number of earlier sends of each part that a target may have run; they
+        count as attempts.
     """
 
     config_version: int
     partial_answer_in: float
+    possible_runs: int = 0
 
 
 def choose_coordinators(
@@ -123,9 +135,39 @@
         len(chosen),
         len(coordinators),
         sorted(peers).index(own_name),
+        _choose_substitutes(own_name, entry_by_name, coordinators),
     )
 
 
+def _choose_substitutes(
+    own_name: str,
+    entry_by_name: Mapping[str, VmEntry],
+    coordinators: Collection[str],
+) -> tuple[str, ...]:
+    """Return the addresses of the substitutes of a VM.
+
+    Coordinators go first, as they have connections to the targets, then VMs of
+    the own failure domain. A hash of both names spreads the VMs. Only a few are
+    of the own domain, since all of it may have lost its links.
+    """
+    own_domain = entry_by_name[own_name].failure_domain
+    candidates = sorted(
+        (
+            (
+                name not in coordinators,
+                entry.failure_domain != own_domain,
+                _rank(f'{own_name} {name}'),
+                entry.address,
+            )
+            for name, entry in entry_by_name.items()
+            if entry.address and name != own_name
+        ),
+    )
+    local = [one for one in candidates if not one[1]][:_MAX_LOCAL_SUBSTITUTES]
+    remote = [one for one in candidates if one[1]][:_MAX_REMOTE_SUBSTITUTES]
+    return tuple(one[-1] for one in sorted((*local, *remote)))
+
+
 def _group_by_domain(
     entry_by_name: Mapping[str, VmEntry],
 ) -> dict[str, list[str]]:
--- a/nutmegstep/dispatch/arrivals.py
+++ b/nutmegstep/dispatch/arrivals.py
@@ -5,10 +5,11 @@
 from typing import Final
 
 from nutmegstep.configuration import Configuration, Route, match_route
-from nutmegstep.dispatch.crash_control import is_refused
+from nutmegstep.dispatch.crash_control import is_refused, refuse_crashing
 from nutmegstep.dispatch.delegation import decline_if_unsuitable, delegate
 from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
 from nutmegstep.dispatch.events import RequestArrived, RoutedRequest
+from nutmegstep.dispatch.forwarding import refuse_without_contact
 from nutmegstep.dispatch.requests import OpenRequest, Part
 from nutmegstep.dispatch.starting import start_sends
 from nutmegstep.dispatch.state import DispatchState
@@ -59,10 +60,20 @@
         )
     open_request = _open(state, configuration, request, route)
     state.open_by_id[request.request_id] = open_request
-    delegation: list[Effect] = []
-    if not is_refused(state, open_request):
-        delegation = delegate(state, open_request, now)
-    return delegation or start_sends(state, open_request, now)
+    return _serve(state, open_request, now)
+
+
+def _serve(
+    state: DispatchState, open_request: OpenRequest, now: float
+) -> list[Effect]:
+    if is_refused(state, open_request):
+        return refuse_crashing(state, open_request)
+    delegation = delegate(state, open_request, now)
+    if delegation:
+        return delegation
+    if state.has_lost_targets and state.coordinators.substitutes:
+        return refuse_without_contact(state, open_request)
+    return start_sends(state, open_request, now)
 
 
 def _open(
@@ -74,10 +85,11 @@
     timeout = route.timeout.total_seconds()
     time_left = timeout if request.time_left is None else request.time_left
     services = route.shards or (_pick_destination(state, route),)
+    earlier = request.delegated.possible_runs if request.delegated else 0
     return OpenRequest(
         request,
         route,
-        tuple(Part(service) for service in services),
+        tuple(Part(service, possible_runs=earlier) for service in services),
         partial_answer_at=request.arrived_at
         + _partial_answer_in(request, route),
         deadline=request.arrived_at
--- a/nutmegstep/dispatch/completion.py
+++ b/nutmegstep/dispatch/completion.py
@@ -39,6 +39,7 @@
     'close_request',
     'give_up',
     'give_up_at_deadline',
+    'give_up_unanswered',
     'refuse_open',
 ]
 
@@ -145,6 +146,20 @@
     return give_up(state, open_request, refusal)
 
 
+def give_up_unanswered(
+    state: DispatchState,
+    open_request: OpenRequest,
+) -> list[Effect]:
+    """Refuse a request that another VM may have run without an answer."""
+    refusal = refuse(
+        open_request.verdict,
+        Reason.TARGET_FAILED,
+        'the VM that served the request has not answered',
+        retry_after=_REFUSAL_RETRY_AFTER,
+    )
+    return give_up(state, open_request, refusal)
+
+
 def _answer_gather(
     state: DispatchState,
     open_request: OpenRequest,
--- a/nutmegstep/dispatch/contact.py
+++ b/nutmegstep/dispatch/contact.py
@@ -1,9 +1,9 @@
 """Loss of contact with all targets, and the return of it.
 
 A network partition can separate a VM from all targets while callers, the store
-and the other VMs still reach it. The sends of such a VM fail in every failure
-domain. It then stops trying them with callers' requests and tests its links by
-opening connections.
+and the other VMs still reach it. When several targets in a row do not reply, the
+VM opens connections to targets of all failure domains. If none accepts, it stops
+trying its links with callers' requests, and goes on testing them.
 """
 
 import math
@@ -11,38 +11,42 @@
 
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.control_events import HousekeepingDue, TargetChecked
-from nutmegstep.dispatch.crash_control import record_check
+from nutmegstep.dispatch.crash_control import record_check, settle_losses
 from nutmegstep.dispatch.effects import CheckTarget, Decision, Effect
 from nutmegstep.dispatch.state import DispatchState
 
-__all__ = ['check_contact', 'record_contact', 'record_no_contact', 'test_links']
+__all__ = [
+    'check_contact',
+    'record_contact',
+    'record_no_contact',
+    'suspect_links',
+    'test_links',
+]
 
 _MS_PER_SECOND: Final = 1000
 _MIN_FAILING_TARGETS: Final = 3
-"""Targets whose latest sends must have failed. Fewer may have ended."""
+"""Targets without a reply in a row from which the links are suspected. Fewer may
+have ended."""
+_TEST_SECONDS: Final = 0.3
+"""Time in which at least one target accepts a connection if the links work; the
+time-out of such a connection and a margin."""
 _TESTED_TARGETS: Final = 2
-"""Targets to which a connection is opened at each test. They are drawn at
-random, as some may have ended."""
+"""Targets to which a connection is opened at each further test. They are drawn
+at random, as some may have ended."""
 
 
 def record_no_contact(
     state: DispatchState, target: TargetRecord, now: float
 ) -> list[Effect]:
-    """Record a send without a reply.
-
-    Contact counts as lost once the failure domains of all targets are
-    unreachable and several targets fail.
-    """
+    """Record a send without a reply."""
     domain = target.failure_domain
     effects: list[Effect] = []
     if state.reachability_of(domain).record_no_reply(now):
         effects.append(Decision('domain_unreachable', '', {'domain': domain}))
-    if state.has_lost_targets or not _is_lost(state, now):
-        return effects
-    state.targets_lost_at = now
-    domains = sorted(state.registry.failure_domains())
-    lost = Decision('targets_lost', '', {'domains': domains})
-    return [*effects, lost, *_open_connections(state)]
+    state.failing_targets.add(target.target_id)
+    if len(state.failing_targets) >= _MIN_FAILING_TARGETS:
+        effects.extend(suspect_links(state, now))
+    return effects
 
 
 def record_contact(
@@ -50,12 +54,32 @@
 ) -> list[Effect]:
     """Record that a target has replied or accepted a connection."""
     state.reachability_of(target.failure_domain).record_reply(now)
+    state.failing_targets.clear()
+    state.links_suspected_at = math.inf
     if not state.has_lost_targets:
         return []
     lost_ms = round((now - state.targets_lost_at) * _MS_PER_SECOND)
     state.targets_lost_at = math.inf
     inputs = {'target': target.target_id, 'lost_ms': lost_ms}
-    return [Decision('targets_regained', '', inputs)]
+    # A target that could not be reached then need not have crashed.
+    rechecked = state.losses.recheck(state.registry.by_id)
+    return [
+        Decision('targets_regained', '', inputs),
+        *(CheckTarget(state.registry.by_id[name]) for name in rechecked),
+    ]
+
+
+def suspect_links(state: DispatchState, now: float) -> list[Effect]:
+    """Open a connection to a target of each failure domain, unless suspected."""
+    if state.has_lost_targets or state.links_suspected_at < math.inf:
+        return []
+    state.links_suspected_at = now
+    by_domain = {one.failure_domain: one for one in _shuffled_targets(state)}
+    failing = sorted(state.failing_targets)
+    return [
+        Decision('links_suspected', '', {'failing_targets': failing}),
+        *(CheckTarget(record) for record in by_domain.values()),
+    ]
 
 
 def check_contact(
@@ -64,32 +88,41 @@
     """Record whether a target accepts connections."""
     effects = record_check(state, event, now)
     target = state.registry.by_id.get(event.target_id)
-    if event.is_listening and target is not None and state.has_lost_targets:
+    if event.is_listening and target is not None:
         effects.extend(record_contact(state, target, now))
+    elif state.links_suspected_at == math.inf:
+        effects.extend(settle_losses(state, now))
     return effects
 
 
 def test_links(
     state: DispatchState, event: HousekeepingDue, now: float
 ) -> list[Effect]:
-    """Open connections to some targets while contact with all is lost."""
-    return _open_connections(state) if state.has_lost_targets else []
-
-
-def _is_lost(state: DispatchState, now: float) -> bool:
-    domains = state.registry.failure_domains()
-    if not all(
-        state.reachability_of(one).is_unreachable(now) for one in domains
-    ):
-        return False
-    failing = sum(
-        health.consecutive_failures > 0
-        for health in state.health_by_target.values()
-    )
-    return failing >= _MIN_FAILING_TARGETS
-
-
-def _open_connections(state: DispatchState) -> list[Effect]:
-    targets = tuple(state.registry.by_id.values())
-    count = min(_TESTED_TARGETS, len(targets))
-    return [CheckTarget(one) for one in state.random.sample(targets, count)]
+    """Decide whether contact is lost, and test the links while it is.
+
+    Losses of targets are evaluated while the links are not suspected: nobody
+    knows otherwise whether a target has crashed.
+    """
+    if state.links_suspected_at == math.inf:
+        return settle_losses(state, now)
+    if not state.has_lost_targets:
+        return _decide_contact(state, now)
+    return [
+        CheckTarget(one) for one in _shuffled_targets(state)[-_TESTED_TARGETS:]
+    ]
+
+
+def _shuffled_targets(state: DispatchState) -> list[TargetRecord]:
+    """Return all targets at random, those last that have not failed."""
+    targets = list(state.registry.by_id.values())
+    state.random.shuffle(targets)
+    targets.sort(key=lambda one: one.target_id not in state.failing_targets)
+    return targets
+
+
+def _decide_contact(state: DispatchState, now: float) -> list[Effect]:
+    if now < state.links_suspected_at + _TEST_SECONDS:
+        return []
+    state.targets_lost_at = now
+    domains = sorted(state.registry.failure_domains())
+    return [Decision('targets_lost', '', {'domains': domains})]
--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -2,6 +2,7 @@
 domains and the number of VMs.
 """
 
+from itertools import chain
 from typing import Final
 
 from nutmegstep.dispatch.control_events import (
@@ -18,7 +19,6 @@
     TargetsSuspected,
     VmsCounted,
 )
-from nutmegstep.dispatch.crash_control import settle_losses
 from nutmegstep.dispatch.effects import Decision, DropTarget, Effect
 from nutmegstep.dispatch.reporting import record_report
 from nutmegstep.dispatch.state import DispatchState
@@ -193,7 +193,11 @@
         return []
     state.coordinators = event.coordinators
     state.coordinator_health.retain(
-        (*event.coordinators.addresses, *event.coordinators.remote_addresses)
+        chain(
+            event.coordinators.addresses,
+            event.coordinators.remote_addresses,
+            event.coordinators.substitutes,
+        )
     )
     state.vm_count = event.count
     state.vms_in_domain = event.in_domain
@@ -230,14 +234,13 @@
     """Drop targets that were kept after an outage of the store and have not
     renewed their announcement in time, and the limits of departed targets.
     End withdrawals that the store has not held for some time after its
-    restoration. Evaluate the losses of targets.
+    restoration.
     """
     dropped = state.registry.expire(now)
     state.request_limits.forget_departed(state.registry.by_id, now)
     return [
         *_drop(state, dropped),
         *_update_withdrawals(state, now),
-        *settle_losses(state, event, now),
     ]
 
 
--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -8,7 +8,6 @@
     CrashesListed,
     CrashRecord,
     CrashStored,
-    HousekeepingDue,
     TargetChecked,
 )
 from nutmegstep.dispatch.crashes import KEEP_SECONDS
@@ -99,16 +98,13 @@
     return []
 
 
-def settle_losses(
-    state: DispatchState,
-    event: HousekeepingDue,
-    now: float,
-) -> list[Effect]:
+def settle_losses(state: DispatchState, now: float) -> list[Effect]:
     """Evaluate losses, publish crashes and forget old ones."""
     crashes = state.crashes
-    # Without contact to any target, the links may be at fault.
-    settled = [] if state.has_lost_targets else state.losses.settle(now)
-    observed = [CrashRecord(loss.content, loss.incarnation) for loss in settled]
+    observed = [
+        CrashRecord(loss.content, loss.incarnation)
+        for loss in state.losses.settle(now)
+    ]
     decisions = [
         _refused_decision(state, record.content)
         for record in observed
--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -7,16 +7,16 @@
 
 from typing import Final
 
-from nutmegstep.coordinators import DelegationTerms
 from nutmegstep.dispatch.completion import (
     close_request,
     give_up_at_deadline,
+    give_up_unanswered,
 )
+from nutmegstep.dispatch.contact import suspect_links
 from nutmegstep.dispatch.effects import (
     CancelDelegation,
     Decision,
     DeclineDelegation,
-    Delegate,
     DeliverReply,
     Effect,
     WakeAt,
@@ -27,6 +27,12 @@
     DelegationFailed,
     RoutedRequest,
 )
+from nutmegstep.dispatch.forwarding import (
+    forward,
+    pass_on,
+    record_substitute_answer,
+    refuse_without_contact,
+)
 from nutmegstep.dispatch.requests import Delegation, OpenRequest
 from nutmegstep.dispatch.starting import start_sends
 from nutmegstep.dispatch.state import DispatchState
@@ -40,6 +46,8 @@
     'handle_delegate_failure',
 ]
 
+_NO_CONTACT: Final = 'no_contact'
+"""Reason of a VM that declines because it reaches no target."""
 _ACCEPT_SECONDS: Final = 0.025
 """Time in which a coordinator confirms that it has read a query; after it the
 coordinator counts as failed."""
@@ -63,10 +71,13 @@
     open_request: OpenRequest,
     now: float,
 ) -> list[Effect]:
-    """Delegate a new request; return no effects if it cannot be delegated."""
-    configuration = state.configuration
-    request = open_request.request
-    if configuration is None or not _is_eligible(open_request):
+    """Delegate a new request; return no effects if it cannot be delegated.
+
+    While this VM reaches no target, any request is passed to a substitute.
+    """
+    if state.has_lost_targets:
+        return forward(state, open_request, now)
+    if not _is_eligible(open_request):
         return []
     is_local = _has_local_targets(state, open_request)
     choice = state.coordinators
@@ -78,18 +89,9 @@
     accept_by = now + _ACCEPT_SECONDS
     if open_request.deadline <= accept_by:
         return []
-    open_request.delegation = Delegation(address, accept_by)
     hop = _HOP_SECONDS if is_local else _REMOTE_HOP_SECONDS
-    terms = DelegationTerms(
-        configuration.version,
-        max(0, open_request.partial_answer_at - now - hop),
-    )
-    inputs = {'route': open_request.route.name, 'coordinator': address}
-    return [
-        Decision('delegated', request.attempt_id, inputs),
-        Delegate(request, terms, address, open_request.deadline),
-        WakeAt(request.request_id, accept_by),
-    ]
+    delegation = Delegation(address, accept_by)
+    return pass_on(state, open_request, delegation, now, hop)
 
 
 def _is_eligible(open_request: OpenRequest) -> bool:
@@ -130,6 +132,8 @@
     is_current = state.has_targets and now >= state.refresh_until
     if configuration is None or not is_current:
         reason = 'not_ready'
+    elif state.has_lost_targets:
+        reason = _NO_CONTACT
     elif configuration.version != request.delegated.config_version:
         reason = 'other_version'
     elif len(state.open_by_id) >= _MAX_OPEN_REQUESTS:
@@ -182,6 +186,7 @@
         return []
     open_request, delegation = delegated
     state.coordinator_health.record_success(delegation.address)
+    record_substitute_answer(state, open_request, event.reply.status, now)
     target = state.registry.by_id.get(event.target_id)
     limits: list[Decision] = []
     if target is not None:
@@ -217,9 +222,14 @@
     # Configurations differ between VMs for a short time only.
     if event.reason != 'other_version':
         state.coordinator_health.record_failure(delegation.address, now)
-    return _take_over(
+    hints: list[Effect] = []
+    if event.reason == _NO_CONTACT:
+        # What has cut a neighbour off may have cut this VM off too.
+        hints = suspect_links(state, now)
+    taken_over = _take_over(
         state, open_request, now, event.reason, event.may_have_run
     )
+    return [*hints, *taken_over]
 
 
 def _find_delegated(
@@ -249,9 +259,23 @@
     if may_have_run:
         _count_possible_sends(state, open_request, now)
     open_request.delegation = None
+    return [*effects, *_serve_otherwise(state, open_request, now, may_have_run)]
+
+
+def _serve_otherwise(
+    state: DispatchState,
+    open_request: OpenRequest,
+    now: float,
+    may_have_run: bool,
+) -> list[Effect]:
     if now >= open_request.deadline:
-        return [*effects, *give_up_at_deadline(state, open_request)]
-    return [*effects, *start_sends(state, open_request, now)]
+        return give_up_at_deadline(state, open_request)
+    if may_have_run and not open_request.route.is_idempotent:
+        return give_up_unanswered(state, open_request)
+    if state.has_lost_targets:
+        forwarded = forward(state, open_request, now)
+        return forwarded or refuse_without_contact(state, open_request)
+    return start_sends(state, open_request, now)
 
 
 def _count_possible_sends(
--- a/nutmegstep/dispatch/effects.py
+++ b/nutmegstep/dispatch/effects.py
@@ -68,24 +68,27 @@
 
 @dataclass(frozen=True, slots=True)
 class Delegate:
-    """Pass a query to a coordinator of this failure domain.
+    """Pass a request to a coordinator or another VM.
 
     Parameters
     ----------
     request : RoutedRequest
         Request of the caller.
     terms : DelegationTerms
-        Terms for the coordinator.
+        Terms for the other VM.
     address : str
-        ``host:port`` of the coordinator.
+        ``host:port`` of the other VM.
     expires_at : float
         Monotonic time in seconds by which the caller is answered.
+    is_repeatable : bool
+        Whether the request may run more than once.
     """
 
     request: RoutedRequest
     terms: DelegationTerms
     address: str
     expires_at: float
+    is_repeatable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/dispatch/losses.py
+++ b/nutmegstep/dispatch/losses.py
@@ -89,6 +89,23 @@
         for loss in self._losses:
             loss.is_settled |= loss.content == content
 
+    def recheck(self, known: Container[str]) -> frozenset[str]:
+        """Return the targets to check again before they count as crashed.
+
+        Parameters
+        ----------
+        known : container of str
+            Identifiers of the targets that are announced.
+        """
+        open_losses = [
+            one
+            for one in self._losses
+            if not one.is_settled and one.target_id in known
+        ]
+        for loss in open_losses:
+            loss.is_crash = False
+        return frozenset(one.target_id for one in open_losses)
+
     def settle(self, now: float) -> list[Loss]:
         """Return the crashes of which their request is suspected, once each."""
         self._losses = [
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -12,6 +12,7 @@
     TargetReplied,
     TargetReply,
 )
+from nutmegstep.dispatch.forwarding import forward_unsent
 from nutmegstep.dispatch.reporting import report_target
 from nutmegstep.dispatch.requests import Send
 from nutmegstep.dispatch.sending import repeat
@@ -128,8 +129,11 @@
         effects.extend(repeat(state, send.open_request, send.part, now))
     else:
         send.part.is_failed = not send.part.pending_sends
-    effects.extend(answer_if_due(state, send.open_request, now))
-    return effects
+    forwarded = forward_unsent(state, send.open_request, now)
+    return [
+        *effects,
+        *(forwarded or answer_if_due(state, send.open_request, now)),
+    ]
 
 
 def _remove_send(state: DispatchState, send_id: int) -> Send | None:
--- a/nutmegstep/dispatch/requests.py
+++ b/nutmegstep/dispatch/requests.py
@@ -65,15 +65,15 @@
 
 @dataclass(slots=True)
 class Delegation:
-    """Delegation of a request to a coordinator.
+    """Delegation of a request to a coordinator or another VM.
 
     Parameters
     ----------
     address : str
-        ``host:port`` of the coordinator.
+        ``host:port`` of the VM.
     accept_by : float
-        Monotonic time in seconds by which the coordinator must confirm that it
-        has read the request.
+        Monotonic time in seconds by which it must confirm that it has read the
+        request.
     is_accepted : bool
         Whether it has confirmed the request.
     """
@@ -105,7 +105,10 @@
     answered : int
         Number of parts with a usable reply.
     delegation : Delegation or None
-        Coordinator that serves the request; None if this VM does.
+        Other VM that serves the request; None if this VM does.
+    substitutes_asked : int
+        Number of VMs that were asked to serve the request because this VM
+        reaches no target.
     """
 
     request: RoutedRequest
@@ -116,6 +119,7 @@
     required: int
     answered: int = 0
     delegation: Delegation | None = None
+    substitutes_asked: int = 0
     _content: str = ''
 
     @property
--- a/nutmegstep/dispatch/starting.py
+++ b/nutmegstep/dispatch/starting.py
@@ -8,6 +8,7 @@
 from nutmegstep.dispatch.completion import answer_if_due, refuse_open
 from nutmegstep.dispatch.crash_control import is_refused, refuse_crashing
 from nutmegstep.dispatch.effects import Effect
+from nutmegstep.dispatch.forwarding import forward_unsent
 from nutmegstep.dispatch.requests import OpenRequest
 from nutmegstep.dispatch.selection import is_usable, seconds_until_usable
 from nutmegstep.dispatch.sending import send_first
@@ -42,7 +43,10 @@
             seconds_until_usable(state, service, now) for service in lacking
         )
         wait = waits[open_request.required - covered - 1]
-        return _refuse_uncovered(state, open_request, wait, now)
+        forwarded: list[Effect] = []
+        if math.isinf(wait):
+            forwarded = _forward_unreached(state, open_request, lacking, now)
+        return forwarded or _refuse_uncovered(state, open_request, wait, now)
     sends = chain.from_iterable(
         send_first(state, open_request, part, now)
         for part in open_request.parts
@@ -50,6 +54,25 @@
     return [*sends, *answer_if_due(state, open_request, now)]
 
 
+def _forward_unreached(
+    state: DispatchState,
+    open_request: OpenRequest,
+    lacking: list[str],
+    now: float,
+) -> list[Effect]:
+    """Pass a request to another VM if the lacking targets were not reached."""
+    is_unreached = any(
+        state.health_of(target).consecutive_failures
+        for service in lacking
+        for target in state.registry.of_service(service)
+    )
+    if not is_unreached:
+        return []
+    for part in open_request.parts:
+        part.is_failed = part.service in lacking
+    return forward_unsent(state, open_request, now)
+
+
 def _lacking_services(
     state: DispatchState,
     open_request: OpenRequest,
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -92,9 +92,17 @@
         Pending sends, by send identifier.
     health_by_target : dict
         Health of targets, by target identifier.
+    failing_targets : set of str
+        Identifiers of the targets that have not replied since any target did.
+    links_suspected_at : float
+        Monotonic time in seconds at which the links to all targets became
+        suspect; infinite while they are not.
     targets_lost_at : float
         Monotonic time in seconds at which contact with all targets was lost;
         infinite while any is reachable.
+    substitutes_useless_until : float
+        Monotonic time in seconds until which requests that this VM could not
+        send are not passed to other VMs, as those reach no more targets.
     request_limits : RequestLimits
         Limits that targets have stated in their replies.
     losses : Losses
@@ -133,7 +141,10 @@
         self.open_by_id: dict[int, OpenRequest] = {}
         self.sends_by_id: dict[int, Send] = {}
         self.health_by_target: dict[str, TargetHealth] = {}
+        self.failing_targets: set[str] = set()
+        self.links_suspected_at = math.inf
         self.targets_lost_at = math.inf
+        self.substitutes_useless_until = float(0)
         self.request_limits = RequestLimits(
             self.phase_of, lambda: self.bound_divisor
         )
--- a/nutmegstep/experiment/vm.py
+++ b/nutmegstep/experiment/vm.py
@@ -7,8 +7,10 @@
 from typing import Any
 
 from nutmegstep.dispatch import DispatchState, reduce_event
+from nutmegstep.dispatch.control_events import TargetChecked
 from nutmegstep.dispatch.effects import (
     CancelSend,
+    CheckTarget,
     Decision,
     DeliverMerged,
     DeliverRefusal,
@@ -115,7 +117,8 @@
             SendRequest: self._send,
             CancelSend: self._cancel,
             WakeAt: self._wake_at,
-            ReportSuspect: self._report,
+            CheckTarget: self._check,
+            ReportSuspect: lambda effect: self.on_report(effect.target_id),
             DeliverReply: self._deliver,
             DeliverMerged: self._deliver,
             DeliverRefusal: self._deliver,
@@ -152,8 +155,16 @@
             partial(self.dispatch, RequestDue(effect.request_id)),
         )
 
-    def _report(self, effect: ReportSuspect) -> None:
-        self.on_report(effect.target_id)
+    def _check(self, effect: CheckTarget) -> None:
+        target_id = effect.target.target_id
+        target = self._targets_by_id[target_id]
+        is_listening = not target.refuses_connections()
+        if is_listening and target.is_silent():
+            return
+        self._simulation.call_later(
+            2 * self._one_way(target),
+            partial(self.dispatch, TargetChecked(target_id, is_listening)),
+        )
 
     def _deliver(self, effect: Delivery) -> None:
         self._on_delivery.pop(effect.request_id)(effect)
--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -40,6 +40,8 @@
 
 _VERSION: Final = 'nutmegstep-config-version'
 _PARTIAL_ANSWER_IN: Final = 'nutmegstep-partial-answer-ms'
+_POSSIBLE_RUNS: Final = 'nutmegstep-possible-runs'
+"""Request header with the attempts that the sender has made."""
 _COORDINATOR: Final = 'nutmegstep-coordinator'
 """Response header that shows that a coordinator answers, and not another process
 that has got the address of one."""
@@ -54,6 +56,7 @@
     for name in (
         _VERSION,
         _PARTIAL_ANSWER_IN,
+        _POSSIBLE_RUNS,
         _COORDINATOR,
         _DECLINED,
         _TARGET,
@@ -125,7 +128,7 @@
                 coordinator,
                 effect.expires_at,
                 _MAX_CONNECTIONS,
-                is_repeatable=True,
+                is_repeatable=effect.is_repeatable,
             ),
         )
 
@@ -156,9 +159,12 @@
     """Return a delegated query with its terms, or None if they are invalid."""
     version = http_request.headers.get(_VERSION, '')
     milliseconds = http_request.headers.get(_PARTIAL_ANSWER_IN, '')
-    if not (version.isdecimal() and milliseconds.isdecimal()):
+    runs = http_request.headers.get(_POSSIBLE_RUNS, '0')
+    if not all(one.isdecimal() for one in (version, milliseconds, runs)):
         return None
-    terms = DelegationTerms(int(version), int(milliseconds) / _MS_PER_SECOND)
+    terms = DelegationTerms(
+        int(version), int(milliseconds) / _MS_PER_SECOND, int(runs)
+    )
     return replace(
         request,
         headers=_without_own(request.headers),
@@ -195,6 +201,7 @@
     added = (
         (_VERSION.encode(), b'%d' % terms.config_version),
         (_PARTIAL_ANSWER_IN.encode(), b'%d' % milliseconds),
+        (_POSSIBLE_RUNS.encode(), b'%d' % terms.possible_runs),
         _EXPECT,
     )
     return replace(request, headers=(*_without_own(request.headers), *added))
--- a/tests/coordinators/test_core.py
+++ b/tests/coordinators/test_core.py
@@ -1,6 +1,7 @@
 """Choice of the coordinators of a failure domain."""
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import replace
 
 import pytest
@@ -83,3 +84,42 @@
     }
     choice = choose_coordinators('vm-9', {**north, **south})
     assert (choice.in_domain, choice.total) == (2, 4)
+
+
+def test_substitutes_of_a_small_fleet_are_all_others() -> None:
+    """Guards against a VM without links that asks none of the VMs that have
+    some.
+    """
+    entries = {**_entries(2), **_in_south(range(2, 5))}
+    for name in entries:
+        others = {
+            one.address for other, one in entries.items() if other != name
+        }
+        assert set(choose_coordinators(name, entries).substitutes) == others
+
+
+def test_substitutes_are_spread_and_of_several_domains() -> None:
+    """Guards against a few VMs that serve all that have lost their links, and
+    against asking only VMs that may have lost theirs together with this one.
+    """
+    entries = {**_entries(7), **_in_south(range(7, 14))}
+    choices = [choose_coordinators(name, entries) for name in entries]
+    firsts = Counter(one.substitutes[0] for one in choices)
+    assert max(firsts.values()) <= 5
+    south = {entries[f'vm-{number}'].address for number in range(7, 14)}
+    assert all(south & set(one.substitutes) for one in choices)
+    assert all(set(one.substitutes) - south for one in choices)
+
+
+def test_coordinators_are_the_first_substitutes() -> None:
+    """Guards against substitutes without connections to the targets."""
+    entries = _entries(42, fast=3)
+    choice = choose_coordinators('vm-9', entries)
+    assert set(choice.substitutes[:3]) == set(choice.addresses)
+
+
+def _in_south(numbers: Iterable[int]) -> dict[str, VmEntry]:
+    return {
+        f'vm-{number}': VmEntry('south', f'10.0.0.{number}:7740', 1, 0.5)
+        for number in numbers
+    }
--- a/tests/dispatch/test_contact.py
+++ b/tests/dispatch/test_contact.py
@@ -1,5 +1,7 @@
 """When a VM has lost contact with all targets, and when it has it again."""
 
+import pytest
+
 from nutmegstep.dispatch.control_events import HousekeepingDue, TargetChecked
 from nutmegstep.dispatch.effects import CheckTarget, SendRequest
 from nutmegstep.dispatch.events import SendFailed, SendFailureKind
@@ -20,33 +22,51 @@
 
 
 def _lose_all(dispatcher: Dispatcher) -> None:
-    for _ in range(4):
-        dispatcher.now += 0.1
-        dispatcher.request()
-        _fail(dispatcher)
+    dispatcher.request()
+    _fail(dispatcher)
+    dispatcher.now += 0.5
+    dispatcher.apply(HousekeepingDue())
 
 
-def test_contact_is_lost_when_all_domains_fail(
+def test_contact_is_lost_when_no_target_accepts(
     dispatcher: Dispatcher,
 ) -> None:
     """Guards against a VM that goes on trying dead links for each request."""
     assert not dispatcher.state.has_lost_targets
-    _lose_all(dispatcher)
+    dispatcher.request()
+    _fail(dispatcher)
+    tested = dispatcher.effects_of(CheckTarget)
+    assert {one.target.failure_domain for one in tested} == {
+        'north',
+        'south',
+        'west',
+    }
+    assert not dispatcher.state.has_lost_targets
+    dispatcher.now += 0.5
+    dispatcher.apply(HousekeepingDue())
     assert dispatcher.state.has_lost_targets
     dispatcher.now += 30
     dispatcher.apply(HousekeepingDue())
     assert dispatcher.state.has_lost_targets
 
 
-def test_contact_is_kept_with_one_domain(dispatcher: Dispatcher) -> None:
+@pytest.mark.parametrize('spared', ['north', 'south'])
+def test_contact_is_kept_with_one_domain(
+    dispatcher: Dispatcher, spared: str
+) -> None:
     """Guards against giving up the own links in a partition between failure
     domains, in which one of them is still reached.
     """
     for _ in range(10):
-        dispatcher.now += 0.1
         dispatcher.request()
-        _fail(dispatcher, spared='north')
-    assert not dispatcher.state.has_lost_targets
+        _fail(dispatcher, spared=spared)
+        for check in dispatcher.effects_of(CheckTarget):
+            if check.target.failure_domain == spared:
+                checked = TargetChecked(check.target.target_id, True)
+                dispatcher.apply(checked)
+        dispatcher.now += 0.5
+        dispatcher.apply(HousekeepingDue())
+        assert not dispatcher.state.has_lost_targets
 
 
 def test_links_are_tested_until_a_target_accepts(
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -61,10 +61,25 @@
 
 
 def _settle(dispatcher: Dispatcher) -> None:
+    _accept_connections(dispatcher)
     dispatcher.now += _SETTLED_SECONDS
     dispatcher.apply(HousekeepingDue())
 
 
+def _accept_connections(dispatcher: Dispatcher) -> None:
+    """Let the targets accept connections that have not been sent a request.
+
+    The VM tests its links after several losses in a row.
+    """
+    sent_to = {
+        one.target.target_id for one in dispatcher.effects_of(SendRequest)
+    }
+    for check in dispatcher.effects_of(CheckTarget):
+        target_id = check.target.target_id
+        if target_id not in sent_to:
+            dispatcher.apply(TargetChecked(target_id, is_listening=True))
+
+
 def _crash_thrice(dispatcher: Dispatcher) -> str:
     """Let a request crash three targets; return its digest."""
     for _ in range(3):
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -181,6 +181,35 @@
     assert set(pair.coordinator.cancelled) == sent
 
 
+async def test_order_of_a_vm_without_links_runs_elsewhere(
+    pair: _Pair,
+) -> None:
+    """Guards against failing the orders of callers whose VM has lost its links
+    to all targets, and against sending one of them twice.
+    """
+    port = pair.server.sockets[0].getsockname()[1]
+    address = f'127.0.0.1:{port}'
+    choice = CoordinatorChoice(substitutes=(address, '127.0.0.1:1'))
+    pair.member.gateway.dispatch(VmsCounted(2, 1, choice))
+    state = pair.member.gateway.state
+    state.links_suspected_at = SystemClock().monotonic()
+    state.targets_lost_at = SystemClock().monotonic()
+    asked = await _ask(pair, '/order/x')
+    await _within(pair.coordinator.has_sent.wait())
+    pair.coordinator.answer_targets()
+    assert (await asked).status == 200
+    assert not pair.member.sends
+    pair.coordinator.sends.clear()
+    pair.coordinator.has_sent.clear()
+    asked = await _ask(pair, '/order/y')
+    await _within(pair.coordinator.has_sent.wait())
+    # The connection is lost while the order runs.
+    pair.member.gateway.close()
+    assert (await asked).status == 502
+    assert len(pair.coordinator.sends) == 1
+    assert not pair.member.sends
+
+
 def _stop(pair: _Pair) -> None:
     pair.coordinator.is_stopping = True
 
