--- a/nutmegstep/discovery/core.py
+++ b/nutmegstep/discovery/core.py
@@ -7,7 +7,7 @@
 
 import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Final
 
@@ -79,9 +79,9 @@
     `RETURN_GRACE` after an outage of the store. In that time it is kept and
     expires at the end, unless it is announced again.
 
-    A store that is restored from a copy announces targets again that had left.
-    They are held back until the store has had time to remove those that have
-    ended. A target that has begun to drain never returns from it.
+    A store that is restored from a copy announces targets again that had left,
+    and some as serving that drain. These announcements are held back until live
+    targets have renewed theirs and the store has removed the others.
 
     Attributes
     ----------
@@ -131,7 +131,7 @@
         self._grace_until = now + RETURN_GRACE.total_seconds()
 
     def start_hold(self, now: float) -> None:
-        """Hold back the targets that left before the store was restored.
+        """Hold back targets that drained or left before a restoration.
 
         Parameters
         ----------
@@ -178,8 +178,6 @@
             return False
         known = self.by_id.get(record.target_id)
         is_new = known is None or not known.is_same_process(record)
-        if known is not None and not is_new and known.is_draining:
-            record = replace(record, is_draining=True)
         self.by_id[record.target_id] = record
         self._expiry_by_id.pop(record.target_id, None)
         self._held_by_id.pop(record.target_id, None)
@@ -227,11 +225,15 @@
         return min(self._expiry_by_id.values(), default=None)
 
     def _must_hold(self, record: TargetRecord, now: float) -> bool:
+        if not self._is_holding(now):
+            return False
+        known = self.by_id.get(record.target_id)
+        if known is not None and known.is_same_process(record):
+            return known.is_draining and not record.is_draining
         departed = self._departed_by_id.get(record.target_id)
-        if departed is None or not self._is_holding(now):
+        if departed is None or departed[1] >= self._restored_at:
             return False
-        known, departed_at = departed
-        return departed_at < self._restored_at and known.is_same_process(record)
+        return departed[0].is_same_process(record)
 
     def _is_holding(self, now: float) -> bool:
         return now < self._restored_at + _RESTORED_HOLD_S
--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -66,8 +66,9 @@
 _EXPECT: Final = (b'expect', b'100-continue')
 _STATUS_CONFLICT: Final = 409
 _KEEP_ALIVE: Final = ('Keep-Alive', 'timeout=60')
-_MAX_CONNECTIONS: Final = 8
-"""Most connections of this VM to one coordinator."""
+_MAX_CONNECTIONS: Final = 16
+"""Most connections of this VM to one other VM. All requests of a VM without links
+to the targets may go to one substitute."""
 _MS_PER_SECOND: Final = 1000
 
 
