--- a/nutmegstep/gateway/decisions.py
+++ b/nutmegstep/gateway/decisions.py
@@ -18,9 +18,13 @@
         'configuration_in_force',
         'content_refused',
         'domains_withdrawn',
+        'links_suspected',
         'refused',
         'request_limit_ended',
         'request_limit_stated',
+        'store_restored',
+        'targets_lost',
+        'targets_regained',
         'vms_counted',
     ),
 )
@@ -54,7 +58,8 @@
 
         The last tenth of the burst is reserved for refusals, changes of the
         configuration in force, withdrawals of failure domains, limits of
-        targets and changes of the number of VMs.
+        targets, changes of the number of VMs, restorations of the store, and
+        loss and return of the links to the targets.
         """
         self._refill()
         required = (
--- a/tests/dispatch/fleet.py
+++ b/tests/dispatch/fleet.py
@@ -1,6 +1,8 @@
 """States of the VMs of a fleet, for tests of what they do together."""
 
-from collections.abc import Mapping
+import heapq
+from collections.abc import Callable, Mapping
+from itertools import count
 from random import Random
 from typing import Final
 
@@ -18,6 +20,28 @@
 _DOMAINS: Final = ('north', 'south', 'west')
 
 
+class Timeline:
+    """Simulated time, and the steps that are due later."""
+
+    def __init__(self, now: float) -> None:
+        self.now = now
+        self._steps: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = count(1)
+
+    def later(self, seconds: float, step: Callable[[], None]) -> None:
+        """Call `step` after some time."""
+        due_at = self.now + seconds
+        heapq.heappush(self._steps, (due_at, next(self._numbers), step))
+
+    def run_until(self, instant: float) -> None:
+        """Advance the time and call the steps that become due."""
+        while self._steps and self._steps[0][0] <= instant:
+            due_at, _, step = heapq.heappop(self._steps)
+            self.now = due_at
+            step()
+        self.now = instant
+
+
 def entries_of_vms(count: int) -> dict[str, VmEntry]:
     """Return the registry entries of VMs in three failure domains."""
     return {
--- a/tests/dispatch/test_crashing_fleet.py
+++ b/tests/dispatch/test_crashing_fleet.py
@@ -4,8 +4,6 @@
 until its announcement ends, and is replaced by another one.
 """
 
-import heapq
-from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from itertools import count
 from random import Random
@@ -40,7 +38,7 @@
     SendFailureKind,
 )
 from tests.dispatch.conftest import HOST, records
-from tests.dispatch.fleet import entries_of_vms, start_vm
+from tests.dispatch.fleet import Timeline, entries_of_vms, start_vm
 
 _ADAPT_SECONDS: Final = 4.0
 """Time after the third crash from which further sends count."""
@@ -54,6 +52,8 @@
 _STORE_SECONDS: Final = 1.0
 """Time from the write of a record until all VMs have read it."""
 
+_START = 100.0
+
 
 @dataclass
 class _Fleet:
@@ -62,30 +62,29 @@
     vms: int
     path: str
     random: Random = field(default_factory=lambda: Random(1))
-    now: float = 100
     sent: list[tuple[float, int, int]] = field(default_factory=list)
     crashed_at: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self._ids = count(1)
-        self._steps: list[tuple[float, int, Callable[[], None]]] = []
+        self.timeline = Timeline(_START)
         self._sends_by_target: dict[str, list[tuple[int, int]]] = {}
         self._target_by_id = dict(records())
         self._crashed: set[str] = set()
         self._stored: set[CrashRecord] = set()
         self._entries = entries_of_vms(self.vms)
         self.states = [self._build(name) for name in self._entries]
-        self._later(_HOUSEKEEPING_SECONDS, self._keep_house)
+        self.timeline.later(_HOUSEKEEPING_SECONDS, self._keep_house)
 
     def run(self, seconds: float, per_second: float) -> None:
         """Let callers send the request at a mean rate."""
-        ends = self.now + seconds
-        arrival = self.now
+        ends = self.timeline.now + seconds
+        arrival = self.timeline.now
         while arrival < ends:
             arrival += self.random.expovariate(per_second)
-            self._run_until(arrival)
+            self.timeline.run_until(arrival)
             self._request(self.random.randrange(self.vms))
-        self._run_until(ends + _HOUSEKEEPING_SECONDS)
+        self.timeline.run_until(ends + _HOUSEKEEPING_SECONDS)
 
     def restart(self, vm: int) -> None:
         """Replace the state of a VM with that of a new process."""
@@ -107,30 +106,20 @@
 
     def _build(self, name: str) -> DispatchState:
         state = start_vm(
-            name, self._entries, dict(self._target_by_id), self.now
+            name, self._entries, dict(self._target_by_id), self.timeline.now
         )
         listed = CrashesListed(frozenset(self._stored))
-        reduce_event(state, listed, self.now)
+        reduce_event(state, listed, self.timeline.now)
         return state
 
-    def _later(self, seconds: float, step: Callable[[], None]) -> None:
-        heapq.heappush(self._steps, (self.now + seconds, next(self._ids), step))
-
-    def _run_until(self, instant: float) -> None:
-        while self._steps and self._steps[0][0] <= instant:
-            due_at, _, step = heapq.heappop(self._steps)
-            self.now = due_at
-            step()
-        self.now = instant
-
     def _keep_house(self) -> None:
         self._apply_to_all(HousekeepingDue())
-        self._later(_HOUSEKEEPING_SECONDS, self._keep_house)
+        self.timeline.later(_HOUSEKEEPING_SECONDS, self._keep_house)
 
     def _request(self, vm: int) -> None:
         request = RoutedRequest(
             next(self._ids),
-            f'attempt-{self.now}',
+            f'attempt-{self.timeline.now}',
             b'POST',
             self.path.encode(),
             HOST,
@@ -138,7 +127,7 @@
             (),
             b'body',
             2.0,
-            self.now,
+            self.timeline.now,
             # Served by this VM, whether or not it is a coordinator.
             delegated=DelegationTerms(1, 1),
         )
@@ -149,7 +138,7 @@
             self._apply(vm, event)
 
     def _apply(self, vm: int, event: Event) -> None:
-        for effect in reduce_event(self.states[vm], event, self.now):
+        for effect in reduce_event(self.states[vm], event, self.timeline.now):
             self._perform(vm, effect)
 
     def _perform(self, vm: int, effect: Effect) -> None:
@@ -159,34 +148,38 @@
             target_id = effect.target.target_id
             is_listening = target_id not in self._crashed
             checked = TargetChecked(target_id, is_listening)
-            self._later(0.001, lambda: self._apply(vm, checked))
+            self.timeline.later(0.001, lambda: self._apply(vm, checked))
         elif isinstance(effect, PublishCrash):
             self._stored.add(effect.record)
             stored = CrashStored(effect.record)
-            self._later(_STORE_SECONDS, lambda: self._apply_to_all(stored))
+            self.timeline.later(
+                _STORE_SECONDS, lambda: self._apply_to_all(stored)
+            )
         elif isinstance(effect, DeleteCrash):
             self._stored.discard(effect.record)
             deleted = CrashDeleted(effect.record)
-            self._later(_STORE_SECONDS, lambda: self._apply_to_all(deleted))
+            self.timeline.later(
+                _STORE_SECONDS, lambda: self._apply_to_all(deleted)
+            )
 
     def _send(self, vm: int, effect: SendRequest) -> None:
         target_id = effect.target.target_id
         if target_id in self._crashed:
             refused = SendFailed(effect.send_id, SendFailureKind.CONNECT)
-            self._later(0.001, lambda: self._apply(vm, refused))
+            self.timeline.later(0.001, lambda: self._apply(vm, refused))
             return
-        sent = (self.now, effect.request.request_id, effect.send_id)
+        sent = (self.timeline.now, effect.request.request_id, effect.send_id)
         self.sent.append(sent)
         sends = self._sends_by_target.setdefault(target_id, [])
         if not sends:
-            self._later(_RUN_SECONDS, lambda: self._crash(target_id))
+            self.timeline.later(_RUN_SECONDS, lambda: self._crash(target_id))
         sends.append((vm, effect.send_id))
 
     def _crash(self, target_id: str) -> None:
-        self.crashed_at.append(self.now)
+        self.crashed_at.append(self.timeline.now)
         self._crashed.add(target_id)
-        self._later(_LEASE_SECONDS, lambda: self._end_lease(target_id))
-        self._later(_REPLACE_SECONDS, lambda: self._replace(target_id))
+        self.timeline.later(_LEASE_SECONDS, lambda: self._end_lease(target_id))
+        self.timeline.later(_REPLACE_SECONDS, lambda: self._replace(target_id))
         for vm, send_id in self._sends_by_target.pop(target_id):
             self._apply(vm, SendFailed(send_id, SendFailureKind.NO_RESPONSE))
 
--- a/tests/dispatch/test_cut_off_fleet.py
+++ b/tests/dispatch/test_cut_off_fleet.py
@@ -4,7 +4,6 @@
 other VMs. Links hang, are reset or are refused.
 """
 
-import heapq
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -43,7 +42,7 @@
     TargetReplied,
 )
 from tests.dispatch.conftest import HOST, records, reply
-from tests.dispatch.fleet import entries_of_vms, start_vm
+from tests.dispatch.fleet import Timeline, entries_of_vms, start_vm
 
 _ADAPT_SECONDS = 4.0
 """Time after the cut in which a VM has to find out."""
@@ -64,6 +63,8 @@
 """Time until a send fails, and how. In the last case kept connections live on,
 and requests that must not run twice need new ones."""
 
+_START = 100.0
+
 
 @dataclass
 class _Fleet:
@@ -72,20 +73,19 @@
     vms: int
     cut: str
     random: Random = field(default_factory=lambda: Random(1))
-    now: float = 100
     outcomes: list[tuple[float, int, bool]] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         self.cut_vms: frozenset[int] = frozenset()
         self._ids = count(1)
-        self._steps: list[tuple[float, int, Callable[[], None]]] = []
+        self.timeline = Timeline(_START)
         self._cancelled: set[tuple[int, int]] = set()
         self._passed_on: dict[tuple[int, int], tuple[int, int]] = {}
         self.entries = entries_of_vms(self.vms)
         targets = records()
         self.states = [
-            start_vm(name, self.entries, targets, self.now)
+            start_vm(name, self.entries, targets, self.timeline.now)
             for name in self.entries
         ]
         self._vm_by_address = {
@@ -95,11 +95,11 @@
 
     def run(self, seconds: float, per_second: float, path: str) -> None:
         """Let callers send first tries at a mean rate to all VMs."""
-        ends = self.now + seconds
-        arrival = self.now
+        ends = self.timeline.now + seconds
+        arrival = self.timeline.now
         while arrival < ends:
             arrival += self.random.expovariate(per_second)
-            self._run_until(arrival)
+            self.timeline.run_until(arrival)
             self._request(self.random.randrange(self.vms), path)
 
     def served(self, since: float, *, is_cut: bool) -> tuple[int, int]:
@@ -133,31 +133,21 @@
             (),
             b'',
             2.0,
-            self.now,
+            self.timeline.now,
             delegated=terms,
         )
         self._apply(vm, RequestArrived(request))
 
-    def _later(self, seconds: float, step: Callable[[], None]) -> None:
-        heapq.heappush(self._steps, (self.now + seconds, next(self._ids), step))
-
     def _apply_later(self, seconds: float, vm: int, event: Event) -> None:
-        self._later(seconds, lambda: self._apply(vm, event))
-
-    def _run_until(self, instant: float) -> None:
-        while self._steps and self._steps[0][0] <= instant:
-            due_at, _, step = heapq.heappop(self._steps)
-            self.now = due_at
-            step()
-        self.now = instant
+        self.timeline.later(seconds, lambda: self._apply(vm, event))
 
     def _keep_house(self) -> None:
         for vm in range(self.vms):
             self._apply(vm, HousekeepingDue())
-        self._later(_HOUSEKEEPING_SECONDS, self._keep_house)
+        self.timeline.later(_HOUSEKEEPING_SECONDS, self._keep_house)
 
     def _apply(self, vm: int, event: Event) -> None:
-        for effect in reduce_event(self.states[vm], event, self.now):
+        for effect in reduce_event(self.states[vm], event, self.timeline.now):
             perform = self._perform_by_effect().get(type(effect))
             if perform is not None:
                 perform(vm, effect)
@@ -186,7 +176,7 @@
         else:
             run = f'{effect.request.attempt_id} {effect.target.service}'
             self.runs[run] += 1
-        self._later(seconds, lambda: self._end_send(vm, effect, kind))
+        self.timeline.later(seconds, lambda: self._end_send(vm, effect, kind))
 
     def _end_send(
         self, vm: int, effect: SendRequest, kind: SendFailureKind | None
@@ -208,7 +198,7 @@
             self._apply_later(_HOP_SECONDS, vm, checked)
 
     def _wake(self, vm: int, effect: WakeAt) -> None:
-        seconds = max(0, effect.instant - self.now)
+        seconds = max(0, effect.instant - self.timeline.now)
         self._apply_later(seconds, vm, RequestDue(effect.request_id))
 
     def _delegate(self, vm: int, effect: Delegate) -> None:
@@ -218,7 +208,7 @@
         self._passed_on[other, request_id] = (vm, request.request_id)
         accepted = DelegationAccepted(request.request_id)
         self._apply_later(2 * _HOP_SECONDS, vm, accepted)
-        self._later(
+        self.timeline.later(
             _HOP_SECONDS,
             lambda: self._arrive(
                 other,
@@ -254,7 +244,7 @@
     ) -> None:
         origin = self._passed_on.pop((vm, effect.request_id), None)
         if origin is None:
-            self.outcomes.append((self.now, vm, is_served))
+            self.outcomes.append((self.timeline.now, vm, is_served))
             return
         answer = reply(status=200 if is_served else 503, signature='')
         answered = DelegationAnswered(origin[1], answer)
@@ -299,7 +289,7 @@
     per_second = 20 + vms
     fleet.run(2, per_second, path)
     fleet.cut_vms = _choose(fleet, who)
-    since = fleet.now + _ADAPT_SECONDS
+    since = fleet.timeline.now + _ADAPT_SECONDS
     fleet.run(10, per_second, path)
     served, ended = fleet.served(since, is_cut=True)
     elsewhere, elsewhere_ended = fleet.served(since, is_cut=False)
