Accept forwarded requests of all sizes that callers may send

Found by reading the fix again: a VM without links passes on bodies of all sizes, but the server for other VMs kept to the default limits. A body above 256 KB, where the configuration allows it, was answered with 413, which blocked each substitute in turn as if it were another process.

Change: larger limits for neighbours.

--- a/nutmegstep/gateway/neighbours.py
+++ b/nutmegstep/gateway/neighbours.py
@@ -19,9 +19,15 @@
 
 __all__ = ['serve_neighbours']
 
-_LIMITS: Final = HttpLimits(connections=2000, cancels_half_closed=True)
-"""Limits on neighbours. A delegated query is cancelled when its sender closes
-the connection."""
+_LIMITS: Final = HttpLimits(
+    head_bytes=64 * 1024,
+    body_bytes=2**20,
+    connections=2000,
+    cancels_half_closed=True,
+)
+"""Limits on neighbours. Sizes are larger than the usual limits on callers, since
+requests of all sizes are passed on, with additional headers. A delegated query is
+cancelled when its sender closes the connection."""
 
 
 async def serve_neighbours(
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -81,6 +81,16 @@
         choice = CoordinatorChoice((f'127.0.0.1:{port}',), total=1)
         self.member.gateway.dispatch(VmsCounted(65, 22, choice))
 
+    def lose_links(self) -> None:
+        """Cut the member off from all targets; name its substitutes."""
+        port = self.server.sockets[0].getsockname()[1]
+        addresses = (f'127.0.0.1:{port}', '127.0.0.1:1')
+        choice = CoordinatorChoice(substitutes=addresses)
+        self.member.gateway.dispatch(VmsCounted(2, 1, choice))
+        state = self.member.gateway.state
+        state.links_suspected_at = SystemClock().monotonic()
+        state.targets_lost_at = state.links_suspected_at
+
 
 async def _not_found(request: HttpRequest) -> HttpResponse:
     return HttpResponse(404, b'{}')
@@ -100,14 +110,15 @@
     server.close()
 
 
-def _query(path: str = '/sweep/x') -> HttpRequest:
+def _query(path: str = '/sweep/x', body: bytes = b'') -> HttpRequest:
     items = (
         (b'host', b'shop.example'),
         (b'x-nutmegstep-attempt-id', b'caller-1'),
         (b'x-nutmegstep-deadline-ms', b'%d' % _DEADLINE_MS),
+        *(((b'content-length', b'%d' % len(body)),) if body else ()),
     )
     headers = {name.decode(): text.decode() for name, text in items}
-    return HttpRequest('GET', path, {}, headers, b'', path.encode(), items)
+    return HttpRequest('GET', path, {}, headers, body, path.encode(), items)
 
 
 async def _ask(
@@ -187,13 +198,7 @@
     """Guards against failing the orders of callers whose VM has lost its links
     to all targets, and against sending one of them twice.
     """
-    port = pair.server.sockets[0].getsockname()[1]
-    address = f'127.0.0.1:{port}'
-    choice = CoordinatorChoice(substitutes=(address, '127.0.0.1:1'))
-    pair.member.gateway.dispatch(VmsCounted(2, 1, choice))
-    state = pair.member.gateway.state
-    state.links_suspected_at = SystemClock().monotonic()
-    state.targets_lost_at = SystemClock().monotonic()
+    pair.lose_links()
     asked = await _ask(pair, '/order/x')
     await _within(pair.coordinator.has_sent.wait())
     pair.coordinator.answer_targets()
@@ -280,3 +285,21 @@
     await _within(pair.coordinator.has_sent.wait())
     pair.coordinator.answer_targets()
     assert (await asked).status == 200
+
+
+async def test_large_request_of_a_vm_without_links_is_passed_on(
+    pair: _Pair,
+) -> None:
+    """Guards against refusing the largest requests that callers may send, and
+    against blocking a substitute because of their size.
+    """
+    pair.lose_links()
+    body = b'x' * 500_000
+    asked = asyncio.create_task(
+        pair.member.gateway.handle(_query('/order/x', body))
+    )
+    await _within(pair.coordinator.has_sent.wait())
+    sent = pair.coordinator.sends[0].request
+    assert sent.body == body
+    pair.coordinator.answer_targets()
+    assert (await asked).status == 200
