Pass requests on as soon as the test of the links takes too long

Between suspicion and decision, 0.3 to 0.8 s, requests still went over links that did not even accept a connection. Now they are passed to substitutes from 30 ms after the links became suspect, the time in which working links end the suspicion; requests of other VMs are declined from then on too.

--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -73,9 +73,9 @@
 ) -> list[Effect]:
     """Delegate a new request; return no effects if it cannot be delegated.
 
-    While this VM reaches no target, any request is passed to a substitute.
+    While this VM seems to reach no target, any request is passed to a substitute.
     """
-    if state.has_lost_targets:
+    if state.avoids_links(now):
         return forward(state, open_request, now)
     if not _is_eligible(open_request):
         return []
@@ -132,7 +132,7 @@
     is_current = state.has_targets and now >= state.refresh_until
     if configuration is None or not is_current:
         reason = 'not_ready'
-    elif state.has_lost_targets:
+    elif state.avoids_links(now):
         reason = _NO_CONTACT
     elif configuration.version != request.delegated.config_version:
         reason = 'other_version'
@@ -272,9 +272,12 @@
         return give_up_at_deadline(state, open_request)
     if may_have_run and not open_request.route.is_idempotent:
         return give_up_unanswered(state, open_request)
-    if state.has_lost_targets:
+    if state.avoids_links(now):
         forwarded = forward(state, open_request, now)
-        return forwarded or refuse_without_contact(state, open_request)
+        if forwarded:
+            return forwarded
+    if state.has_lost_targets:
+        return refuse_without_contact(state, open_request)
     return start_sends(state, open_request, now)
 
 
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -30,6 +30,8 @@
 _MAX_REFRESH_SECONDS: Final = 1.0
 """Longest time after a pause for which nothing is sent. If the store has not
 been read again by then, it is unreachable, and what is known must do."""
+_CONNECT_SECONDS: Final = 0.03
+"""Time in which a target of any failure domain accepts a connection."""
 _INITIAL_VM_COUNT: Final = 8
 """Number of VMs that is assumed until they are counted; the two deployments
 have six and seven."""
@@ -167,6 +169,14 @@
         """Whether this VM reaches no target."""
         return self.targets_lost_at < math.inf
 
+    def avoids_links(self, now: float) -> bool:
+        """Return whether requests are passed on rather than sent to targets.
+
+        A test of working links ends the suspicion within the time of a
+        connection.
+        """
+        return now >= self.links_suspected_at + _CONNECT_SECONDS
+
     @property
     def bound_divisor(self) -> float:
         """Number of equal shares of a bound over all VMs; this VM has one.
--- a/tests/dispatch/test_forwarding.py
+++ b/tests/dispatch/test_forwarding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from nutmegstep.coordinators import CoordinatorChoice, DelegationTerms
-from nutmegstep.dispatch.control_events import VmsCounted
+from nutmegstep.dispatch.control_events import TargetChecked, VmsCounted
 from nutmegstep.dispatch.effects import (
     DeclineDelegation,
     Delegate,
@@ -22,6 +22,7 @@
 from nutmegstep.verdict import Reason, Verdict
 from tests.dispatch.conftest import Dispatcher, reply
 
+_TEST_SECONDS = 0.3
 _SUBSTITUTES = tuple(f'10.0.0.{number}:7740' for number in range(10))
 
 
@@ -30,7 +31,7 @@
     """Return the dispatcher of a VM that has lost contact with all targets."""
     choice = CoordinatorChoice(substitutes=_SUBSTITUTES)
     dispatcher.apply(VmsCounted(11, 4, choice))
-    dispatcher.state.links_suspected_at = dispatcher.now
+    dispatcher.state.links_suspected_at = dispatcher.now - _TEST_SECONDS
     dispatcher.state.targets_lost_at = dispatcher.now
     dispatcher.effects.clear()
     return dispatcher
@@ -125,6 +126,7 @@
     ones still work.
     """
     stranded.state.targets_lost_at = math.inf
+    stranded.state.links_suspected_at = math.inf
     stranded.request('/order/x')
     while not stranded.effects_of(Delegate):
         send = stranded.effects_of(SendRequest)[-1]
@@ -139,6 +141,7 @@
     VMs: what surely cannot be served is refused at once.
     """
     stranded.state.targets_lost_at = math.inf
+    stranded.state.links_suspected_at = math.inf
     request = stranded.request('/order/x')
     while not stranded.effects_of(Delegate):
         send = stranded.effects_of(SendRequest)[-1]
@@ -149,3 +152,23 @@
     stranded.request('/order/x')
     assert stranded.effects_of(DeliverRefusal)
     assert not stranded.effects_of(Delegate)
+
+
+def test_requests_are_passed_on_while_the_links_are_tested(
+    stranded: Dispatcher,
+) -> None:
+    """Guards against requests that wait for dead links until their test ends.
+
+    Working links end the suspicion within the time of a connection.
+    """
+    stranded.state.targets_lost_at = math.inf
+    stranded.state.links_suspected_at = stranded.now
+    stranded.request()
+    assert not stranded.effects_of(Delegate)
+    stranded.now += 0.03
+    stranded.request()
+    assert stranded.effects_of(Delegate)
+    stranded.effects.clear()
+    stranded.apply(TargetChecked('orders-north', is_listening=True))
+    stranded.request()
+    assert not stranded.effects_of(Delegate)
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -88,8 +88,8 @@
         choice = CoordinatorChoice(substitutes=addresses)
         self.member.gateway.dispatch(VmsCounted(2, 1, choice))
         state = self.member.gateway.state
-        state.links_suspected_at = SystemClock().monotonic()
-        state.targets_lost_at = state.links_suspected_at
+        state.targets_lost_at = SystemClock().monotonic()
+        state.links_suspected_at = state.targets_lost_at - 1
 
 
 async def _not_found(request: HttpRequest) -> HttpResponse:
