--- a/nutmegstep/dispatch/contact.py
+++ b/nutmegstep/dispatch/contact.py
@@ -20,7 +20,7 @@
     'record_contact',
     'record_no_contact',
     'suspect_links',
-    'test_links',
+    'probe_links',
 ]
 
 _MS_PER_SECOND: Final = 1000
@@ -95,7 +95,7 @@
     return effects
 
 
-def test_links(
+def probe_links(
     state: DispatchState, event: HousekeepingDue, now: float
 ) -> list[Effect]:
     """Decide whether contact is lost, and test the links while it is.
--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -120,7 +120,7 @@
 ) -> list[Effect]:
     return [
         *control.expire_targets(state, event, now),
-        *contact.test_links(state, event, now),
+        *contact.probe_links(state, event, now),
     ]
 
 
