--- a/nutmegstep/dispatch/contact.py
+++ b/nutmegstep/dispatch/contact.py
@@ -11,7 +11,11 @@
 
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.control_events import HousekeepingDue, TargetChecked
-from nutmegstep.dispatch.crash_control import record_check, settle_losses
+from nutmegstep.dispatch.crash_control import (
+    log_evaluated,
+    record_check,
+    settle_losses,
+)
 from nutmegstep.dispatch.effects import CheckTarget, Decision, Effect
 from nutmegstep.dispatch.state import DispatchState
 
@@ -63,9 +67,11 @@
     inputs = {'target': target.target_id, 'lost_ms': lost_ms}
     # A target that could not be reached then need not have crashed.
     rechecked = state.losses.recheck(state.registry.by_id)
+    targets = frozenset(one.target_id for one in rechecked)
     return [
         Decision('targets_regained', '', inputs),
-        *(CheckTarget(state.registry.by_id[name]) for name in rechecked),
+        *log_evaluated(rechecked),
+        *(CheckTarget(state.registry.by_id[name]) for name in targets),
     ]
 
 
--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -18,13 +18,14 @@
     Effect,
     PublishCrash,
 )
-from nutmegstep.dispatch.losses import Loss
+from nutmegstep.dispatch.losses import Evaluation, Loss
 from nutmegstep.dispatch.requests import OpenRequest, Send
 from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.verdict import Reason, refuse
 
 __all__ = [
     'is_refused',
+    'log_evaluated',
     'record_check',
     'record_deleted',
     'record_listed',
@@ -55,12 +56,16 @@
     state: DispatchState, open_request: OpenRequest, now: float
 ) -> list[Effect]:
     """Stop suspecting a request that a target has run, on all VMs."""
+    evaluated: list[Loss] = []
     if not state.losses.is_empty:
-        state.losses.clear(open_request.content)
+        evaluated = state.losses.clear(open_request.content)
     if state.crashes.is_empty:
-        return []
+        return log_evaluated(evaluated)
     cleared = state.crashes.clear(open_request.content, now)
-    return [DeleteCrash(record) for record in cleared]
+    return [
+        *log_evaluated(evaluated),
+        *(DeleteCrash(record) for record in cleared),
+    ]
 
 
 def is_refused(state: DispatchState, open_request: OpenRequest) -> bool:
@@ -94,16 +99,20 @@
     now: float,
 ) -> list[Effect]:
     """Record whether a target that closed a connection still listens."""
-    state.losses.record_check(event.target_id, is_listening=event.is_listening)
-    return []
+    dropped = state.losses.record_check(
+        event.target_id, is_listening=event.is_listening
+    )
+    return log_evaluated(dropped)
 
 
 def settle_losses(state: DispatchState, now: float) -> list[Effect]:
     """Evaluate losses, publish crashes and forget old ones."""
     crashes = state.crashes
+    evaluated = state.losses.settle(now)
     observed = [
         CrashRecord(loss.content, loss.incarnation)
-        for loss in state.losses.settle(now)
+        for loss in evaluated
+        if loss.evaluation is Evaluation.SUSPECTED
     ]
     decisions = [
         _refused_decision(state, record.content)
@@ -111,6 +120,7 @@
         if crashes.record_crash(record, now)
     ]
     return [
+        *log_evaluated(evaluated),
         *decisions,
         *(PublishCrash(record) for record in crashes.take_unpublished(now)),
         *(DeleteCrash(record) for record in crashes.deleted.take_due(now)),
@@ -121,6 +131,23 @@
     ]
 
 
+def log_evaluated(losses: list[Loss]) -> list[Effect]:
+    """Log what became of losses of targets."""
+    return [
+        Decision(
+            'loss_evaluated',
+            '',
+            {
+                'target': loss.target_id,
+                'content': loss.content,
+                'evaluation': loss.evaluation.value,
+            },
+        )
+        for loss in losses
+        if loss.evaluation
+    ]
+
+
 def record_listed(
     state: DispatchState,
     event: CrashesListed,
--- a/nutmegstep/dispatch/losses.py
+++ b/nutmegstep/dispatch/losses.py
@@ -5,12 +5,13 @@
 connections.
 """
 
+import enum
 from collections import defaultdict
 from collections.abc import Container, Mapping
 from dataclasses import dataclass
 from typing import Final
 
-__all__ = ['Loss', 'Losses']
+__all__ = ['Evaluation', 'Loss', 'Losses']
 
 _SETTLE_SECONDS: Final = 0.25
 """Time between a loss and its evaluation. Targets that are lost within it are
@@ -23,6 +24,34 @@
 pauses of a process."""
 
 
+@enum.unique
+class Evaluation(enum.Enum):
+    """What became of a loss.
+
+    Attributes
+    ----------
+    SUSPECTED
+        The target has crashed, and the request is suspected.
+    LISTENING
+        The target still listens.
+    RUN_ELSEWHERE
+        Another target has run the request.
+    MASS_LOSS
+        Too many targets without the request were lost with this one.
+    SAME_ROUND
+        Another loss of the same round of sends was counted.
+    RECHECKED
+        The target has to be checked again, as no target was reached.
+    """
+
+    SUSPECTED = 'suspected'
+    LISTENING = 'listening'
+    RUN_ELSEWHERE = 'run_elsewhere'
+    MASS_LOSS = 'mass_loss'
+    SAME_ROUND = 'same_round'
+    RECHECKED = 'rechecked'
+
+
 @dataclass(slots=True)
 class Loss:
     """A send that ended as its target closed the connection without a response.
@@ -45,6 +74,8 @@
         Whether the target no longer listens.
     is_settled : bool
         Whether the loss has been evaluated, or need not be.
+    evaluation : Evaluation or None
+        Latest evaluation.
     """
 
     content: str
@@ -54,6 +85,7 @@
     at: float
     is_crash: bool = False
     is_settled: bool = False
+    evaluation: Evaluation | None = None
 
 
 class Losses:
@@ -74,23 +106,44 @@
         self._losses.append(loss)
         return not known
 
-    def record_check(self, target_id: str, *, is_listening: bool) -> None:
-        """Record whether a target still listens after a loss."""
+    def record_check(self, target_id: str, *, is_listening: bool) -> list[Loss]:
+        """Record whether a target still listens after a loss.
+
+        Returns
+        -------
+        list of Loss
+            Losses that are dropped, as the target listens.
+        """
+        checked = [one for one in self._losses if one.target_id == target_id]
         if is_listening:
             self._losses = [
                 one for one in self._losses if one.target_id != target_id
             ]
-            return
-        for loss in self._losses:
-            loss.is_crash |= loss.target_id == target_id
-
-    def clear(self, content: str) -> None:
-        """Do not suspect content that a target has run."""
-        for loss in self._losses:
-            loss.is_settled |= loss.content == content
+            return _evaluate(checked, Evaluation.LISTENING)
+        for loss in checked:
+            loss.is_crash = True
+        return []
+
+    def clear(self, content: str) -> list[Loss]:
+        """Do not suspect content that a target has run.
+
+        Returns
+        -------
+        list of Loss
+            Losses that need no evaluation any more.
+        """
+        cleared = [
+            one
+            for one in self._losses
+            if one.content == content and not one.is_settled
+        ]
+        for loss in cleared:
+            loss.is_settled = True
+        return _evaluate(cleared, Evaluation.RUN_ELSEWHERE)
 
-    def recheck(self, known: Container[str]) -> frozenset[str]:
-        """Return the targets to check again before they count as crashed.
+    def recheck(self, known: Container[str]) -> list[Loss]:
+        """Return the losses whose targets are checked again before they count
+        as crashed.
 
         Parameters
         ----------
@@ -104,10 +157,10 @@
         ]
         for loss in open_losses:
             loss.is_crash = False
-        return frozenset(one.target_id for one in open_losses)
+        return _evaluate(open_losses, Evaluation.RECHECKED)
 
     def settle(self, now: float) -> list[Loss]:
-        """Return the crashes of which their request is suspected, once each."""
+        """Evaluate the crashes that are due, once each, and return them."""
         self._losses = [
             one for one in self._losses if one.at > now - _FORGET_SECONDS
         ]
@@ -117,17 +170,26 @@
         for crash in crashes:
             targets_by_content[crash.content].add(crash.target_id)
         settled = {one.round_of_sends for one in crashes if one.is_settled}
-        suspicious: list[Loss] = []
+        evaluated: list[Loss] = []
         for loss in crashes:
             if loss.is_settled or loss.at > now - _SETTLE_SECONDS:
                 continue
             loss.is_settled = True
             own = targets_by_content[loss.content]
-            is_mass_loss = _is_mass_loss(loss, lost_at_by_target, own)
-            if not is_mass_loss and loss.round_of_sends not in settled:
-                suspicious.append(loss)
+            loss.evaluation = Evaluation.SUSPECTED
+            if _is_mass_loss(loss, lost_at_by_target, own):
+                loss.evaluation = Evaluation.MASS_LOSS
+            elif loss.round_of_sends in settled:
+                loss.evaluation = Evaluation.SAME_ROUND
+            evaluated.append(loss)
             settled.add(loss.round_of_sends)
-        return suspicious
+        return evaluated
+
+
+def _evaluate(losses: list[Loss], evaluation: Evaluation) -> list[Loss]:
+    for loss in losses:
+        loss.evaluation = evaluation
+    return losses
 
 
 def _is_mass_loss(
--- a/nutmegstep/gateway/decisions.py
+++ b/nutmegstep/gateway/decisions.py
@@ -19,6 +19,7 @@
         'content_refused',
         'domains_withdrawn',
         'links_suspected',
+        'loss_evaluated',
         'refused',
         'request_limit_ended',
         'request_limit_stated',
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -336,3 +336,18 @@
     dispatcher.apply(HousekeepingDue())
     deleted = {one.record for one in dispatcher.effects_of(DeleteCrash)}
     assert deleted == set(stored[1:])
+
+
+def test_each_loss_is_logged_with_its_evaluation(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against crashes whose evidence is discarded without a trace."""
+    _lose(dispatcher, is_listening=True)
+    _lose(dispatcher)
+    _settle(dispatcher)
+    evaluations = [
+        one.inputs['evaluation']
+        for one in dispatcher.effects_of(Decision)
+        if one.name == 'loss_evaluated'
+    ]
+    assert evaluations == ['listening', 'suspected']
