Follow the targets beside entries that cannot be decoded

Other operators' VMs ended again and again, or stopped following the list of targets, while one entry was nested too deeply or held a number or a port out of range.

Cause: a page of the store was decoded as a whole, so one value that the decoder rejects made all of it a malformed reply; and a port of more than 4,300 digits, or of digits that are not ASCII, raised out of the reader, which ends the process. Now the values of a page that cannot be decoded are decoded one by one, and those that still cannot are left out (None: an announcement that names no target). Ports are 1 to 5 ASCII digits, hosts are no multicast, reserved or unspecified addresses, names are not empty, and cold times are bounded.

--- a/nutmegstep/platform/documents.py
+++ b/nutmegstep/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes the JSON documents in the platform's store."""
 
+import re
 from collections import defaultdict
 from datetime import timedelta
 from ipaddress import IPv4Address
@@ -22,6 +23,11 @@
 
 _MILLISECOND: Final = timedelta(milliseconds=1)
 _MAX_PORT: Final = 65535
+_MAX_COLD_MS: Final = 86_400_000
+"""Longest time in milliseconds for which a target may stay cold; one day."""
+_PORT: Final = re.compile('[1-9][0-9]{0,4}')
+_MAX_QUOTED: Final = 64
+"""Most characters of an invalid text that are quoted in a message."""
 
 
 class _StrictModel(BaseModel):
@@ -76,13 +82,13 @@
 
 
 class _TargetDocument(_StrictModel):
-    service: str
+    service: str = Field(min_length=1)
     address: str
-    zone: str
+    zone: str = Field(min_length=1)
     slots: int
     state: Literal['serving', 'draining']
     # Time for which the target stays cold, from its write of this document.
-    cold_remaining_ms: float
+    cold_remaining_ms: float = Field(le=_MAX_COLD_MS)
     # Number of this write since the target process started.
     seq: int
     # Start of the target process in Unix milliseconds.
@@ -154,14 +160,12 @@
     except ValidationError as error:
         return Failure(_describe_error(error))
     host, _, port = decoded.address.rpartition(':')
-    if not port.isdigit() or not 0 < int(port) <= _MAX_PORT:
+    if not _is_valid_port(port) or not _is_host(host):
+        quoted = decoded.address[:_MAX_QUOTED]
         return Failure(
-            f'address {decoded.address!r} has no valid port (1 to 65535)'
+            f'address {quoted!r} is not an IPv4 address of a host and a port '
+            f'from 1 to {_MAX_PORT}'
         )
-    try:
-        IPv4Address(host)
-    except ValueError as error:
-        return Failure(str(error))
     return Success(
         TargetRecord(
             target_id=target_id,
@@ -177,6 +181,21 @@
     )
 
 
+def _is_valid_port(text: str) -> bool:
+    return bool(_PORT.fullmatch(text)) and int(text) <= _MAX_PORT
+
+
+def _is_host(text: str) -> bool:
+    try:
+        address = IPv4Address(text)
+    except ValueError:
+        return False
+    # Connections to 0.0.0.0 would reach this VM.
+    return not (
+        address.is_unspecified or address.is_multicast or address.is_reserved
+    )
+
+
 def _build_route(decoded: _RouteDocument) -> Route:
     destinations = tuple(
         WeightedService(one.service, one.weight)
--- a/nutmegstep/platform/store.py
+++ b/nutmegstep/platform/store.py
@@ -12,6 +12,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from nutmegstep.platform.lenient_json import decode_leniently
 from nutmegstep.platform.store_documents import (
     Page,
     append_page,
@@ -269,7 +270,7 @@
     reply: HttpReply,
 ) -> Result[_Decoded, PlatformFailure]:
     try:
-        return Success(read(orjson.loads(reply.body), _era_of(reply)))
+        return Success(read(decode_leniently(reply.body), _era_of(reply)))
     except (KeyError, TypeError, ValueError) as error:
         detail = f'malformed reply: {error!r}'
         return Failure(
--- a/tests/platform/test_core.py
+++ b/tests/platform/test_core.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from pathlib import Path
 
+import orjson
 import pytest
 
 from tests.platform.deployment import (
@@ -169,6 +170,32 @@
     assert 'announcement cannot be read' in gateway.log_file.read_text()
 
 
+async def test_target_is_found_beside_odd_entries(
+    deployment: Deployment,
+) -> None:
+    """Guards against a gateway that ends, or follows no change of the targets,
+    while an entry cannot be decoded or has a port out of range.
+    """
+    gateway = await deployment.start_gateway()
+    await gateway.wait_ready()
+    known = deployment.targets['i-orders-north']
+    port = '127.0.0.1:{0}'.format('9' * 5000)
+    odd = announcement(known, 'orders', 'north', address=port)
+    deployment.store.put('servers', 'odd-port', odd)
+    nested = b'[' * 2000 + b']' * 2000
+    deployment.store.put('servers', 'odd-nested', orjson.Fragment(nested))
+    number = orjson.Fragment(b'{"slots": 1e999}')
+    deployment.store.put('servers', 'odd-number', number)
+    for name in ('north', 'south', 'west'):
+        deployment.store.delete('servers', f'i-orders-{name}')
+    await asyncio.sleep(0.8)
+    assert (await ask(gateway.port, '/fetch/1')).status == 503
+    await deployment.add_target('orders', 'north')
+    await asyncio.sleep(0.8)
+    assert (await ask(gateway.port, '/fetch/1')).status == 200
+    assert gateway.process.returncode is None
+
+
 async def test_planned_stop_loses_no_request(deployment: Deployment) -> None:
     """Guards against a planned stop that loses requests on open connections, or
     on new ones before the load balancer has noticed.
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from datetime import timedelta
 
+import orjson
 import pytest
 from prometheus_client import CollectorRegistry, Counter
 from returns.pipeline import is_successful
@@ -53,6 +54,36 @@
     assert listing.documents_by_name['s119'] == {'n': 119}
 
 
+_ODD_SPECS = {
+    'nested': b'[' * 2000 + b']' * 2000,
+    'nested_deeply': b'{"a":' * 99_000 + b'1' + b'}' * 99_000,
+    'number': b'{"slots": 1e999, "text": "]}"}',
+    'surrogate': b'{"service": "%sud800"}' % b'\\',
+    'encoding': b'"\xff\xfe"',
+    'brackets': rb'{"text": "a\"]}[{", "slots": 1e999}',
+    'word': b'nonsense',
+}
+
+
+@pytest.mark.parametrize('name', _ODD_SPECS)
+async def test_odd_entry_does_not_hide_the_others(
+    pair: _StoreAndStandIn, name: str
+) -> None:
+    """Guards against VMs that follow no change of the targets any more while one
+    entry of another writer cannot be decoded.
+    """
+    for target in ('a', 'c'):
+        pair.stand_in.put('servers', target, {'service': target})
+    pair.stand_in.put('servers', 'b', orjson.Fragment(_ODD_SPECS[name]))
+    listing = (await pair.store.list_kind('servers')).unwrap()
+    others = {'a': {'service': 'a'}, 'c': {'service': 'c'}}
+    assert listing.documents_by_name == {**others, 'b': None}
+    changes = (await pair.store.watch_kind('servers', _FIRST, _WAIT)).unwrap()
+    assert isinstance(changes, ObjectChanges)
+    seen = {one.name: one.document for one in changes.changes}
+    assert seen == {**others, 'b': None}
+
+
 async def test_watch_returns_changes_and_deletions(
     pair: _StoreAndStandIn,
 ) -> None:
