Show that half a response head is never passed on as an answer

It can't happen here: h11 reports the end of the stream within a head as a protocol error, and the send fails.

--- a/tests/gateway/test_response_fuzzing.py
+++ b/tests/gateway/test_response_fuzzing.py
@@ -4,9 +4,11 @@
 from itertools import pairwise
 
 import h11
+import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from nutmegstep.dispatch.events import SendFailureKind
 from nutmegstep.gateway.codec import RawReply
 from nutmegstep.gateway.pooled_connection import PooledConnection, SendOutcome
 from nutmegstep.gateway.response_memory import ResponseMemory
@@ -21,6 +23,7 @@
     b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
     b'8\r\nsixteen \r\n8\r\nbytes!!!\r\n0\r\n\r\n'
 )
+_UNTIL_CLOSED = b'HTTP/1.1 200 OK\r\nx-signed: s\r\n\r\n' + _BODY
 _FRAGMENTS = st.sampled_from(
     (
         b'HTTP/1.1 200 OK\r\n',
@@ -130,3 +133,25 @@
     exchange = asyncio.run(_exchange(_ANSWER + surplus, cuts))
     assert exchange.transport.is_closed
     assert len(exchange.outcomes) == 1
+
+
+@pytest.mark.parametrize('error', [None, ConnectionResetError()])
+@pytest.mark.parametrize('answer', [_ANSWER, _CHUNKED, _UNTIL_CLOSED])
+async def test_head_that_stops_in_the_middle_is_no_answer(
+    answer: bytes, error: Exception | None
+) -> None:
+    """Guards against a 200 with an empty or short body, framed as whole, for an
+    answer whose head the target did not finish before it closed.
+    """
+    head, _, _ = answer.partition(b'\r\n\r\n')
+    for length in range(1, len(head) + len(b'\r\n\r')):
+        exchange = _Exchange()
+        exchange.connection.data_received(answer[:length])
+        if error is None:
+            exchange.connection.eof_received()
+        exchange.connection.connection_lost(error)
+        assert len(exchange.outcomes) == 1
+        assert exchange.outcomes[0] in {
+            SendFailureKind.INVALID,
+            SendFailureKind.RESET,
+        }
