Answer all requests before the end of a planned stop

In other operators' planned stops, requests that came late in the grace period were passed on and cut without an answer at its end, among them some that may not be repeated (LOST). It could happen here: the process ended 0.35 s before the end of the grace period whatever was open, and requests kept their own deadlines.

Now the dispatcher knows when the VM stops.

--- a/nutmegstep/dispatch/arrivals.py
+++ b/nutmegstep/dispatch/arrivals.py
@@ -13,6 +13,7 @@
 from nutmegstep.dispatch.requests import OpenRequest, Part
 from nutmegstep.dispatch.starting import start_sends
 from nutmegstep.dispatch.state import DispatchState
+from nutmegstep.dispatch.stopping import has_time_left, refuse_stopping
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
 __all__ = ['handle_arrival']
@@ -41,7 +42,7 @@
     """Delegate a request, send it to the targets of its route, or refuse it.
 
     It is refused if this VM is not ready, if no route matches, if it has crashed
-    too many targets, or if too few shards have a usable target for an answer.
+    too many targets, if this VM stops too soon, or if too few shards have a usable target for an answer.
     """
     request = event.request
     declined = decline_if_unsuitable(state, request, now)
@@ -68,6 +69,8 @@
 ) -> list[Effect]:
     if is_refused(state, open_request, now):
         return refuse_crashing(state, open_request)
+    if not has_time_left(state, open_request, now):
+        return refuse_stopping(state, open_request)
     delegation = delegate(state, open_request, now)
     if delegation:
         return delegation
@@ -92,8 +95,11 @@
         tuple(Part(service, possible_runs=earlier) for service in services),
         partial_answer_at=request.arrived_at
         + _partial_answer_in(request, route),
-        deadline=request.arrived_at
-        + max(0, min(timeout, time_left) - _DEADLINE_MARGIN_SECONDS),
+        deadline=min(
+            request.arrived_at
+            + max(0, min(timeout, time_left) - _DEADLINE_MARGIN_SECONDS),
+            state.stops_at,
+        ),
         required=_required_parts(route, len(services)),
     )
 
--- a/nutmegstep/dispatch/control_events.py
+++ b/nutmegstep/dispatch/control_events.py
@@ -17,6 +17,7 @@
     'DomainsWithdrawn',
     'HousekeepingDue',
     'ProcessResumed',
+    'StopScheduled',
     'StoreRecovered',
     'StoreRefreshed',
     'StoreRestored',
@@ -74,6 +75,19 @@
     """All watched kinds were read again after a pause."""
 
 
+@dataclass(frozen=True, slots=True)
+class StopScheduled:
+    """This VM stops.
+
+    Parameters
+    ----------
+    ends_at : float
+        Monotonic time in seconds by which all requests have to be answered.
+    """
+
+    ends_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class StoreRecovered:
     """The store answers again after an outage."""
@@ -200,6 +214,7 @@
     | DomainsWithdrawn
     | HousekeepingDue
     | ProcessResumed
+    | StopScheduled
     | StoreRecovered
     | StoreRefreshed
     | StoreRestored
--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -15,6 +15,7 @@
     DomainsWithdrawn,
     HousekeepingDue,
     ProcessResumed,
+    StopScheduled,
     StoreRecovered,
     StoreRefreshed,
     StoreRestored,
@@ -39,6 +40,7 @@
 )
 from nutmegstep.dispatch.outcomes import handle_failure, handle_reply
 from nutmegstep.dispatch.state import DispatchState
+from nutmegstep.dispatch.stopping import schedule_stop
 from nutmegstep.dispatch.trials import hedge_due_parts, release_parts
 
 __all__ = ['reduce_event']
@@ -133,6 +135,7 @@
         TargetRemoved: control.remove_target,
         DomainsWithdrawn: control.set_withdrawn_domains,
         ProcessResumed: control.await_refresh,
+        StopScheduled: schedule_stop,
         StoreRefreshed: control.end_refresh,
         StoreRecovered: control.start_return_grace,
         StoreRestored: control.distrust_copy,
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -73,6 +73,8 @@
     refresh_until : float
         Monotonic time in seconds until which nothing is sent, because the
         process was paused and the store has not been read again.
+    stops_at : float
+        Monotonic time in seconds at which this VM stops; infinite if it does not.
     withdrawn_domains : frozenset of str
         Failure domains that get no requests.
     stored_withdrawals : frozenset of str
@@ -95,7 +97,7 @@
     health_by_target : dict
         Health of targets, by target identifier.
     failing_targets : set of str
-        Identifiers of the targets that have not replied since any target did.
+        Targets that have not replied since any target did.
     links_suspected_at : float
         Monotonic time in seconds at which the links to all targets became
         suspect; infinite while they are not.
@@ -105,8 +107,7 @@
     contact_at : float
         Monotonic time in seconds at which a target was last reached.
     links_tested_at : float
-        Monotonic time in seconds at which connections were last opened to find
-        out whether the links work.
+        Monotonic time in seconds of the latest test of the links.
     substitutes_useless_until : float
         Monotonic time in seconds until which requests that this VM could not
         send are not passed to other VMs, as those reach no more targets.
@@ -117,8 +118,7 @@
     crashes : CrashRecords
         Content that was in flight on targets as they crashed.
     split_credits_by_route : dict
-        For routes with several destinations, the round-robin credit of each
-        service, by the name of the route.
+        Round-robin credit of each service, by the name of the route.
     next_send_id : int
         Identifier of the next send.
     """
@@ -138,6 +138,7 @@
         self.registry = TargetRegistry()
         self.has_targets = False
         self.refresh_until = float(0)
+        self.stops_at = math.inf
         self.withdrawn_domains: frozenset[str] = frozenset()
         self.stored_withdrawals: frozenset[str] = frozenset()
         self.keep_withdrawals_until = float(0)
--- a/nutmegstep/gateway/decisions.py
+++ b/nutmegstep/gateway/decisions.py
@@ -23,6 +23,7 @@
         'refused',
         'request_limit_ended',
         'request_limit_stated',
+        'stop_scheduled',
         'store_restored',
         'targets_lost',
         'targets_regained',
--- a/nutmegstep/gateway/lifecycle.py
+++ b/nutmegstep/gateway/lifecycle.py
@@ -9,7 +9,7 @@
 
 from nutmegstep.web import HttpServer
 
-__all__ = ['drain', 'install_signal_handlers']
+__all__ = ['ANSWER_BEFORE_END_S', 'drain', 'install_signal_handlers']
 
 _LOG: Final = logging.getLogger(__name__)
 _BALANCER_DELAY_S: Final = 2.6
@@ -23,6 +23,9 @@
 _GIVE_UP_BEFORE_END_S: Final = 0.35
 """Time before the end of the grace period at which open requests are left
 unanswered."""
+ANSWER_BEFORE_END_S: Final = 0.5
+"""Time before the end of the grace period by which all requests have their final
+answer; the answers are still to be written."""
 _POLL_INTERVAL_S: Final = 0.1
 
 
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -12,10 +12,17 @@
 from nutmegstep.clock import SystemClock
 from nutmegstep.dispatch import ColdLimits, DispatchLimits, DispatchState
 from nutmegstep.dispatch.budget import BudgetLimits
-from nutmegstep.dispatch.control_events import HousekeepingDue
+from nutmegstep.dispatch.control_events import (
+    HousekeepingDue,
+    StopScheduled,
+)
 from nutmegstep.gateway.adapter import PlatformAdapter
 from nutmegstep.gateway.core import Gateway
-from nutmegstep.gateway.lifecycle import drain, install_signal_handlers
+from nutmegstep.gateway.lifecycle import (
+    ANSWER_BEFORE_END_S,
+    drain,
+    install_signal_handlers,
+)
 from nutmegstep.gateway.metrics import GatewayMetrics
 from nutmegstep.gateway.store_sync import StoreSync, StoreSyncParts
 from nutmegstep.gateway.suspect_reports import SuspectReportExchange
@@ -215,6 +222,13 @@
     await stop_requested.wait()
     _LOG.info('stop requested')
     process.is_draining = True
+    process.gateway.dispatch(
+        StopScheduled(
+            process.clock.monotonic()
+            + settings.grace.total_seconds()
+            - ANSWER_BEFORE_END_S
+        )
+    )
     answered = await drain(
         caller_server,
         lambda: process.gateway.open_requests,
--- a/tests/platform/test_core.py
+++ b/tests/platform/test_core.py
@@ -227,6 +227,40 @@
         assert await gateway.process.wait() == 0
 
 
+async def _ask_after(seconds: float, port: int, path: str) -> int:
+    """Return the status of an answer, or 0 if there was none."""
+    await asyncio.sleep(seconds)
+    try:
+        reply = await ask(port, path, 'POST', b'order')
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return 0
+    return reply.status
+
+
+async def test_late_requests_of_a_planned_stop_are_answered(
+    deployment: Deployment,
+) -> None:
+    """Guards against requests that are passed on late in the grace period, and
+    whose connections end without an answer as the process does.
+    """
+    gateway = await deployment.start_gateway(GRACE='4')
+    await gateway.wait_ready()
+    for target in deployment.targets.values():
+        target.script = None
+    gateway.signal(signal.SIGTERM)
+    paths = ('/order/1', '/fetch/1', '/sweep/1')
+    statuses = await asyncio.gather(
+        *(
+            _ask_after(seconds, gateway.port, path)
+            for seconds in (0.1, 1, 1.8, 2.4)
+            for path in paths
+        )
+    )
+    assert set(statuses) <= {502, 503, 504}
+    async with asyncio.timeout(4):
+        assert await gateway.process.wait() == 0
+
+
 async def test_changed_settings_are_taken_without_a_signal(
     deployment: Deployment,
 ) -> None:
