--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -33,8 +33,7 @@
 _CONNECT_SECONDS: Final = 0.03
 """Time in which a target of any failure domain accepts a connection."""
 _INITIAL_VM_COUNT: Final = 8
-"""Number of VMs that is assumed until they are counted; the two deployments
-have six and seven."""
+"""Number of VMs that is assumed until they are counted."""
 
 
 @cache
@@ -109,14 +108,14 @@
     links_tested_at : float
         Monotonic time in seconds of the latest test of the links.
     substitutes_useless_until : float
-        Monotonic time in seconds until which requests that this VM could not
-        send are not passed to other VMs, as those reach no more targets.
+        Monotonic time in seconds until which unsent requests are not passed to
+        other VMs, as those reach no more targets.
     request_limits : RequestLimits
         Limits that targets have stated in their replies.
     losses : Losses
         Targets that closed a connection without a response.
     crashes : CrashRecords
-        Content that was in flight on targets as they crashed.
+        Content that was in flight on crashed targets.
     split_credits_by_route : dict
         Round-robin credit of each service, by the name of the route.
     next_send_id : int
