Heed targets that leave or ask for time in their answers

Targets say in all their answers that they leave (Server-Leaving), and may name a time for which they want nothing after a 503 (Retry-After). Nothing read either, so such targets went on getting requests until the store said so, or at once.

Leaving is the state of a draining record with a second source: it holds until another process has the identifier, whatever a lagging list says, and counts for answers of all kinds, late ones and those of coordinators included. A pause stands beside the limits that targets state, is bounded by 300 s, and ends at a moment of its own on each VM. Sends that wait for a connection to such a target go back unwritten and to another one; callers that cannot be served get a Retry-After from the earliest end, spread by a tenth. Odd texts are logged. TargetRegistry.next_expiry, which only a test used, is gone; the test asks for the expiry itself.

--- a/nutmegstep/discovery/core.py
+++ b/nutmegstep/discovery/core.py
@@ -7,7 +7,7 @@
 
 import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Final
 
@@ -97,6 +97,7 @@
         self._grace_until = float(0)
         self._departed_by_id: dict[str, tuple[TargetRecord, float]] = {}
         self._held_by_id: dict[str, TargetRecord] = {}
+        self._leaving_by_id: dict[str, TargetRecord] = {}
         self._restored_at = -math.inf
 
     def of_service(self, service: str) -> tuple[TargetRecord, ...]:
@@ -178,7 +179,13 @@
             return False
         known = self.by_id.get(record.target_id)
         is_new = known is None or not known.is_same_process(record)
-        self.by_id[record.target_id] = record
+        leaving = self._leaving_by_id.get(record.target_id)
+        is_leaving = leaving is not None and leaving.is_same_process(record)
+        if not is_leaving:
+            self._leaving_by_id.pop(record.target_id, None)
+        self.by_id[record.target_id] = replace(
+            record, is_draining=record.is_draining or is_leaving
+        )
         self._expiry_by_id.pop(record.target_id, None)
         self._held_by_id.pop(record.target_id, None)
         self._departed_by_id.pop(record.target_id, None)
@@ -186,6 +193,24 @@
         self._domains = None
         return is_new
 
+    def mark_leaving(self, record: TargetRecord) -> bool:
+        """Let a target drain that has said so itself, whatever is announced.
+
+        Returns
+        -------
+        bool
+            Whether it was not draining before.
+        """
+        known = self.by_id.get(record.target_id)
+        if known is None or not known.is_same_process(record):
+            return False
+        self._leaving_by_id[record.target_id] = known
+        if known.is_draining:
+            return False
+        self.by_id[record.target_id] = replace(known, is_draining=True)
+        self._by_service.clear()
+        return True
+
     def remove(self, target_id: str, now: float) -> bool:
         """Remove a target, or let it expire later if the store was unreachable.
 
@@ -220,10 +245,6 @@
                 self.update(record, now)
         return expired
 
-    def next_expiry(self) -> float | None:
-        """Return the monotonic time of the next expiry in seconds, or None."""
-        return min(self._expiry_by_id.values(), default=None)
-
     def _must_hold(self, record: TargetRecord, now: float) -> bool:
         if not self._is_holding(now):
             return False
@@ -244,6 +265,11 @@
             for name, (record, departed_at) in self._departed_by_id.items()
             if now < departed_at + _KEEP_DEPARTED_S
         }
+        self._leaving_by_id = {
+            name: record
+            for name, record in self._leaving_by_id.items()
+            if name in self.by_id or name in self._departed_by_id
+        }
 
     def _drop(self, target_ids: Iterable[str], now: float) -> None:
         for target_id in target_ids:
--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -36,6 +36,7 @@
 from nutmegstep.dispatch.requests import Delegation, OpenRequest
 from nutmegstep.dispatch.starting import start_sends
 from nutmegstep.dispatch.state import DispatchState
+from nutmegstep.dispatch.target_notices import record_notices
 
 __all__ = [
     'check_delegation',
@@ -188,11 +189,9 @@
     state.coordinator_health.record_success(delegation.address)
     record_substitute_answer(state, open_request, event.reply.status, now)
     target = state.registry.by_id.get(event.target_id)
-    limits: list[Decision] = []
+    notices: list[Effect] = []
     if target is not None:
-        limits = state.request_limits.record_reply(
-            target, event.reply.request_limit, now
-        )
+        notices = record_notices(state, target, event.reply, now)
     open_request.delegation = None
     request = open_request.request
     inputs = {
@@ -202,7 +201,7 @@
         'status': event.reply.status,
     }
     return [
-        *limits,
+        *notices,
         Decision('answered', request.attempt_id, inputs),
         *close_request(state, open_request),
         DeliverReply(request.request_id, event.reply),
--- a/nutmegstep/dispatch/effects.py
+++ b/nutmegstep/dispatch/effects.py
@@ -24,6 +24,7 @@
     'Effect',
     'PublishCrash',
     'ReportSuspect',
+    'ReturnSends',
     'SendRequest',
     'WakeAt',
 ]
@@ -105,6 +106,13 @@
     target_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class ReturnSends:
+    """End the sends that wait for a connection to a target; nothing has run."""
+
+    target_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class ReportSuspect:
     """Report to the neighbours that a target is too slow or does not reply.
@@ -247,6 +255,7 @@
     | DropTarget
     | PublishCrash
     | ReportSuspect
+    | ReturnSends
     | WakeAt
     | DeliverReply
     | DeliverMerged
--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -138,6 +138,13 @@
     request_limit : float or None
         Requests per second that the target accepts from all VMs together;
         None if it states no limit.
+    is_leaving : bool
+        Whether the target states that it is about to exit.
+    retry_after : float or None
+        Seconds for which the target, which has turned the request away, wants no
+        request of this VM; None if it does not say so.
+    invalid_retry_after : str
+        What the target stated instead of such a time; empty if it is valid.
     """
 
     status: int
@@ -147,6 +154,9 @@
     was_executed: bool = True
     is_misdirected: bool = False
     request_limit: float | None = None
+    is_leaving: bool = False
+    retry_after: float | None = None
+    invalid_retry_after: str = ''
 
     @property
     def is_success(self) -> bool:
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -17,6 +17,7 @@
 from nutmegstep.dispatch.requests import Send
 from nutmegstep.dispatch.sending import repeat
 from nutmegstep.dispatch.state import DispatchState
+from nutmegstep.dispatch.target_notices import record_notices
 from nutmegstep.dispatch.trials import release_parts
 
 __all__ = ['handle_failure', 'handle_reply']
@@ -173,9 +174,7 @@
         health.record_rejection(now)
         health.blocked_until = now + _MISDIRECTED_BLOCK_SECONDS
         return effects
-    effects.extend(
-        state.request_limits.record_reply(send.target, reply.request_limit, now)
-    )
+    effects.extend(record_notices(state, send.target, reply, now))
     if reply.is_success:
         latency = state.latency_of(send.open_request.route)
         seconds = now - send.sent_at
--- a/nutmegstep/dispatch/request_limits.py
+++ b/nutmegstep/dispatch/request_limits.py
@@ -1,8 +1,9 @@
-"""Limits that targets state in their replies.
+"""Limits and pauses that targets state in their replies.
 
 A target under load states how many requests per second it accepts from all VMs
 together, in each reply for as long as the limit holds. Each VM takes an equal
-share of the limit, without exchanging messages.
+share of the limit, without exchanging messages. A target that turns a request
+away may state for how long it wants none from this VM.
 """
 
 import math
@@ -26,6 +27,10 @@
 _BURST_REQUESTS: Final = 2.5
 """Requests that all VMs together may save beyond that. This and the saved time
 are half of what the operators tolerate above a limit within 4 s."""
+_MAX_PAUSE_SECONDS: Final = 300.0
+"""Longest pause of a target; no reply takes it out of use for good."""
+_PAUSE_SPREAD: Final = 0.1
+"""Share of a pause by which VMs use a target again at different moments."""
 _LOGGED_CHANGE: Final = 0.2
 """Smallest relative change of a limit that is logged again."""
 _FORGET_SECONDS: Final = 60.0
@@ -90,8 +95,24 @@
         self.tokens = min(kept + added, max(1, capacity))
 
 
+@dataclass(frozen=True, slots=True)
+class _Pause:
+    """Time for which one incarnation of a target wants no request of this VM.
+
+    Parameters
+    ----------
+    started_ms : int
+        Start of the incarnation in Unix milliseconds.
+    ends_at : float
+        Monotonic time in seconds at which it ends.
+    """
+
+    started_ms: int
+    ends_at: float
+
+
 class RequestLimits:
-    """Limits of the targets that have stated one.
+    """Limits and pauses of the targets that have stated one.
 
     They outlast the announcement of a target, which may lapse and return while
     the target runs.
@@ -113,9 +134,12 @@
         self._phase_of = phase_of
         self._divisor = divisor
         self._limited_by_id: dict[str, _LimitedTarget] = {}
+        self._pause_by_id: dict[str, _Pause] = {}
 
     def may_send(self, target: TargetRecord, now: float) -> bool:
         """Return whether this VM may send a request to a target now."""
+        if self._paused_seconds(target, now):
+            return False
         limited = self._find(target)
         if limited is None:
             return True
@@ -124,12 +148,14 @@
 
     def seconds_until_allowed(self, target: TargetRecord, now: float) -> float:
         """Return the time in seconds until `may_send` can become true."""
+        paused = self._paused_seconds(target, now)
         limited = self._find(target)
         if limited is None:
-            return 0
+            return paused
         divisor = self._divisor()
         limited.refill(now, divisor)
-        return max(0, 1 - limited.tokens) / limited.rate(divisor)
+        missing = max(0, 1 - limited.tokens)
+        return max(paused, missing / limited.rate(divisor))
 
     def record_send(self, target: TargetRecord) -> None:
         """Take the token of a request that is sent to a target."""
@@ -179,6 +205,24 @@
         inputs = {'target': target.target_id, 'per_second': per_second}
         return [Decision('request_limit_stated', '', inputs)]
 
+    def record_pause(
+        self, target: TargetRecord, seconds: float, now: float
+    ) -> Decision:
+        """Send nothing to a target for the time that it has asked for."""
+        bounded = min(seconds, _MAX_PAUSE_SECONDS)
+        phase = self._phase_of(target.target_id)
+        ends_at = now + bounded * (1 + _PAUSE_SPREAD * phase)
+        known = self._pause_by_id.get(target.target_id)
+        if known is not None and known.started_ms == target.started_ms:
+            ends_at = max(ends_at, known.ends_at)
+        self._pause_by_id[target.target_id] = _Pause(target.started_ms, ends_at)
+        inputs = {
+            'target': target.target_id,
+            'stated_s': seconds,
+            'seconds': round(ends_at - now, 3),
+        }
+        return Decision('target_paused', '', inputs)
+
     def forget_departed(self, announced: Container[str], now: float) -> None:
         """Forget targets that are not announced and have not replied lately."""
         self._limited_by_id = {
@@ -187,6 +231,17 @@
             if target_id in announced
             or now < limited.replied_at + _FORGET_SECONDS
         }
+        self._pause_by_id = {
+            target_id: pause
+            for target_id, pause in self._pause_by_id.items()
+            if now < pause.ends_at
+        }
+
+    def _paused_seconds(self, target: TargetRecord, now: float) -> float:
+        pause = self._pause_by_id.get(target.target_id)
+        if pause is None or pause.started_ms != target.started_ms:
+            return 0
+        return max(0, pause.ends_at - now)
 
     def _find(self, target: TargetRecord) -> _LimitedTarget | None:
         limited = self._limited_by_id.get(target.target_id)
--- a/nutmegstep/dispatch/starting.py
+++ b/nutmegstep/dispatch/starting.py
@@ -27,6 +27,8 @@
 _RETRY_AFTER_SHARE: Final = 1 / 3
 """``Retry-After`` when too few shards have a usable target, as a share of the
 time until the request's deadline. Callers do not wait for a longer one."""
+_RETRY_AFTER_SPREAD: Final = 0.1
+"""Share of ``Retry-After`` by which callers return at different moments."""
 
 
 def start_sends(
@@ -118,6 +120,7 @@
     covered. A longer one than callers wait for is cut: another VM may have a
     share of the limit left.
     """
+    wait *= 1 + _RETRY_AFTER_SPREAD * state.random.random()
     left = max(0, open_request.deadline - now)
     longest = left * _RETRY_AFTER_SHARE
     if math.isfinite(wait):
--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -19,6 +19,7 @@
     DeliverReply,
     DropTarget,
     ReportSuspect,
+    ReturnSends,
     SendRequest,
     WakeAt,
 )
@@ -120,6 +121,9 @@
             DeclineDelegation: self._decline_delegation,
             CancelSend: self._cancel,
             DropTarget: self._drop_target,
+            ReturnSends: lambda effect: self.pool.return_sends(
+                effect.target_id
+            ),
             ReportSuspect: lambda effect: self.on_suspect(effect.target_id),
             WakeAt: self._wake_at,
             DeliverReply: self._deliver,
--- a/nutmegstep/gateway/decisions.py
+++ b/nutmegstep/gateway/decisions.py
@@ -25,6 +25,8 @@
         'request_limit_stated',
         'stop_scheduled',
         'store_restored',
+        'target_leaving',
+        'target_paused',
         'targets_lost',
         'targets_regained',
         'vms_counted',
--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -51,6 +51,8 @@
 """Response header with the identifier of the target whose reply it is."""
 _REQUEST_LIMIT: Final = 'nutmegstep-request-limit'
 """Response header with the requests per second that this target accepts."""
+_LEAVING: Final = 'nutmegstep-target-leaving'
+"""Response header that is present if this target is about to exit."""
 _OWN_HEADERS: Final = frozenset(
     name.encode()
     for name in (
@@ -61,6 +63,7 @@
         _DECLINED,
         _TARGET,
         _REQUEST_LIMIT,
+        _LEAVING,
     )
 )
 _EXPECT: Final = (b'expect', b'100-continue')
@@ -186,6 +189,8 @@
         added.append((_TARGET, delivery.target_id))
         if delivery.reply.request_limit is not None:
             added.append((_REQUEST_LIMIT, str(delivery.reply.request_limit)))
+        if delivery.reply.is_leaving:
+            added.append((_LEAVING, '1'))
     return replace(response, headers=(*response.headers, *added))
 
 
@@ -230,7 +235,10 @@
     limit = None if stated is None else float(stated)
     return DelegationAnswered(
         request_id,
-        _as_reply(outcome, limit),
+        replace(
+            _as_reply(outcome, limit),
+            is_leaving=_LEAVING.encode() in header_by_name,
+        ),
         header_by_name.get(_TARGET.encode(), b'').decode('latin-1'),
     )
 
--- a/nutmegstep/gateway/pool.py
+++ b/nutmegstep/gateway/pool.py
@@ -126,6 +126,20 @@
                 group.idle = []
                 self._remove_if_empty(group)
 
+    def return_sends(self, target_id: str) -> None:
+        """End the sends that wait for a connection to a target.
+
+        Their outcome is `SendFailureKind.NOT_WRITTEN`.
+        """
+        waiting = [
+            send_id
+            for (name, _, _), group in self._group_by_key.items()
+            if name == target_id
+            for send_id in group.waiting
+        ]
+        for send_id in waiting:
+            self.cancel(send_id)
+
     def close(self) -> None:
         """Cancel all sends and close all connections."""
         for task in tuple(self._tasks):
--- a/nutmegstep/platform/wire.py
+++ b/nutmegstep/platform/wire.py
@@ -28,6 +28,11 @@
 _NOT_EXECUTED: Final = b'x-nutmegstep-not-executed'
 # Requests per second that the target accepts from all VMs together.
 _REQUEST_LIMIT: Final = b'server-limit'
+# Value 1 in all replies of a target that is about to exit.
+_LEAVING: Final = b'server-leaving'
+# Seconds for which a target wants no request after a reply with status 503.
+_RETRY_AFTER: Final = b'retry-after'
+_MAX_LOGGED_TEXT: Final = 40
 _DECIMAL: Final = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 _PART_SIGNATURES: Final = 'X-Nutmegstep-Part-Stamps'
 _MISSING_PARTS: Final = 'X-Nutmegstep-Missing-Parts'
@@ -54,6 +59,7 @@
 _SUCCESS: Final = 2
 _STATUS_MISDIRECTED: Final = 421
 _STATUS_BAD_GATEWAY: Final = 502
+_STATUS_UNAVAILABLE: Final = 503
 _STATUS_GATEWAY_TIMEOUT: Final = 504
 _METHODS_WITHOUT_BODY: Final = frozenset((b'GET', b'HEAD'))
 
@@ -111,6 +117,7 @@
     if b'content-encoding' in header_by_name:
         return None
     is_misdirected = raw.status == _STATUS_MISDIRECTED
+    retry_after, invalid_retry_after = _read_retry_after(raw)
     return TargetReply(
         status=raw.status,
         headers=raw.headers,
@@ -118,7 +125,10 @@
         signature=header_by_name.get(_SIGNATURE, b'').decode('latin-1'),
         was_executed=not is_misdirected and _NOT_EXECUTED not in header_by_name,
         is_misdirected=is_misdirected,
-        request_limit=_read_limit(header_by_name.get(_REQUEST_LIMIT, b'')),
+        request_limit=_read_decimal(header_by_name.get(_REQUEST_LIMIT, b'')),
+        is_leaving=(_LEAVING, b'1') in raw.headers,
+        retry_after=retry_after,
+        invalid_retry_after=invalid_retry_after,
     )
 
 
@@ -179,7 +189,9 @@
     # run later.
     if refusal.verdict is Verdict.NOT_RUN:
         status = http_status(refusal.reason)
-        return 503 if status == _STATUS_GATEWAY_TIMEOUT else status
+        return (
+            _STATUS_UNAVAILABLE if status == _STATUS_GATEWAY_TIMEOUT else status
+        )
     if refusal.reason is Reason.DEADLINE_EXCEEDED:
         return _STATUS_GATEWAY_TIMEOUT
     return _STATUS_BAD_GATEWAY
@@ -194,8 +206,23 @@
     return _HOP_BY_HOP.union(option.strip() for option in named)
 
 
-def _read_limit(text: bytes) -> float | None:
-    # A text that is no decimal number states no limit.
+def _read_retry_after(raw: RawReply) -> tuple[float | None, str]:
+    """Return the time that a target asks for, and what it stated if that is not
+    a number of seconds.
+    """
+    texts = [text for name, text in raw.headers if name == _RETRY_AFTER]
+    if raw.status != _STATUS_UNAVAILABLE or not texts:
+        return None, ''
+    seconds = [_read_decimal(text) for text in texts]
+    if len(texts) == 1 and seconds[0] is not None:
+        return seconds[0], ''
+    stated = b', '.join(texts)[:_MAX_LOGGED_TEXT].decode('latin-1')
+    # Of several times, the longest is the safe one.
+    return max(filter(None, seconds), default=None), stated
+
+
+def _read_decimal(text: bytes) -> float | None:
+    # A text that is no decimal number states nothing.
     return float(text) if _DECIMAL.fullmatch(text) else None
 
 
--- a/tests/discovery/test_core.py
+++ b/tests/discovery/test_core.py
@@ -50,7 +50,7 @@
     registry = _registry()
     registry.start_return_grace(100)
     registry.remove('t1', 100.5)
-    assert registry.next_expiry() == 102
+    assert not registry.expire(101.999)
     assert registry.expire(102) == ('t1',)
     assert not registry.of_service('shard')
 
@@ -161,3 +161,38 @@
     registry.replace_all({'t1': _RECORD}, 110)
     registry.expire(115)
     assert not registry.by_id['t1'].is_draining
+
+
+def test_target_that_has_said_that_it_leaves_keeps_draining() -> None:
+    """Guards against announcements that lag, or lapse and return, and bring a
+    target back into use that leaves.
+    """
+    registry = _registry()
+    assert registry.mark_leaving(_RECORD)
+    assert not registry.mark_leaving(_RECORD)
+    registry.update(_RECORD, 100)
+    registry.remove('t1', 101)
+    registry.expire(102)
+    registry.update(_RECORD, 103)
+    assert registry.by_id['t1'].is_draining
+    assert registry.of_service('shard')[0].is_draining
+    registry.update(replace(_RECORD, started_ms=2), 104)
+    assert not registry.by_id['t1'].is_draining
+
+
+def test_leaving_process_is_forgotten_after_its_departure() -> None:
+    """Guards against a memory that grows with each target that has left."""
+    registry = _registry()
+    registry.mark_leaving(_RECORD)
+    registry.remove('t1', 100)
+    registry.expire(161)
+    registry.update(_RECORD, 162)
+    assert not registry.by_id['t1'].is_draining
+
+
+def test_notice_of_an_earlier_process_is_ignored() -> None:
+    """Guards against a late answer that takes a restarted target out of use."""
+    registry = _registry()
+    registry.update(replace(_RECORD, started_ms=2), 100)
+    assert not registry.mark_leaving(_RECORD)
+    assert not registry.by_id['t1'].is_draining
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -170,6 +170,22 @@
     assert not limits.may_send(target, SystemClock().monotonic())
 
 
+async def test_leaving_target_is_learned_through_a_coordinator(
+    pair: _Pair,
+) -> None:
+    """Guards against a VM that sends requests to a target whose answer, which it
+    has passed on, said that it leaves.
+    """
+    asked = await _ask(pair, '/fetch/x')
+    await _within(pair.coordinator.has_sent.wait())
+    target = pair.coordinator.sends[0].target
+    pair.coordinator.answer_targets(is_leaving=True)
+    answer = await asked
+    assert not any(name.startswith('nutmegstep-') for name, _ in answer.headers)
+    registry = pair.member.gateway.state.registry
+    assert registry.by_id[target.target_id].is_draining
+
+
 async def test_waits_for_a_coordinator_that_confirmed(pair: _Pair) -> None:
     """The confirmation arrives before the answer, so that a slow query is not
     taken for a silent coordinator.
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -336,3 +336,16 @@
     assert await sender.outcome() is SendFailureKind.NOT_WRITTEN
     await asyncio.sleep(0.05)
     assert len(sender.target.seen) == 1
+
+
+async def test_waiting_send_is_returned_unwritten(sender: _Sender) -> None:
+    """Guards against a request that is sent to a target after it has said that
+    it wants none, as it waited for a connection.
+    """
+    sender.target.script = None
+    sender.send(limit=1)
+    await asyncio.sleep(0.1)
+    sender.send(limit=1)
+    sender.pool.return_sends('i-1')
+    assert await sender.outcome() is SendFailureKind.NOT_WRITTEN
+    assert len(sender.target.seen) == 1
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -216,6 +216,44 @@
     assert reply.request_limit == limit
 
 
+@pytest.mark.parametrize(
+    ('texts', 'seconds', 'invalid'),
+    [
+        ((), None, ''),
+        ((b'2',), 2, ''),
+        ((b'0.25',), 0.25, ''),
+        ((b'-1',), None, '-1'),
+        ((b'nan',), None, 'nan'),
+        ((b'1e9',), None, '1e9'),
+        ((b'Wed, 21 Oct 2026 07:28:00 GMT',), None, 'Wed, 21 Oct 2026'),
+        ((b'1', b'3'), 3, '1, 3'),
+        ((b'x', b'y'), None, 'x, y'),
+        ((b'9' * 400,), None, '9' * 40),
+    ],
+)
+def test_retry_after_of_a_target_is_read(
+    texts: tuple[bytes, ...], seconds: float | None, invalid: str
+) -> None:
+    """Guards against a target that is out of use because of an odd text."""
+    headers = tuple((b'retry-after', text) for text in texts)
+    read = CODEC.read_reply(_send(), RawReply(503, headers, b''))
+    assert read is not None
+    assert read.retry_after == seconds
+    assert read.invalid_retry_after.startswith(invalid)
+    other = CODEC.read_reply(_send(), RawReply(500, headers, b''))
+    assert other is not None
+    assert other.retry_after is None
+
+
+@pytest.mark.parametrize('text', [b'1', b'0', b'', b'yes'])
+def test_leaving_target_is_recognised(text: bytes) -> None:
+    """Only the value 1 says that a target leaves."""
+    raw = RawReply(503, ((b'server-leaving', text),), b'')
+    read = CODEC.read_reply(_send(), raw)
+    assert read is not None
+    assert read.is_leaving == (text == b'1')
+
+
 def test_merged_answer_lists_its_parts() -> None:
     """Guards against a merged response that does not state which shards it
     covers and how many are missing.
