Relay the targets beside entries that are nested too deeply to encode

Such an entry is passed on as None, as one that cannot be decoded.

Measured: tests/relay/test_encoding.py::test_odd_entry_does_not_hide_the_others failed before with JSONEncodeError and passes now.

--- a/nutmegstep/relay/encoding.py
+++ b/nutmegstep/relay/encoding.py
@@ -30,23 +30,42 @@
 
 def encode_listing(listing: Listing) -> bytes:
     """Encode all objects of a kind."""
-    document = {
-        'documents': dict(listing.documents_by_name),
-        'revision': listing.revision,
-    }
-    return zlib.compress(orjson.dumps(document), _COMPRESSION_LEVEL)
+    documents = dict(listing.documents_by_name)
+    try:
+        return _encode_documents(documents, listing.revision)
+    except orjson.JSONEncodeError:
+        readable = {
+            name: _readable(document) for name, document in documents.items()
+        }
+    return _encode_documents(readable, listing.revision)
 
 
 def encode_changes(found: ObjectChanges) -> bytes:
     """Encode changes of a kind."""
     changes = [
-        (change.name, change.document, change.is_deleted)
+        (change.name, _readable(change.document), change.is_deleted)
         for change in found.changes
     ]
     document = {'changes': changes, 'revision': found.revision}
     return zlib.compress(orjson.dumps(document), _COMPRESSION_LEVEL)
 
 
+def _encode_documents(documents: dict[str, object], revision: int) -> bytes:
+    document = {'documents': documents, 'revision': revision}
+    return zlib.compress(orjson.dumps(document), _COMPRESSION_LEVEL)
+
+
+def _readable(document: object) -> object:
+    """Return a document, or None if it is nested too deeply to be encoded.
+
+    Less deeply nested documents can be encoded than decoded.
+    """
+    try:
+        return orjson.Fragment(orjson.dumps(document))
+    except orjson.JSONEncodeError:
+        return None
+
+
 def decode_listing(body: bytes) -> Listing:
     """Decode all objects of a kind.
 
--- a/tests/relay/test_encoding.py
+++ b/tests/relay/test_encoding.py
@@ -44,3 +44,29 @@
     """
     with pytest.raises((ValueError, TypeError, KeyError)):
         decode_changes(body)
+
+
+def _nested(levels: int) -> object:
+    document: object = 1
+    for _ in range(levels):
+        document = [document]
+    return document
+
+
+def test_odd_entry_does_not_hide_the_others() -> None:
+    """Guards against a relay that cannot pass on any target while one entry is
+    nested more deeply than it can encode.
+    """
+    documents = {'a': {'slots': 3}, 'odd': _nested(900), 'z': {'slots': 4}}
+    listing = decode_listing(encode_listing(Listing(documents, 7)))
+    assert listing == Listing({**documents, 'odd': None}, 7)
+    changes = tuple(
+        ObjectChange(name, document, False)
+        for name, document in documents.items()
+    )
+    decoded = decode_changes(encode_changes(ObjectChanges(changes, 8)))
+    assert [one.document for one in decoded.changes] == [
+        {'slots': 3},
+        None,
+        {'slots': 4},
+    ]
