Replace real gateways of two releases in both directions

Operators replace VMs one after the other, so two builds serve side by side. Nothing tested that, and no page said what each build does with the other's messages and records.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -221,9 +221,10 @@
         self,
         domain: str = 'north',
         store: str = '',
+        source: Path | None = None,
         **settings: str,
     ) -> GatewayProcess:
-        """Start a gateway process."""
+        """Start a gateway process, from the code below `source` if given."""
         number = len(self.gateways)
         port, ready_port, peers_port = free_ports(3)
         settings_file = self.directory / f'gateway-{number}.env'
@@ -243,7 +244,7 @@
             ),
         )
         log_file = self.directory / f'gateway-{number}.log'
-        process = await _spawn(settings_file, log_file)
+        process = await _spawn(settings_file, log_file, source)
         gateway = GatewayProcess(
             process,
             port,
@@ -254,10 +255,15 @@
         self.gateways.append(gateway)
         return gateway
 
-    async def restart_gateway(self, index: int) -> None:
-        """Start a gateway that has ended again, with the same settings."""
+    async def restart_gateway(
+        self, index: int, source: Path | None = None
+    ) -> None:
+        """Start a gateway that has ended again, with the same settings.
+
+        The code is that of this work tree, or below another folder.
+        """
         ended = self.gateways[index]
-        process = await _spawn(ended.settings_file, ended.log_file)
+        process = await _spawn(ended.settings_file, ended.log_file, source)
         self.gateways[index] = replace(ended, process=process)
 
     async def stop(self) -> None:
@@ -274,8 +280,11 @@
 async def _spawn(
     settings_file: Path,
     log_file: Path,
+    source: Path | None = None,
 ) -> asyncio.subprocess.Process:
     variables = {**os.environ, 'NUTMEGSTEP_NODE_FILE': str(settings_file)}
+    if source is not None:
+        variables['PYTHONPATH'] = str(source)
     with log_file.open('ab') as log:
         return await asyncio.create_subprocess_exec(
             sys.executable,
@@ -284,4 +293,5 @@
             stdout=log,
             stderr=log,
             env=variables,
+            cwd=source,
         )
