Soak targets that leave or ask for time in their answers

Two more faults beside restarts, pauses and outages: a target says in its answers that it leaves, and returns as another process; a target turns requests away and names a time, valid or odd. Requests that were turned away do not count as run.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -198,11 +198,15 @@
 
 @dataclass
 class Seen:
-    """A request that a target received."""
+    """A request that a target received.
+
+    A script that turns it away sets `was_run` to False.
+    """
 
     head: bytes
     body: bytes
     headers: dict[str, str] = field(default_factory=dict)
+    was_run: bool = True
 
 
 _Answer = Callable[[Seen], bytes]
@@ -229,6 +233,17 @@
     return answer
 
 
+def turn_away(headers: str) -> _Answer:
+    """Return a function that answers 503 to a request that it does not run."""
+    answer = respond(b'', 503, f'x-nutmegstep-not-executed: 1\r\n{headers}')
+
+    def refuse(seen: Seen) -> bytes:
+        seen.was_run = False
+        return answer(seen)
+
+    return refuse
+
+
 class TargetStandIn:
     """HTTP server whose `script` returns the bytes of each response.
 
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.platform.deployment import Deployment, GatewayProcess, ask
-from tests.platform.standin import Seen, TargetStandIn, respond
+from tests.platform.standin import Seen, TargetStandIn, respond, turn_away
 
 _SETTLE_SECONDS = 0.5
 _PAUSE_SECONDS = 2.0
@@ -16,7 +16,6 @@
 """Requests within a pause that are on their way, for each gateway."""
 _LOAD_SECONDS = 4.0
 _CALLERS = 6
-_NOT_RUN = 'x-nutmegstep-not-executed: 1\r\n'
 
 
 @pytest.fixture
@@ -94,7 +93,7 @@
     # Requests add to the budget of repeats, which is empty at the start.
     for _ in range(60):
         await ask(gateway.port, '/fetch/1')
-    busy = respond(b'', 503, f'{_NOT_RUN}retry-after: {_PAUSE_SECONDS}\r\n')
+    busy = turn_away(f'retry-after: {_PAUSE_SECONDS}\r\n')
     times = _note_times(deployment.targets['i-orders-north'], busy)
     statuses = await _load_all(gateway)
     counted = [
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -52,6 +52,7 @@
             seen.headers.get('x-nutmegstep-attempt-id', '')
             for target in targets.values()
             for seen in target.seen
+            if seen.was_run
         )
         self._check_sends(targets)
         known = {attempt.caller_id for attempt in self.attempts}
@@ -82,6 +83,7 @@
             )
             for name, target in targets.items()
             for seen in target.seen
+            if seen.was_run
         )
         for (caller_id, service), count in sends.items():
             if count > _ATTEMPTS:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from tests.platform.deployment import Deployment, announcement
-from tests.platform.standin import respond
+from tests.platform.standin import respond, turn_away
 from tests.processes.link import LinkMode, PlatformLink
 
 __all__ = ['FaultInjector']
@@ -45,6 +45,7 @@
         self._target_links = target_links
         self._random = random
         self._busy: set[int] = set()
+        self._born = 1
         faults: tuple[Callable[[], Awaitable[None]], ...] = (
             self._kill,
             self._stop,
@@ -57,6 +58,8 @@
             self._cut_all_targets,
             self._garble,
             self._drain_target,
+            self._leave,
+            self._ask_for_time,
         )
         self._faults = faults
 
@@ -184,6 +187,30 @@
             self._deployment.store.put('servers', name, document)
             await asyncio.sleep(self._random.uniform(0.5, 2))
 
+    async def _leave(self) -> None:
+        """Let a target say in its answers that it leaves, and return later."""
+        name = self._random.choice(sorted(self._deployment.targets))
+        target = self._deployment.targets[name]
+        target.script = respond(headers='server-leaving: 1\r\n')
+        await asyncio.sleep(self._random.uniform(0.5, 2))
+        self._deployment.store.delete('servers', name)
+        await asyncio.sleep(self._random.uniform(0.2, 1))
+        target.script = respond()
+        self._born += 1
+        _, service, domain = name.split('|')
+        document = announcement(target, service, domain, born=self._born)
+        document['address'] = self._target_links[name].address
+        self._deployment.store.put('servers', name, document)
+
+    async def _ask_for_time(self) -> None:
+        """Let a target turn requests away, some of them with an odd time."""
+        name = self._random.choice(sorted(self._deployment.targets))
+        target = self._deployment.targets[name]
+        text = self._random.choice(('0.3', '1', '2.5', '-1', 'nan', '9' * 40))
+        target.script = turn_away(f'retry-after: {text}\r\n')
+        await asyncio.sleep(self._random.uniform(0.2, 2))
+        target.script = respond()
+
     def _take_gateway(self) -> int | None:
         # One gateway at least is left alone, so that service goes on.
         free = set(range(len(self._deployment.gateways))) - self._busy
