Do not refuse queries that other shards have answered for unrelated crashes

Cause: crashes in a row were counted over all shards, also for a request that most shards had just run. Now only crashes of the same shard are in a row for such a request. The next shard to try prefers those with targets to spare, so that the last target of a shard is not the one that is risked.

--- a/nutmegstep/dispatch/content_crashes.py
+++ b/nutmegstep/dispatch/content_crashes.py
@@ -14,6 +14,9 @@
 many have crashed at once."""
 _MAX_CRASHES: Final = 3
 """Crashes in a row from which a request is refused."""
+_URGENT_SERVICES: Final = 3
+"""Shards whose targets an unanswered request has lost before other VMs are told
+of it at once."""
 _PUBLISH_SECONDS: Final = 0.25
 """Time after which a first crash is published, unless a request has lost the
 targets of many shards. A repeat usually clears it before."""
@@ -61,18 +64,23 @@
         """Services of the targets that have crashed."""
         return frozenset(one.service for one in self.by_record)
 
-    def count(self, before_send: float = math.inf) -> int:
+    def count(
+        self, before_send: float = math.inf, service: str | None = None
+    ) -> int:
         """Return the number of crashes in a row.
 
         Parameters
         ----------
         before_send : float, optional
             Identifier of a send; only crashes that were known then count.
+        service : str or None, optional
+            Only crashes of targets of this service count, if it is given.
         """
         known = [
             record
             for record, crash in self.by_record.items()
             if crash.next_send_id <= before_send
+            and (service is None or record.service in {service, ''})
         ]
         # Records without a generation are those of older releases, which wrote
         # one for each crash.
@@ -96,13 +104,18 @@
     def add_loss(self, loss: Loss, now: float) -> None:
         """Add a crash that this VM has observed.
 
-        It is not added if as many crashes in a row are known.
+        It is not added if as many crashes in a row are known. If other shards
+        have answered the request, only its crashes of the same shard are in a
+        row: it can be harmless there, and the others have another cause.
         """
-        is_urgent = loss.is_urgent()
+        answered = loss.open_request.answered
+        lost = len(loss.open_request.lost_services)
+        is_urgent = not answered and lost >= _URGENT_SERVICES
         if is_urgent:
             for known in self.by_record.values():
                 known.publish_at = min(known.publish_at, now)
-        generation = self.count(loss.send_id) + 1
+        service = loss.service if answered else None
+        generation = self.count(loss.send_id, service) + 1
         if generation <= self.count():
             return
         crash = Crash(loss.at, loss.next_send_id)
--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -40,9 +40,6 @@
 ]
 
 
-_URGENT_SERVICES: Final = 3
-"""Shards whose targets an unanswered request has lost before other VMs are told
-of it at once."""
 _CHECK_SECONDS: Final = 0.05
 """Time in which most targets are known to listen or not."""
 
@@ -53,13 +50,12 @@
     """Record that a target closed a connection without a response."""
     open_request = send.open_request
     loss = Loss(
-        open_request.content,
         send.part.service,
         send.target.target_id,
         send.target.started_ms,
         send_id,
         state.next_send_id,
-        lambda: _is_urgent(open_request),
+        open_request,
         now,
     )
     open_request.lost_services.add(send.part.service)
@@ -68,13 +64,6 @@
     return []
 
 
-def _is_urgent(open_request: OpenRequest) -> bool:
-    return (
-        not open_request.answered
-        and len(open_request.lost_services) >= _URGENT_SERVICES
-    )
-
-
 def record_success(
     state: DispatchState, send: Send, now: float
 ) -> list[Effect]:
--- a/nutmegstep/dispatch/losses.py
+++ b/nutmegstep/dispatch/losses.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from nutmegstep.dispatch.requests import OpenRequest
+
 __all__ = ['Evaluation', 'Loss', 'Losses']
 
 _FORGET_SECONDS: Final = 5.0
@@ -49,8 +51,6 @@
 
     Attributes
     ----------
-    content : str
-        Digest of the content of the request.
     service : str
         Service that the request was sent to.
     target_id : str
@@ -61,9 +61,8 @@
         Identifier of the send; later sends have greater ones.
     next_send_id : int
         Identifier of the next send when the loss was noticed.
-    is_urgent : Callable
-        Return whether the request has lost the targets of many shards, and none
-        has answered.
+    open_request : OpenRequest
+        The request.
     at : float
         Monotonic time of the loss in seconds.
     is_refused : bool
@@ -72,17 +71,21 @@
         What became of the loss; None while it is open.
     """
 
-    content: str
     service: str
     target_id: str
     started_ms: int
     send_id: int
     next_send_id: int
-    is_urgent: Callable[[], bool]
+    open_request: OpenRequest
     at: float
     is_refused: bool = False
     evaluation: Evaluation | None = None
 
+    @property
+    def content(self) -> str:
+        """Digest of the content of the request."""
+        return self.open_request.content
+
 
 class Losses:
     """Recent losses of this VM."""
--- a/nutmegstep/dispatch/trials.py
+++ b/nutmegstep/dispatch/trials.py
@@ -14,7 +14,8 @@
     is_suspected,
 )
 from nutmegstep.dispatch.effects import Effect
-from nutmegstep.dispatch.requests import OpenRequest
+from nutmegstep.dispatch.requests import OpenRequest, Part
+from nutmegstep.dispatch.selection import is_usable
 from nutmegstep.dispatch.sending import hedge, repeat, send_first
 from nutmegstep.dispatch.state import DispatchState
 
@@ -50,7 +51,7 @@
         held.clear()
     effects: list[Effect] = []
     while held and _may_send(state, open_request, now):
-        part = held.pop(_choose_index(state, open_request))
+        part = held.pop(_choose_index(state, open_request, now))
         send = repeat if part.tried_targets else send_first
         effects.extend(send(state, open_request, part, now))
     for waiting in held:
@@ -68,20 +69,39 @@
     return not is_being_checked(state, open_request, now)
 
 
-def _choose_index(state: DispatchState, open_request: OpenRequest) -> int:
+def _choose_index(
+    state: DispatchState, open_request: OpenRequest, now: float
+) -> int:
     """Return the place of the held part to send next.
 
-    It belongs to a shard whose target has crashed, if there is one. It is drawn
-    at random: other requests that were in flight on the same targets are
-    sent again at the same time.
+    A suspected part goes to a shard with targets to spare, if there is one, and
+    to one whose target has crashed. It is drawn at random: other requests that
+    were in flight on the same targets are sent again at the same time.
     """
+    held = open_request.held_parts
+    if open_request.answered:
+        return 0
     services = state.crashes.find(open_request.content).services
     suspected = services | open_request.lost_services
-    held = open_request.held_parts
-    preferred = [
-        index for index, part in enumerate(held) if part.service in suspected
+    preferences = [
+        (_has_spare(state, part, now), part.service in suspected)
+        for part in held
     ]
-    return state.random.choice(preferred or range(len(held)))
+    best = max(preferences)
+    return state.random.choice(
+        [index for index, one in enumerate(preferences) if one == best]
+    )
+
+
+def _has_spare(state: DispatchState, part: Part, now: float) -> bool:
+    """Return whether a service can lose a target and go on."""
+    targets = state.registry.of_service(part.service)
+    responsive = sum(
+        is_usable(state, target, now)
+        and not state.health_of(target).consecutive_failures
+        for target in targets
+    )
+    return responsive > 1 or len(targets) == 1
 
 
 def hedge_due_parts(
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -368,3 +368,32 @@
         if one.name == 'loss_evaluated'
     ]
     assert evaluations == ['listening', 'crashed']
+
+
+def test_query_that_runs_on_other_shards_needs_one_shard_to_crash(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against refusing a query that has run on most shards, and has lost
+    targets of several others to another request at the same time.
+    """
+    dispatcher.request('/sweep/x')
+    first = dispatcher.effects_of(SendRequest)
+    dispatcher.answer(first[2:])
+    for lost in first[:2]:
+        dispatcher.apply(SendFailed(lost.send_id, SendFailureKind.NO_RESPONSE))
+        dispatcher.apply(
+            TargetChecked(lost.target.target_id, is_listening=False)
+        )
+        _accept_connections(dispatcher)
+        repeated = dispatcher.effects_of(SendRequest)[-1]
+        assert repeated.target.service == lost.target.service
+        dispatcher.apply(
+            SendFailed(repeated.send_id, SendFailureKind.NO_RESPONSE)
+        )
+        dispatcher.apply(
+            TargetChecked(repeated.target.target_id, is_listening=False)
+        )
+    _settle(dispatcher)
+    sent = _sends(dispatcher)
+    dispatcher.request('/sweep/x')
+    assert _sends(dispatcher) > sent
