Share what the target stand-ins of the process tests do

The notes of request times, the most requests in a window and the target that ends at a request stood twice each since the tests of limits, notices and upgrades. No check changes, but that a window must hold a request.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -1,6 +1,7 @@
 """Stand-ins for the operators' store and targets, after their documentation."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
@@ -303,3 +304,42 @@
             await writer.drain()
             if not answer or self.closes_after_answer:
                 return
+
+
+def note_times(target: TargetStandIn, answer: _Answer) -> list[float]:
+    """Let a target answer; return the monotonic times of its requests."""
+    times: list[float] = []
+
+    def note(seen: Seen) -> bytes:
+        times.append(time.monotonic())
+        return answer(seen)
+
+    target.script = note
+    return times
+
+
+def most_in_window(
+    times: list[float], adapt_seconds: float, window_seconds: float
+) -> int:
+    """Return the most requests in any window after a time to adapt."""
+    counted = [at for at in times if at > times[0] + adapt_seconds]
+    return max(
+        (
+            sum(start <= at < start + window_seconds for at in counted)
+            for start in counted
+        ),
+        default=0,
+    )
+
+
+def crash_on(target: TargetStandIn, body: bytes) -> None:
+    """Let a target end when it reads a request with this body."""
+    answer = respond()
+
+    def crash(seen: Seen) -> bytes:
+        if seen.body != body:
+            return answer(seen)
+        target.stop()
+        return b''
+
+    target.script = crash
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -15,7 +15,7 @@
     Reply,
     ask,
 )
-from tests.platform.standin import Seen, TargetStandIn, respond
+from tests.platform.standin import crash_on
 
 _BODY = b'crash'
 _PROPAGATION_SECONDS = 4.0
@@ -36,19 +36,7 @@
     """Let the targets for orders end when they read the request."""
     for name, target in deployment.targets.items():
         if 'orders' in name:
-            _crash_on_request(target)
-
-
-def _crash_on_request(target: TargetStandIn) -> None:
-    answer = respond()
-
-    def crash(seen: Seen) -> bytes:
-        if seen.body != _BODY:
-            return answer(seen)
-        target.stop()
-        return b''
-
-    target.script = crash
+            crash_on(target, _BODY)
 
 
 async def _order(gateway: GatewayProcess, body: bytes = _BODY) -> Reply:
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.platform.deployment import Deployment, GatewayProcess, ask
-from tests.platform.standin import Seen, TargetStandIn, respond
+from tests.platform.standin import most_in_window, note_times, respond
 
 _LIMIT = 3.0
 _ADAPT_SECONDS = 4.0
@@ -30,19 +30,6 @@
     await made.stop()
 
 
-def _limit(target: TargetStandIn) -> list[float]:
-    """Let a target state a limit; return the times of its requests."""
-    answer = respond(headers=f'server-limit: {_LIMIT}\r\n')
-    times: list[float] = []
-
-    def note(seen: Seen) -> bytes:
-        times.append(time.monotonic())
-        return answer(seen)
-
-    target.script = note
-    return times
-
-
 async def _load(gateway: GatewayProcess, reasons: dict[str, int]) -> None:
     """Send requests one after the other and count the refusals by reason."""
     ends = time.monotonic() + _LOAD_SECONDS
@@ -53,14 +40,6 @@
         await asyncio.sleep(0.01)
 
 
-def _most_in_window(times: list[float]) -> int:
-    counted = [at for at in times if at > times[0] + _ADAPT_SECONDS]
-    return max(
-        sum(start <= at < start + _WINDOW_SECONDS for at in counted)
-        for start in counted
-    )
-
-
 async def test_gateways_keep_to_the_limits_of_targets_together(
     deployment: Deployment,
 ) -> None:
@@ -68,7 +47,7 @@
     against requests that wait until their deadline for a limited target.
     """
     times_by_target = {
-        name: _limit(target)
+        name: note_times(target, respond(headers=f'server-limit: {_LIMIT}\r\n'))
         for name, target in deployment.targets.items()
         if 'orders' in name
     }
@@ -82,5 +61,6 @@
         *(_load(gateway, reasons) for gateway in gateways * _CALLERS)
     )
     for times in times_by_target.values():
-        assert _most_in_window(times) <= _ALLOWED
+        most = most_in_window(times, _ADAPT_SECONDS, _WINDOW_SECONDS)
+        assert 0 < most <= _ALLOWED
     assert set(reasons) == {'overloaded'}
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
 
 from tests.platform.deployment import Deployment, GatewayProcess, ask
-from tests.platform.standin import Seen, TargetStandIn, respond, turn_away
+from tests.platform.standin import note_times, respond, turn_away
 
 _SETTLE_SECONDS = 0.5
 _PAUSE_SECONDS = 2.0
@@ -27,20 +27,6 @@
     await made.stop()
 
 
-def _note_times(
-    target: TargetStandIn, answer: Callable[[Seen], bytes]
-) -> list[float]:
-    """Let a target answer; return the times of its requests."""
-    times: list[float] = []
-
-    def note(seen: Seen) -> bytes:
-        times.append(time.monotonic())
-        return answer(seen)
-
-    target.script = note
-    return times
-
-
 async def _load(gateway: GatewayProcess, statuses: list[int]) -> None:
     ends = time.monotonic() + _LOAD_SECONDS
     while time.monotonic() < ends:
@@ -69,7 +55,7 @@
     await gateway.wait_ready()
     leaving = respond(headers='server-leaving: 1\r\n')
     times_by_name = {
-        name: _note_times(target, leaving)
+        name: note_times(target, leaving)
         for name, target in deployment.targets.items()
         if name.endswith('north')
     }
@@ -94,7 +80,7 @@
     for _ in range(60):
         await ask(gateway.port, '/fetch/1')
     busy = turn_away(f'retry-after: {_PAUSE_SECONDS}\r\n')
-    times = _note_times(deployment.targets['i-orders-north'], busy)
+    times = note_times(deployment.targets['i-orders-north'], busy)
     statuses = await _load_all(gateway)
     counted = [
         at
--- a/tests/platform/test_upgrade.py
+++ b/tests/platform/test_upgrade.py
@@ -5,7 +5,6 @@
 import signal
 import subprocess
 import tarfile
-import time
 from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
@@ -21,7 +20,12 @@
     GatewayProcess,
     ask,
 )
-from tests.platform.standin import Seen, TargetStandIn, respond
+from tests.platform.standin import (
+    crash_on,
+    most_in_window,
+    note_times,
+    respond,
+)
 
 _ROOT = Path(__file__).parents[2]
 _LAST_RELEASE = '54fb9ec'
@@ -107,23 +111,11 @@
     await made.stop()
 
 
-def _crash_on_request(target: TargetStandIn) -> None:
-    answer = respond()
-
-    def crash(seen: Seen) -> bytes:
-        if seen.body != _CRASHING:
-            return answer(seen)
-        target.stop()
-        return b''
-
-    target.script = crash
-
-
 async def _crash_targets(deployment: Deployment) -> None:
     """Let a request crash all targets for orders; start others."""
     for name in tuple(deployment.targets):
         if 'orders' in name:
-            _crash_on_request(deployment.targets[name])
+            crash_on(deployment.targets[name], _CRASHING)
     for gateway in deployment.gateways:
         await ask(gateway.port, '/order/1', 'POST', _CRASHING)
     await asyncio.sleep(2)
@@ -132,30 +124,6 @@
     await asyncio.sleep(_SETTLE_SECONDS)
 
 
-def _limit(target: TargetStandIn) -> list[float]:
-    """Let a target state a limit; return the times of its requests."""
-    answer = respond(headers=f'server-limit: {_LIMIT}\r\n')
-    times: list[float] = []
-
-    def note(seen: Seen) -> bytes:
-        times.append(time.monotonic())
-        return answer(seen)
-
-    target.script = note
-    return times
-
-
-def _most_in_window(times: list[float]) -> int:
-    counted = [at for at in times if at > times[0] + _LIMIT_ADAPT_SECONDS]
-    return max(
-        (
-            sum(start <= at < start + _LIMIT_WINDOW_SECONDS for at in counted)
-            for start in counted
-        ),
-        default=0,
-    )
-
-
 async def _replace_all(
     deployment: Deployment, load: _Load, source: Path | None
 ) -> None:
@@ -198,7 +166,10 @@
         await started.wait_ready()
     await _crash_targets(deployment)
     deployment.store.put('evacuations', _WITHDRAWN, {})
-    limited = _limit(deployment.targets['i-orders-north'])
+    limited = note_times(
+        deployment.targets['i-orders-north'],
+        respond(headers=f'server-limit: {_LIMIT}\r\n'),
+    )
     await asyncio.sleep(_SETTLE_SECONDS)
     withdrawn = [
         target
@@ -215,7 +186,8 @@
     runs = _runs(deployment)
     assert max(runs[body] for body in load.sent) == 1
     assert not any(target.seen for target in withdrawn)
-    assert _most_in_window(limited) <= _LIMIT_ALLOWED
+    most = most_in_window(limited, _LIMIT_ADAPT_SECONDS, _LIMIT_WINDOW_SECONDS)
+    assert 0 < most <= _LIMIT_ALLOWED
     total = sum(load.statuses.values())
     assert load.statuses[200] >= _SERVED_SHARE * total
     for gateway in deployment.gateways:
