Send no held parts of a query after its deadline

A process that was paused while it tried a suspected query at one shard would have sent the other parts when the reply was read, up to seconds after the deadline. The check stands where held parts are released, and no longer in one of its callers.

Measured: test_held_parts_are_not_sent_after_the_deadline failed before and passes now.

--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -101,9 +101,7 @@
         return delegation.check_delegation(
             state, open_request, open_request.delegation, now
         )
-    released: list[Effect] = []
-    if now < open_request.deadline:
-        released = release_parts(state, open_request, now)
+    released = release_parts(state, open_request, now)
     hedges = hedge_due_parts(state, open_request, now)
     return [*released, *hedges, *answer_if_due(state, open_request, now)]
 
--- a/nutmegstep/dispatch/trials.py
+++ b/nutmegstep/dispatch/trials.py
@@ -62,6 +62,9 @@
 def _may_send(
     state: DispatchState, open_request: OpenRequest, now: float
 ) -> bool:
+    # A process that was paused can get here after the deadline.
+    if now >= open_request.deadline:
+        return False
     if open_request.answered:
         return True
     if open_request.has_pending_sends or not open_request.can_be_answered:
--- a/tests/dispatch/test_trials.py
+++ b/tests/dispatch/test_trials.py
@@ -148,3 +148,16 @@
     dispatcher.answer(_sends(dispatcher)[-1:], _RECORDS)
     dispatcher.answer(_sends(dispatcher)[-9:], _RECORDS)
     assert dispatcher.effects_of(DeliverMerged)[0].missing == 0
+
+
+def test_held_parts_are_not_sent_after_the_deadline(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against sends of a process that was paused beyond the deadline."""
+    _suspect(dispatcher, 'shard-4')
+    request = dispatcher.request(_PATH)
+    dispatcher.now += 3
+    dispatcher.answer(_sends(dispatcher), _RECORDS)
+    dispatcher.apply(RequestDue(request.request_id))
+    assert len(_sends(dispatcher)) == 1
+    assert len(dispatcher.effects_of(DeliverRefusal)) == 1
