--- a/tests/platform/test_core.py
+++ b/tests/platform/test_core.py
@@ -3,12 +3,8 @@
 import asyncio
 import json
 import signal
-from collections.abc import AsyncIterator, Callable
-from functools import partial
-from pathlib import Path
 
 import orjson
-import pytest
 
 from tests.platform.deployment import (
     HOST,
@@ -17,30 +13,14 @@
     ask,
     configuration,
     free_ports,
-    read_reply,
 )
 from tests.platform.standin import Seen, respond
 
 
-def _answer_partly(
-    whole: Callable[[Seen], bytes], length: int, seen: Seen
-) -> bytes:
-    return whole(seen)[:length]
-
-
 def _close(seen: Seen) -> bytes:
     return b''
 
 
-@pytest.fixture
-async def deployment(tmp_path: Path) -> AsyncIterator[Deployment]:
-    """Return a deployment without gateways."""
-    made = Deployment(tmp_path)
-    await made.start()
-    yield made
-    await made.stop()
-
-
 async def test_query_look_up_and_order_are_served(
     deployment: Deployment,
 ) -> None:
@@ -203,64 +183,6 @@
     assert gateway.process.returncode is None
 
 
-async def test_planned_stop_loses_no_request(deployment: Deployment) -> None:
-    """Guards against a planned stop that loses requests on open connections, or
-    on new ones before the load balancer has noticed.
-    """
-    gateway = await deployment.start_gateway(GRACE='4')
-    await gateway.wait_ready()
-    reader, writer = await asyncio.open_connection('127.0.0.1', gateway.port)
-    message = f'GET /sweep/1 HTTP/1.1\r\nHost: {HOST}\r\n\r\n'.encode()
-    writer.write(message)
-    assert (await read_reply(reader)).status == 200
-    gateway.signal(signal.SIGTERM)
-    await asyncio.sleep(0.5)
-    writer.write(message)
-    reply = await read_reply(reader)
-    assert reply.status == 200
-    assert reply.headers['connection'] == 'close'
-    fresh = await ask(gateway.port, '/sweep/1')
-    assert fresh.status == 200
-    ready = await ask(gateway.ready_port, '/v1/ready')
-    assert ready.status == 503
-    async with asyncio.timeout(4):
-        assert await gateway.process.wait() == 0
-
-
-async def _ask_after(seconds: float, port: int, path: str) -> int:
-    """Return the status of an answer, or 0 if there was none."""
-    await asyncio.sleep(seconds)
-    try:
-        reply = await ask(port, path, 'POST', b'order')
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return 0
-    return reply.status
-
-
-async def test_late_requests_of_a_planned_stop_are_answered(
-    deployment: Deployment,
-) -> None:
-    """Guards against requests that are passed on late in the grace period, and
-    whose connections end without an answer as the process does.
-    """
-    gateway = await deployment.start_gateway(GRACE='4')
-    await gateway.wait_ready()
-    for target in deployment.targets.values():
-        target.script = None
-    gateway.signal(signal.SIGTERM)
-    paths = ('/order/1', '/fetch/1', '/sweep/1')
-    statuses = await asyncio.gather(
-        *(
-            _ask_after(seconds, gateway.port, path)
-            for seconds in (0.1, 1, 1.8, 2.4)
-            for path in paths
-        )
-    )
-    assert set(statuses) <= {502, 503, 504}
-    async with asyncio.timeout(4):
-        assert await gateway.process.wait() == 0
-
-
 async def test_changed_settings_are_taken_without_a_signal(
     deployment: Deployment,
 ) -> None:
@@ -330,36 +252,6 @@
     assert broken.seen
 
 
-@pytest.mark.parametrize('length', [20, 60, 100])
-async def test_head_that_stops_in_the_middle_is_no_answer(
-    deployment: Deployment, length: int
-) -> None:
-    """Guards against a 200 with an empty or short body, framed as whole, when a
-    target closes in the middle of the head of its answer.
-    """
-    gateway = await deployment.start_gateway()
-    await gateway.wait_ready()
-    for _ in range(8):
-        await ask(gateway.port, '/fetch/1')
-    whole = respond()
-    broken = (
-        target
-        for name, target in deployment.targets.items()
-        if name.endswith('north')
-    )
-    for target in broken:
-        target.script = partial(_answer_partly, whole, length)
-        target.closes_after_answer = True
-    fetched = [await ask(gateway.port, '/fetch/1') for _ in range(4)]
-    assert {(one.status, one.body) for one in fetched} == {(200, b'r' * 16)}
-    swept = await ask(gateway.port, '/sweep/1')
-    missing = int(swept.headers.get('x-nutmegstep-missing-parts', 0))
-    assert swept.status != 200 or len(swept.body) == 16 * (3 - missing)
-    ordered = await ask(gateway.port, '/order/1', 'POST', b'order')
-    assert (ordered.status, ordered.body) != (200, b'')
-    assert ordered.status == 502 or ordered.body == b'r' * 16
-
-
 async def test_metrics_are_served(deployment: Deployment) -> None:
     """Guards against a gateway that does not export its metrics."""
     port = free_ports(1)[0]
--- a/tests/platform/test_limits.py
+++ b/tests/platform/test_limits.py
@@ -4,10 +4,6 @@
 import json
 import time
 from collections import defaultdict
-from collections.abc import AsyncIterator
-from pathlib import Path
-
-import pytest
 
 from tests.platform.deployment import Deployment, GatewayProcess, ask
 from tests.platform.standin import most_in_window, note_times, respond
@@ -21,15 +17,6 @@
 _CALLERS = 4
 
 
-@pytest.fixture
-async def deployment(tmp_path: Path) -> AsyncIterator[Deployment]:
-    """Return a deployment without gateways."""
-    made = Deployment(tmp_path)
-    await made.start()
-    yield made
-    await made.stop()
-
-
 async def _load(gateway: GatewayProcess, reasons: dict[str, int]) -> None:
     """Send requests one after the other and count the refusals by reason."""
     ends = time.monotonic() + _LOAD_SECONDS
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
-from pathlib import Path
 
 import pytest
 
@@ -18,15 +16,6 @@
 _CALLERS = 6
 
 
-@pytest.fixture
-async def deployment(tmp_path: Path) -> AsyncIterator[Deployment]:
-    """Return a deployment without gateways."""
-    made = Deployment(tmp_path)
-    await made.start()
-    yield made
-    await made.stop()
-
-
 async def _load(gateway: GatewayProcess, statuses: list[int]) -> None:
     ends = time.monotonic() + _LOAD_SECONDS
     while time.monotonic() < ends:
--- a/tests/platform/test_upgrade.py
+++ b/tests/platform/test_upgrade.py
@@ -6,7 +6,6 @@
 import subprocess
 import tarfile
 from collections import Counter
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from io import BytesIO
 from itertools import count
@@ -102,15 +101,6 @@
     return source
 
 
-@pytest.fixture
-async def deployment(tmp_path: Path) -> AsyncIterator[Deployment]:
-    """Return a deployment without gateways."""
-    made = Deployment(tmp_path)
-    await made.start()
-    yield made
-    await made.stop()
-
-
 async def _crash_targets(deployment: Deployment) -> None:
     """Let a request crash all targets for orders; start others."""
     for name in tuple(deployment.targets):
