Log again the losses that are checked again

Since a loss whose target has to be checked again stays open, and the log left open losses out: evidence that was set back after a loss of links left no line, though OPERATIONS.md names one. Logging only; no decision changes.

--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -18,7 +18,7 @@
     Effect,
     PublishCrash,
 )
-from nutmegstep.dispatch.losses import Loss
+from nutmegstep.dispatch.losses import Evaluation, Loss
 from nutmegstep.dispatch.requests import OpenRequest, Send
 from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.verdict import Reason, refuse
@@ -173,7 +173,7 @@
 
 
 def log_evaluated(losses: list[Loss]) -> list[Effect]:
-    """Log what became of losses of targets."""
+    """Log what became of losses of targets; open ones are checked again."""
     return [
         Decision(
             'loss_evaluated',
@@ -181,11 +181,10 @@
             {
                 'target': loss.target_id,
                 'content': loss.content,
-                'evaluation': loss.evaluation.value,
+                'evaluation': (loss.evaluation or Evaluation.RECHECKED).value,
             },
         )
         for loss in losses
-        if loss.evaluation
     ]
 
 
--- a/tests/dispatch/test_contact.py
+++ b/tests/dispatch/test_contact.py
@@ -3,7 +3,7 @@
 import pytest
 
 from nutmegstep.dispatch.control_events import HousekeepingDue, TargetChecked
-from nutmegstep.dispatch.effects import CheckTarget, SendRequest
+from nutmegstep.dispatch.effects import CheckTarget, Decision, SendRequest
 from nutmegstep.dispatch.events import SendFailed, SendFailureKind
 from tests.dispatch.conftest import Dispatcher
 
@@ -89,3 +89,23 @@
     dispatcher.effects.clear()
     dispatcher.apply(HousekeepingDue())
     assert not dispatcher.effects_of(CheckTarget)
+
+
+def test_losses_that_are_checked_again_are_logged(
+    dispatcher: Dispatcher,
+) -> None:
+    """Guards against evidence of a crash that is set back without a trace."""
+    dispatcher.request()
+    for send in dispatcher.effects_of(SendRequest):
+        kind = SendFailureKind.NO_RESPONSE
+        dispatcher.apply(SendFailed(send.send_id, kind))
+    dispatcher.now += 0.5
+    dispatcher.apply(HousekeepingDue())
+    assert dispatcher.state.has_lost_targets
+    dispatcher.apply(TargetChecked('orders-north', is_listening=True))
+    evaluations = {
+        one.inputs['evaluation']
+        for one in dispatcher.effects_of(Decision)
+        if one.name == 'loss_evaluated'
+    }
+    assert evaluations == {'rechecked'}
