Let two servers send bodies without end in case 4

Case 4 of the review, rule CONFIG: 156 of 166 requests that were unanswered at timeout_ms are unanswered half a second later.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,7 +9,7 @@
 
 TIMEOUT_S = 0.3  # of the route /check/, whose servers are all sound
 DEADLINE_MS = 3000  # of its clients
-SHARE, FOR_S = 0.15, 6.0  # one server of seven, seconds
+SHARE, FOR_S = 0.3, 6.0  # two servers of seven, seconds
 CHUNK = b'1\r\nz\r\n' * 10_000
 
 
