Move the reasons to decline a delegated request to a module of their own

What a VM delegates and what it declines are two subjects. Nothing else changes; tests/dispatch/test_delegation.py and test_forwarding.py pass.

--- a/nutmegstep/dispatch/arrivals.py
+++ b/nutmegstep/dispatch/arrivals.py
@@ -6,7 +6,8 @@
 
 from nutmegstep.configuration import Configuration, Route, match_route
 from nutmegstep.dispatch.crash_control import is_refused, refuse_crashing
-from nutmegstep.dispatch.delegation import decline_if_unsuitable, delegate
+from nutmegstep.dispatch.declining import decline_if_unsuitable
+from nutmegstep.dispatch.delegation import delegate
 from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
 from nutmegstep.dispatch.events import RequestArrived, RoutedRequest
 from nutmegstep.dispatch.forwarding import refuse_without_contact
--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -13,10 +13,10 @@
     give_up_unanswered,
 )
 from nutmegstep.dispatch.contact import suspect_links
+from nutmegstep.dispatch.declining import NO_CONTACT
 from nutmegstep.dispatch.effects import (
     CancelDelegation,
     Decision,
-    DeclineDelegation,
     DeliverReply,
     Effect,
     WakeAt,
@@ -25,7 +25,6 @@
     DelegationAccepted,
     DelegationAnswered,
     DelegationFailed,
-    RoutedRequest,
 )
 from nutmegstep.dispatch.forwarding import (
     forward,
@@ -40,15 +39,12 @@
 
 __all__ = [
     'check_delegation',
-    'decline_if_unsuitable',
     'delegate',
     'handle_accepted',
     'handle_delegate_answer',
     'handle_delegate_failure',
 ]
 
-_NO_CONTACT: Final = 'no_contact'
-"""Reason of a VM that declines because it reaches no target."""
 _ACCEPT_SECONDS: Final = 0.025
 """Time in which a coordinator confirms that it has read a query; after it the
 coordinator counts as failed."""
@@ -62,9 +58,6 @@
 """Parts of a query whose services are searched for local targets."""
 _MAX_BODY_BYTES: Final = 64 * 1024
 """Longest body of a request that is delegated."""
-_MAX_OPEN_REQUESTS: Final = 24
-"""Open requests from which a coordinator declines delegated queries, so that
-its neighbours use their own processors."""
 
 
 def delegate(
@@ -113,40 +106,6 @@
     )
 
 
-def decline_if_unsuitable(
-    state: DispatchState,
-    request: RoutedRequest,
-    now: float,
-) -> list[Effect]:
-    """Decline a delegated request if its sender had better serve it.
-
-    Returns
-    -------
-    list of Effect
-        Empty if the request is to be served, as it always is without a
-        delegation.
-    """
-    if request.delegated is None:
-        return []
-    configuration = state.configuration
-    reason = ''
-    is_current = state.has_targets and now >= state.refresh_until
-    if configuration is None or not is_current:
-        reason = 'not_ready'
-    elif state.avoids_links(now):
-        reason = _NO_CONTACT
-    elif configuration.version != request.delegated.config_version:
-        reason = 'other_version'
-    elif len(state.open_by_id) >= _MAX_OPEN_REQUESTS:
-        reason = 'overloaded'
-    if not reason:
-        return []
-    return [
-        Decision('delegation_declined', request.attempt_id, {'reason': reason}),
-        DeclineDelegation(request.request_id, reason),
-    ]
-
-
 def check_delegation(
     state: DispatchState,
     open_request: OpenRequest,
@@ -222,7 +181,7 @@
     if event.reason != 'other_version':
         state.coordinator_health.record_failure(delegation.address, now)
     hints: list[Effect] = []
-    if event.reason == _NO_CONTACT:
+    if event.reason == NO_CONTACT:
         # What has cut a neighbour off may have cut this VM off too.
         hints = suspect_links(state, now)
     taken_over = _take_over(
