Pass on only what a target has signed

Cause: a reply was a success or a failure of the target, and a failure that had run was passed on whatever its status. A reply without a signature is neither, as nothing shows that it comes from the target. Evidence: the logs of o0198 have target_rejected (status 200, executed) and answered (status 200, sends 1) in the same millisecond.

Change: TargetReply.may_be_passed_on decides for single requests, parts of queries and answers of other VMs alike what may become a caller's answer: signed, and run. Everything else ends as this VM's own 502, after another target where the request may run again. So also: unsigned failures (a 404 kept sound requests from being tried again, a 503 promised that an order had not run), a 2xx that says it has not run, and the unsigned success of another VM, which an older build passes on during an upgrade. target_rejected logs whether the reply was signed.

--- a/nutmegstep/dispatch/completion.py
+++ b/nutmegstep/dispatch/completion.py
@@ -9,8 +9,9 @@
 - with a refusal, as soon as too few parts are left for an answer, or at the
   deadline.
 
-A request to a single service is answered with the reply of its target, or
-refused when no target is left or at the deadline.
+A request to a single service is answered with the signed reply of its target, or
+refused when no target is left or at the deadline. A reply without a signature is
+never passed on; the request may have run, and its caller is told so.
 """
 
 from collections.abc import Mapping
@@ -196,7 +197,7 @@
         return give_up_at_deadline(state, open_request)
     if not part.is_failed:
         return None
-    if part.failure is not None and part.failure.was_executed:
+    if part.failure is not None and part.failure.may_be_passed_on:
         return _pass_on(state, open_request, part.failure, now)
     return give_up(
         state, open_request, _target_failure_refusal(open_request, 1)
--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -140,11 +140,20 @@
     event: DelegationAnswered,
     now: float,
 ) -> list[Effect]:
-    """Pass the answer of a coordinator on to the caller."""
+    """Pass the answer of a coordinator on to the caller.
+
+    A success must bear the signatures of targets. A refusal has none, as it comes
+    from the coordinator itself.
+    """
     delegated = _find_delegated(state, event.request_id)
     if delegated is None:
         return []
     open_request, delegation = delegated
+    if event.reply.has_success_status and not event.reply.signature:
+        # The coordinator is not to blame for what a target has sent.
+        return _take_over(
+            state, open_request, now, 'unsigned', may_have_run=True
+        )
     state.coordinator_health.record_success(delegation.address)
     record_substitute_answer(state, open_request, event.reply.status, now)
     target = state.registry.by_id.get(event.target_id)
--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -158,10 +158,23 @@
     retry_after: float | None = None
     invalid_retry_after: str = ''
 
+    @property
+    def may_be_passed_on(self) -> bool:
+        """Whether the reply may become the answer to the caller.
+
+        Without a signature nothing shows that it comes from the target.
+        """
+        return bool(self.signature) and self.was_executed
+
+    @property
+    def has_success_status(self) -> bool:
+        """Whether the status is 2xx, which alone is no success."""
+        return 200 <= self.status < 300
+
     @property
     def is_success(self) -> bool:
-        """Whether the reply has a status of 2xx and a signature."""
-        return 200 <= self.status < 300 and bool(self.signature)
+        """Whether the reply is a success that may be passed on."""
+        return self.has_success_status and self.may_be_passed_on
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -81,6 +81,7 @@
             'target': send.target.target_id,
             'status': reply.status,
             'executed': reply.was_executed,
+            'signed': bool(reply.signature),
         },
     )
     may_repeat = send.open_request.route.is_idempotent or not reply.was_executed
--- a/nutmegstep/gateway/codec.py
+++ b/nutmegstep/gateway/codec.py
@@ -45,6 +45,10 @@
     read_reply : Callable
         Decodes the response to a request that was sent to a target. Returns
         None if the response belongs to another request or is not usable.
+    read_delegated_reply : Callable
+        Decodes the answer of another VM to a delegated request. Its signature is
+        that of the target, or those of all parts. Returns None in the same cases
+        as `read_reply`.
     write_response : Callable
         Encodes the response to a caller. Takes the caller's request and the
         effect of the dispatcher that answers it.
@@ -53,4 +57,5 @@
     read_request: Callable[[HttpRequest, int, float], RoutedRequest]
     request_headers: Callable[[RoutedRequest, int, str], HeaderItems]
     read_reply: Callable[[SendRequest, RawReply], TargetReply | None]
+    read_delegated_reply: Callable[[SendRequest, RawReply], TargetReply | None]
     write_response: Callable[[RoutedRequest, Delivery], HttpResponse]
--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -21,9 +21,8 @@
     HeaderItems,
     RoutedRequest,
     SendFailureKind,
-    TargetReply,
 )
-from nutmegstep.gateway.codec import Delivery, RawReply, WireCodec
+from nutmegstep.gateway.codec import Delivery, WireCodec
 from nutmegstep.gateway.pool import ConnectionPool
 from nutmegstep.gateway.pooled_connection import SendOutcome
 from nutmegstep.settings.fields import read_address
@@ -97,7 +96,7 @@
     clock : Clock
         Monotonic clock of the deadlines.
     codec : WireCodec
-        Builds the headers of requests.
+        Builds the headers of requests and decodes answers.
     dispatch : Callable
         Passes an event to the dispatcher.
     """
@@ -109,6 +108,7 @@
         dispatch: Callable[[Event], None],
     ) -> None:
         self._dispatch = dispatch
+        self._codec = codec
         self._pool = ConnectionPool(clock, codec, self._finish, self._confirm)
 
     def send(self, effect: Delegate) -> None:
@@ -148,7 +148,7 @@
         self._dispatch(DelegationAccepted(effect.send_id))
 
     def _finish(self, effect: SendRequest, outcome: SendOutcome) -> None:
-        self._dispatch(_read_outcome(effect.send_id, outcome))
+        self._dispatch(_read_outcome(self._codec, effect, outcome))
 
 
 def is_delegated(request: HttpRequest) -> bool:
@@ -217,7 +217,10 @@
     return tuple(item for item in headers if item[0] not in _OWN_HEADERS)
 
 
-def _read_outcome(request_id: int, outcome: SendOutcome) -> Event:
+def _read_outcome(
+    codec: WireCodec, effect: SendRequest, outcome: SendOutcome
+) -> Event:
+    request_id = effect.send_id
     if isinstance(outcome, SendFailureKind):
         return DelegationFailed(request_id, outcome.value, outcome.may_have_run)
     header_by_name = dict(outcome.headers)
@@ -231,23 +234,17 @@
         return DelegationFailed(
             request_id, reason.decode('latin-1'), may_have_run=False
         )
+    reply = codec.read_delegated_reply(effect, outcome)
+    if reply is None:
+        return DelegationFailed(request_id, 'invalid', may_have_run=True)
     stated = header_by_name.get(_REQUEST_LIMIT.encode())
-    limit = None if stated is None else float(stated)
     return DelegationAnswered(
         request_id,
         replace(
-            _as_reply(outcome, limit),
+            reply,
+            headers=_without_own(reply.headers),
+            request_limit=None if stated is None else float(stated),
             is_leaving=_LEAVING.encode() in header_by_name,
         ),
         header_by_name.get(_TARGET.encode(), b'').decode('latin-1'),
     )
-
-
-def _as_reply(raw: RawReply, request_limit: float | None) -> TargetReply:
-    return TargetReply(
-        raw.status,
-        _without_own(raw.headers),
-        raw.body,
-        signature='',
-        request_limit=request_limit,
-    )
--- a/nutmegstep/platform/wire.py
+++ b/nutmegstep/platform/wire.py
@@ -1,6 +1,7 @@
 """HTTP headers of callers and targets on the operators' platform."""
 
 import re
+from collections.abc import Mapping
 from itertools import chain
 from typing import Final
 
@@ -53,6 +54,7 @@
     ),
 )
 _REPLACED_HEADERS: Final = frozenset((_DEADLINE, _EXPECTED_TARGET))
+_HEADER_CHARSET: Final = 'latin-1'
 _MS_PER_SECOND: Final = 1000
 _STATUS_OK: Final = 200
 _STATUS_CLASS: Final = 100
@@ -77,7 +79,7 @@
         method=http_request.method.encode(),
         target=http_request.target,
         host=http_request.headers.get('host', ''),
-        path=http_request.target.partition(b'?')[0].decode('latin-1'),
+        path=http_request.target.partition(b'?')[0].decode(_HEADER_CHARSET),
         headers=tuple(item for item in items if item[0] not in dropped),
         body=http_request.body,
         time_left=_read_deadline(
@@ -103,18 +105,7 @@
 
 def _read_reply(effect: SendRequest, raw: RawReply) -> TargetReply | None:
     header_by_name = dict(raw.headers)
-    echoed = header_by_name.get(_ATTEMPT_ID)
-    attempt_id = effect.request.attempt_id
-    if echoed is None:
-        # Without the identifier, a late copy of an earlier answer could be
-        # taken for the answer to this request.
-        if attempt_id and raw.status // _STATUS_CLASS == _SUCCESS:
-            return None
-    elif echoed.decode('latin-1') != attempt_id:
-        return None
-    # Callers request no content coding, so an intermediary has encoded the
-    # body.
-    if b'content-encoding' in header_by_name:
+    if not _is_usable(effect, raw.status, header_by_name):
         return None
     is_misdirected = raw.status == _STATUS_MISDIRECTED
     retry_after, invalid_retry_after = _read_retry_after(raw)
@@ -122,7 +113,7 @@
         status=raw.status,
         headers=raw.headers,
         body=raw.body,
-        signature=header_by_name.get(_SIGNATURE, b'').decode('latin-1'),
+        signature=header_by_name.get(_SIGNATURE, b'').decode(_HEADER_CHARSET),
         was_executed=not is_misdirected and _NOT_EXECUTED not in header_by_name,
         is_misdirected=is_misdirected,
         request_limit=_read_decimal(header_by_name.get(_REQUEST_LIMIT, b'')),
@@ -132,6 +123,37 @@
     )
 
 
+def _read_delegated_reply(
+    effect: SendRequest, raw: RawReply
+) -> TargetReply | None:
+    header_by_name = dict(raw.headers)
+    if not _is_usable(effect, raw.status, header_by_name):
+        return None
+    merged = header_by_name.get(_PART_SIGNATURES.lower().encode(), b'')
+    signature = header_by_name.get(_SIGNATURE, merged)
+    return TargetReply(
+        raw.status, raw.headers, raw.body, signature.decode(_HEADER_CHARSET)
+    )
+
+
+def _is_usable(
+    effect: SendRequest, status: int, header_by_name: Mapping[bytes, bytes]
+) -> bool:
+    """Return whether a response answers this request, with a readable body."""
+    attempt_id = effect.request.attempt_id
+    echoed = header_by_name.get(_ATTEMPT_ID)
+    if echoed is None:
+        # Without the identifier, a late copy of an earlier answer could be
+        # taken for the answer to this request.
+        if attempt_id and status // _STATUS_CLASS == _SUCCESS:
+            return False
+    elif echoed.decode(_HEADER_CHARSET) != attempt_id:
+        return False
+    # Callers request no content coding, so an intermediary has encoded the
+    # body.
+    return b'content-encoding' not in header_by_name
+
+
 def _write_response(
     request: RoutedRequest,
     delivery: Delivery,
@@ -146,7 +168,7 @@
 def _write_reply(reply: TargetReply) -> HttpResponse:
     dropped = _hop_by_hop_names(reply.headers)
     headers = tuple(
-        (name.decode('latin-1'), text.decode('latin-1'))
+        (name.decode(_HEADER_CHARSET), text.decode(_HEADER_CHARSET))
         for name, text in reply.headers
         if name not in dropped
     )
@@ -216,7 +238,7 @@
     seconds = [_read_decimal(text) for text in texts]
     if len(texts) == 1 and seconds[0] is not None:
         return seconds[0], ''
-    stated = b', '.join(texts)[:_MAX_LOGGED_TEXT].decode('latin-1')
+    stated = b', '.join(texts)[:_MAX_LOGGED_TEXT].decode(_HEADER_CHARSET)
     # Of several times, the longest is the safe one.
     return max(filter(None, seconds), default=None), stated
 
@@ -234,6 +256,7 @@
     _read_request,
     _request_headers,
     _read_reply,
+    _read_delegated_reply,
     _write_response,
 )
 """Codec of the operators' platform."""
--- a/tests/dispatch/test_cut_off_fleet.py
+++ b/tests/dispatch/test_cut_off_fleet.py
@@ -246,7 +246,7 @@
         if origin is None:
             self.outcomes.append((self.timeline.now, vm, is_served))
             return
-        answer = reply(status=200 if is_served else 503, signature='')
+        answer = reply() if is_served else reply(status=503, signature='')
         answered = DelegationAnswered(origin[1], answer)
         self._apply_later(_HOP_SECONDS, origin[0], answered)
 
--- a/tests/dispatch/test_delegation.py
+++ b/tests/dispatch/test_delegation.py
@@ -44,7 +44,7 @@
 _SECOND = '10.0.0.8:7740'
 _CHOICE = CoordinatorChoice((_FIRST, _SECOND), in_domain=2, total=6)
 _Kind = TypeVar('_Kind')
-_ANSWER = reply(b'merged', signature='')
+_ANSWER = reply(b'merged', signature='signed, signed too')
 
 
 @pytest.fixture
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -28,6 +28,10 @@
 )
 
 _DEADLINE_MS = 2000
+_ANSWER_HEADERS = (
+    (b'x-nutmegstep-attempt-id', b'caller-1'),
+    (b'x-nutmegstep-server-stamp', b'signed'),
+)
 
 
 class _Vm:
@@ -53,8 +57,8 @@
 
         `fields` change their replies.
         """
+        answer = reply(b'r' * 16, headers=_ANSWER_HEADERS, **fields)
         for send in self.sends:
-            answer = reply(b'r' * 16, **fields)  # type: ignore[arg-type]
             self.gateway.dispatch(TargetReplied(send.send_id, answer))
 
     async def answer_delegated(self, request: HttpRequest) -> HttpResponse:
