Count a signature that is not one list entry as none

What callers could see: a merged answer whose list of signatures has an entry that is none, because one target's signature had a comma, a space or a byte beyond ASCII in it, or was sent twice. One such entry makes the whole answer invalid.

Change: the border reads exactly one text of visible ASCII characters without a comma; anything else is no signature, so its part is asked for elsewhere or left out.

--- a/nutmegstep/platform/wire.py
+++ b/nutmegstep/platform/wire.py
@@ -34,6 +34,8 @@
 # Seconds for which a target wants no request after a reply with status 503.
 _RETRY_AFTER: Final = b'retry-after'
 _MAX_LOGGED_TEXT: Final = 40
+# Visible ASCII characters without the comma.
+_LIST_ENTRY: Final = re.compile(rb'[!-+\--~]+')
 _DECIMAL: Final = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 _PART_SIGNATURES: Final = 'X-Nutmegstep-Part-Stamps'
 _MISSING_PARTS: Final = 'X-Nutmegstep-Missing-Parts'
@@ -113,7 +115,7 @@
         status=raw.status,
         headers=raw.headers,
         body=raw.body,
-        signature=header_by_name.get(_SIGNATURE, b'').decode(_HEADER_CHARSET),
+        signature=_read_signature(raw.headers),
         was_executed=not is_misdirected and _NOT_EXECUTED not in header_by_name,
         is_misdirected=is_misdirected,
         request_limit=_read_decimal(header_by_name.get(_REQUEST_LIMIT, b'')),
@@ -130,10 +132,17 @@
     if not _is_usable(effect, raw.status, header_by_name):
         return None
     merged = header_by_name.get(_PART_SIGNATURES.lower().encode(), b'')
-    signature = header_by_name.get(_SIGNATURE, merged)
-    return TargetReply(
-        raw.status, raw.headers, raw.body, signature.decode(_HEADER_CHARSET)
-    )
+    signature = _read_signature(raw.headers) or merged.decode(_HEADER_CHARSET)
+    return TargetReply(raw.status, raw.headers, raw.body, signature)
+
+
+def _read_signature(headers: HeaderItems) -> str:
+    # One entry that is no signature makes a whole merged answer invalid, so a
+    # text that would not be one entry of the list counts as none.
+    texts = [text for name, text in headers if name == _SIGNATURE]
+    if len(texts) != 1 or not _LIST_ENTRY.fullmatch(texts[0]):
+        return ''
+    return texts[0].decode('ascii')
 
 
 def _is_usable(
