Bound the parsing that one connection causes in a turn of the loop

Cause: one turn of the event loop parsed all that one read had brought. 256 KB are 43,001 events of h11 and 459 ms as chunks of one byte, 3 events and 0.09 ms as a body with a length. The bound on responses counted the bytes of their content, not the work.

Change: a connection handles 32 events in a turn and then waits, unread, in a queue of which one connection goes on in each turn. Parsers get 4 KB at once, since a head is parsed in one step. Each part of a response's body counts 256 B beside its content. The same for callers' connections, for targets of the own interface, and for replies of the store; a caller that leaves while its request is handled is still noticed.

--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -23,8 +23,8 @@
     SendFailureKind,
 )
 from nutmegstep.gateway.codec import Delivery, WireCodec
+from nutmegstep.gateway.exchange import SendOutcome
 from nutmegstep.gateway.pool import ConnectionPool
-from nutmegstep.gateway.pooled_connection import SendOutcome
 from nutmegstep.settings.fields import read_address
 from nutmegstep.web import HttpRequest, HttpResponse
 
--- a/nutmegstep/gateway/outcomes.py
+++ b/nutmegstep/gateway/outcomes.py
@@ -7,7 +7,7 @@
     TargetReplied,
 )
 from nutmegstep.gateway.codec import WireCodec
-from nutmegstep.gateway.pooled_connection import SendOutcome
+from nutmegstep.gateway.exchange import SendOutcome
 
 __all__ = ['SendOutcome', 'read_outcome']
 
--- a/nutmegstep/gateway/pool.py
+++ b/nutmegstep/gateway/pool.py
@@ -1,8 +1,7 @@
 """Pool of keep-alive connections to targets."""
 
 import asyncio
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable
 from typing import Final
 
 from nutmegstep.clock import Clock
@@ -10,9 +9,17 @@
 from nutmegstep.dispatch.effects import SendRequest
 from nutmegstep.dispatch.events import SendFailureKind
 from nutmegstep.gateway.codec import WireCodec
-from nutmegstep.gateway.pooled_connection import PooledConnection, SendOutcome
+from nutmegstep.gateway.exchange import SendOutcome
+from nutmegstep.gateway.pooled_connection import PooledConnection
 from nutmegstep.gateway.request_heads import RequestHeads
 from nutmegstep.gateway.response_memory import ResponseMemory
+from nutmegstep.gateway.target_groups import (
+    PendingSend,
+    TargetGroup,
+    group_key,
+    next_waiting,
+)
+from nutmegstep.web.turns import TurnQueue
 
 __all__ = ['ConnectionPool', 'SendCallback']
 
@@ -27,27 +34,6 @@
 target take less than a tenth of it."""
 
 
-@dataclass(slots=True)
-class _TargetGroup:
-    """Connections to one target and the sends that wait for one of them."""
-
-    target: TargetRecord
-    idle: list[PooledConnection] = field(default_factory=list)
-    open_count: int = 0
-    connecting_count: int = 0
-    waiting: dict[int, SendRequest] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class _PendingSend:
-    """A send without an outcome; `connection` is None while it waits."""
-
-    effect: SendRequest
-    group: _TargetGroup
-    timer: asyncio.TimerHandle
-    connection: PooledConnection | None = None
-
-
 class ConnectionPool:
     """Sends requests to targets over keep-alive connections.
 
@@ -83,12 +69,13 @@
     ) -> None:
         self.connections_opened = 0
         self.memory = ResponseMemory()
+        self._turns = TurnQueue()
         self._clock = clock
         self._heads = RequestHeads(clock, codec)
         self._on_outcome = on_outcome
         self._on_confirmed = on_confirmed or _ignore_confirmation
-        self._group_by_key: dict[tuple[str, str, int], _TargetGroup] = {}
-        self._pending_by_id: dict[int, _PendingSend] = {}
+        self._group_by_key: dict[tuple[str, str, int], TargetGroup] = {}
+        self._pending_by_id: dict[int, PendingSend] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def send(self, effect: SendRequest) -> None:
@@ -99,7 +86,7 @@
             self._expire_send,
             effect.send_id,
         )
-        pending = _PendingSend(effect, group, timer)
+        pending = PendingSend(effect, group, timer)
         self._pending_by_id[effect.send_id] = pending
         connection = self._take_idle(group) if effect.is_repeatable else None
         if connection is not None:
@@ -122,8 +109,7 @@
         """Close the idle connections to a target."""
         for (name, _, _), group in tuple(self._group_by_key.items()):
             if name == target_id:
-                _close_all(group.idle)
-                group.idle = []
+                group.close_idle()
                 self._remove_if_empty(group)
 
     def return_sends(self, target_id: str) -> None:
@@ -147,17 +133,17 @@
         for send_id in tuple(self._pending_by_id):
             self.cancel(send_id)
         for group in tuple(self._group_by_key.values()):
-            _close_all(group.idle)
+            group.close_idle()
 
-    def _group_of(self, target: TargetRecord) -> _TargetGroup:
-        key = _group_key(target)
+    def _group_of(self, target: TargetRecord) -> TargetGroup:
+        key = group_key(target)
         group = self._group_by_key.get(key)
         if group is None:
-            group = _TargetGroup(target)
+            group = TargetGroup(target)
             self._group_by_key[key] = group
         return group
 
-    def _take_idle(self, group: _TargetGroup) -> PooledConnection | None:
+    def _take_idle(self, group: TargetGroup) -> PooledConnection | None:
         now = asyncio.get_running_loop().time()
         while group.idle:
             connection = group.idle.pop()
@@ -166,7 +152,7 @@
             connection.fail(SendFailureKind.CANCELLED)
         return None
 
-    def _open_if_needed(self, group: _TargetGroup, limit: int) -> None:
+    def _open_if_needed(self, group: TargetGroup, limit: int) -> None:
         if group.connecting_count >= len(group.waiting):
             return
         if group.open_count + group.connecting_count >= limit:
@@ -179,7 +165,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _open(self, group: _TargetGroup) -> None:
+    async def _open(self, group: TargetGroup) -> None:
         loop = asyncio.get_running_loop()
         self.connections_opened += 1
         try:
@@ -191,6 +177,7 @@
                             group, closed
                         ),
                         self.memory,
+                        self._turns,
                     ),
                     group.target.host,
                     group.target.port,
@@ -205,12 +192,12 @@
 
     def _on_connection_free(
         self,
-        group: _TargetGroup,
+        group: TargetGroup,
         connection: PooledConnection,
         is_new: bool = False,
     ) -> None:
         connection.idle_since = asyncio.get_running_loop().time()
-        effect = _next_waiting(group, is_new)
+        effect = next_waiting(group, is_new)
         if effect is None:
             group.idle.append(connection)
             if group.waiting:
@@ -221,7 +208,7 @@
         self._start_send(connection, self._pending_by_id[effect.send_id])
 
     def _start_send(
-        self, connection: PooledConnection, pending: _PendingSend
+        self, connection: PooledConnection, pending: PendingSend
     ) -> None:
         effect = pending.effect
         pending.connection = connection
@@ -238,7 +225,7 @@
         )
 
     def _on_connection_closed(
-        self, group: _TargetGroup, connection: PooledConnection
+        self, group: TargetGroup, connection: PooledConnection
     ) -> None:
         group.open_count -= 1
         if connection in group.idle:
@@ -248,7 +235,7 @@
             self._open_if_needed(group, first.connection_limit)
         self._remove_if_empty(group)
 
-    def _fail_waiting_sends(self, group: _TargetGroup) -> None:
+    def _fail_waiting_sends(self, group: TargetGroup) -> None:
         for send_id in tuple(group.waiting):
             self._end_send(
                 send_id, SendFailureKind.CONNECT, SendFailureKind.CONNECT
@@ -279,29 +266,11 @@
         pending.timer.cancel()
         self._on_outcome(pending.effect, outcome)
 
-    def _remove_if_empty(self, group: _TargetGroup) -> None:
+    def _remove_if_empty(self, group: TargetGroup) -> None:
         if group.open_count or group.connecting_count or group.waiting:
             return
-        self._group_by_key.pop(_group_key(group.target), None)
-
-
-def _group_key(target: TargetRecord) -> tuple[str, str, int]:
-    return (target.target_id, target.host, target.port)
-
-
-def _next_waiting(group: _TargetGroup, is_new: bool) -> SendRequest | None:
-    usable = (
-        effect
-        for effect in group.waiting.values()
-        if is_new or effect.is_repeatable
-    )
-    return next(usable, None)
+        self._group_by_key.pop(group_key(group.target), None)
 
 
 def _ignore_confirmation(effect: SendRequest) -> None:
     """Do nothing; targets are not asked for a confirmation."""
-
-
-def _close_all(connections: Iterable[PooledConnection]) -> None:
-    for connection in tuple(connections):
-        connection.fail(SendFailureKind.CANCELLED)
--- a/nutmegstep/gateway/pooled_connection.py
+++ b/nutmegstep/gateway/pooled_connection.py
@@ -2,21 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Final
 
 import h11
 
 from nutmegstep.dispatch.events import HeaderItems, SendFailureKind
-from nutmegstep.gateway.codec import RawReply
+from nutmegstep.gateway.exchange import Exchange, SendOutcomeCallback
 from nutmegstep.gateway.response_memory import ResponseMemory
 from nutmegstep.web.sockets import limit_receive_buffer, set_user_timeout
+from nutmegstep.web.turns import EVENTS_PER_TURN, ReceivedBytes, TurnQueue
 
-__all__ = ['PooledConnection', 'SendOutcome', 'SendOutcomeCallback']
-
-SendOutcome = RawReply | SendFailureKind
-SendOutcomeCallback = Callable[[SendOutcome], None]
-"""Called with a complete response, or with the kind of failure."""
+__all__ = ['PooledConnection']
 
 _ConnectionCallback = Callable[['PooledConnection'], None]
 
@@ -29,6 +25,12 @@
 _STATUS_MISDIRECTED: Final = 421
 _MAX_INTERIM_RESPONSES: Final = 8
 """Most interim responses (status 1xx) before a response."""
+_MAX_HEADERS: Final = 256
+"""Most headers of a response. Each is handled several times on its way."""
+_PART_BYTES: Final = 256
+"""Bytes that each received part of a body counts beside its content, in the bound
+on all responses. They stand for the work of parsing the part, so that a body in
+tiny chunks ends before it has taken much of the processor."""
 _DEFAULT_IDLE_S: Final = 4.0
 """Idle time-out that is assumed for a target without a Keep-Alive header."""
 _END_OF_MESSAGE: Final = h11.EndOfMessage()
@@ -38,20 +40,6 @@
 have run then."""
 
 
-@dataclass(slots=True)
-class _Exchange:
-    """The request in flight and the part of its response read so far."""
-
-    on_outcome: SendOutcomeCallback
-    on_confirmed: Callable[[], None]
-    has_begun: bool = False
-    status: int = 0
-    headers: HeaderItems = ()
-    chunks: list[bytes] = field(default_factory=list)
-    size: int = 0
-    interim_count: int = 0
-
-
 class PooledConnection(asyncio.Protocol):
     """Sends one request at a time and reads its response.
 
@@ -63,6 +51,8 @@
         Called once when the connection is closed.
     memory : ResponseMemory
         Bound on the bytes of responses, shared with the other connections.
+    turns : TurnQueue
+        Connections with received bytes that are not parsed yet.
 
     Attributes
     ----------
@@ -79,6 +69,7 @@
         on_free: _ConnectionCallback,
         on_closed: _ConnectionCallback,
         memory: ResponseMemory,
+        turns: TurnQueue,
     ) -> None:
         self.idle_since = float(0)
         self.has_answered = False
@@ -86,8 +77,10 @@
         self._on_free = on_free
         self._on_closed = on_closed
         self._memory = memory
+        self._turns = turns
+        self._received = ReceivedBytes()
         self._http = h11.Connection(h11.CLIENT)
-        self._exchange: _Exchange | None = None
+        self._exchange: Exchange | None = None
         self._transport: asyncio.Transport | None = None
 
     def is_reusable(self, now: float) -> bool:
@@ -121,7 +114,7 @@
         each interim response before.
         """
         assert self._transport is not None
-        self._exchange = _Exchange(on_outcome, on_confirmed)
+        self._exchange = Exchange(on_outcome, on_confirmed)
         events: tuple[h11.Event, ...] = (head, _END_OF_MESSAGE)
         if body:
             events = (head, h11.Data(data=body), _END_OF_MESSAGE)
@@ -165,29 +158,50 @@
 
     def _read(self, data: bytes) -> None:
         try:
-            self._http.receive_data(data)
-            self._read_events()
+            self._received.feed(self._http, data)
+        except h11.RemoteProtocolError:
+            self.fail(SendFailureKind.INVALID)
+            return
+        self._take_turn()
+
+    def _take_turn(self) -> None:
+        try:
+            has_more = self._read_events()
         except h11.RemoteProtocolError:
             self.fail(SendFailureKind.INVALID)
+            return
+        if has_more:
+            assert self._transport is not None
+            self._transport.pause_reading()
+            self._turns.add(self._take_turn)
 
-    def _read_events(self) -> None:
+    def _read_events(self) -> bool:
+        """Handle some events; return whether there may be more."""
         exchange = self._exchange
-        while exchange is not None and self._exchange is exchange:
-            event = self._http.next_event()
+        for _ in range(EVENTS_PER_TURN):
+            if exchange is None or self._exchange is not exchange:
+                return False
+            event = self._received.next_event(self._http)
             if isinstance(event, type):
-                return
+                self._resume_reading()
+                return False
             self._handle_event(exchange, event)
+        return self._exchange is exchange
+
+    def _resume_reading(self) -> None:
+        assert self._transport is not None
+        if not self._transport.is_reading():
+            self._transport.resume_reading()
 
-    def _handle_event(self, exchange: _Exchange, event: h11.Event) -> None:
+    def _handle_event(self, exchange: Exchange, event: h11.Event) -> None:
         if isinstance(event, h11.InformationalResponse):
             self._handle_interim(exchange)
         else:
             self._handle_final(exchange, event)
 
-    def _handle_final(self, exchange: _Exchange, event: h11.Event) -> None:
+    def _handle_final(self, exchange: Exchange, event: h11.Event) -> None:
         if isinstance(event, h11.Response):
-            exchange.status = event.status_code
-            exchange.headers = tuple(event.headers)
+            self._store_head(exchange, event)
         elif isinstance(event, h11.Data):
             self._append_body(exchange, bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
@@ -195,52 +209,56 @@
         elif isinstance(event, h11.ConnectionClosed):
             self.fail(SendFailureKind.RESET)
 
-    def _handle_interim(self, exchange: _Exchange) -> None:
+    def _handle_interim(self, exchange: Exchange) -> None:
         exchange.interim_count += 1
         if exchange.interim_count > _MAX_INTERIM_RESPONSES:
             self.fail(SendFailureKind.INVALID)
             return
         exchange.on_confirmed()
 
-    def _append_body(self, exchange: _Exchange, data: bytes) -> None:
-        may_go_on = self._memory.reserve(exchange.size, len(data))
-        exchange.chunks.append(data)
-        exchange.size += len(data)
+    def _store_head(self, exchange: Exchange, head: h11.Response) -> None:
+        exchange.status = head.status_code
+        exchange.headers = tuple(head.headers)
+        if len(exchange.headers) > _MAX_HEADERS:
+            self.fail(SendFailureKind.INVALID)
+
+    def _append_body(self, exchange: Exchange, data: bytes) -> None:
+        added = len(data) + _PART_BYTES
+        may_go_on = self._memory.reserve(exchange.reserved, added)
+        exchange.reserved += added
+        exchange.body += data
         if not may_go_on:
             self.fail(SendFailureKind.INVALID)
 
-    def _end_exchange(self) -> _Exchange | None:
+    def _end_exchange(self) -> Exchange | None:
         exchange = self._exchange
         self._exchange = None
         if exchange is not None:
-            self._memory.release(exchange.size)
+            self._memory.release(exchange.reserved)
         return exchange
 
-    def _complete(self, exchange: _Exchange) -> None:
+    def _complete(self, exchange: Exchange) -> None:
         self._end_exchange()
         announced = _announced_idle_time(exchange.headers)
         if announced is not None:
             self._idle_timeout_s = announced
         if self._can_reuse():
             self._http.start_next_cycle()
+            self._resume_reading()
             self.has_answered = exchange.status != _STATUS_MISDIRECTED
             self.idle_since = asyncio.get_running_loop().time()
             self._on_free(self)
         else:
             self.fail(SendFailureKind.RESET)
-        exchange.on_outcome(
-            RawReply(
-                exchange.status,
-                exchange.headers,
-                b''.join(exchange.chunks),
-            ),
-        )
+        exchange.on_outcome(exchange.reply())
 
     def _can_reuse(self) -> bool:
         # A target may answer before it has read the whole request body. The
         # unsent rest of that body rules out reusing the connection.
         assert self._transport is not None
-        if self._transport.is_closing() or self._http.trailing_data[0]:
+        if self._transport.is_closing():
+            return False
+        if self._received or self._http.trailing_data[0]:
             return False
         if self._transport.get_write_buffer_size():
             return False
--- a/nutmegstep/platform_api/connection.py
+++ b/nutmegstep/platform_api/connection.py
@@ -4,11 +4,13 @@
 import socket
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from itertools import count
 from typing import Final, Self
 
 import h11
 
 from nutmegstep.web.sockets import set_user_timeout
+from nutmegstep.web.turns import EVENTS_PER_TURN
 
 __all__ = ['HttpCall', 'HttpReply', 'PlatformConnection']
 
@@ -157,8 +159,12 @@
     async def _read_reply(self) -> HttpReply:
         reply = HttpReply()
         event = await self._next_event()
-        while not isinstance(event, h11.EndOfMessage):
+        for number in count(1):
+            if isinstance(event, h11.EndOfMessage):
+                break
             _record_event(reply, event)
+            if not number % EVENTS_PER_TURN:
+                await asyncio.sleep(0)
             event = await self._next_event()
         return reply
 
--- a/nutmegstep/targets/connection.py
+++ b/nutmegstep/targets/connection.py
@@ -16,6 +16,7 @@
     read_outcome,
 )
 from nutmegstep.web.sockets import limit_receive_buffer, set_user_timeout
+from nutmegstep.web.turns import EVENTS_PER_TURN, ReceivedBytes, TurnQueue
 
 __all__ = ['OutcomeCallback', 'TargetConnection']
 
@@ -26,6 +27,9 @@
 """Size of the kernel's buffer for bytes that the VM has not read yet."""
 _USER_TIMEOUT_MS: Final = 1000
 _RESPONSE_BYTES_MAX: Final = 4 * 1024 * 1024
+_PART_BYTES: Final = 256
+"""Bytes that each received part of a body counts beside its content. They stand
+for the work of parsing it."""
 
 
 @dataclass(slots=True)
@@ -71,6 +75,8 @@
         outcome of the request in flight is reported.
     on_closed : Callable
         Called once when the connection is closed, by either side.
+    turns : TurnQueue
+        Connections with received bytes that are not parsed yet.
 
     Attributes
     ----------
@@ -92,6 +98,7 @@
         on_idle: _ConnectionCallback,
         on_lost: _ConnectionCallback,
         on_closed: _ConnectionCallback,
+        turns: TurnQueue,
     ) -> None:
         self.opened_at = float(0)
         self.silent_since: float | None = None
@@ -101,6 +108,8 @@
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._on_closed = on_closed
+        self._turns = turns
+        self._received = ReceivedBytes()
         self._http = h11.Connection(h11.CLIENT)
         self._pending: _PendingRequest | None = None
         self._transport: asyncio.Transport | None = None
@@ -213,18 +222,25 @@
 
     def _parse(self, data: bytes) -> None:
         try:
-            self._http.receive_data(data)
+            self._received.feed(self._http, data)
         except h11.RemoteProtocolError:
             self.fail(FailureKind.INVALID)
             return
+        self._take_turn()
+
+    def _take_turn(self) -> None:
+        assert self._transport is not None
         pending = self._pending
-        has_more = pending is not None
-        while has_more and pending is not None:
-            has_more = self._handle_next_event(pending)
+        for _ in range(EVENTS_PER_TURN):
+            if pending is None or not self._handle_next_event(pending):
+                self._transport.resume_reading()
+                return
+        self._transport.pause_reading()
+        self._turns.add(self._take_turn)
 
     def _handle_next_event(self, pending: _PendingRequest) -> bool:
         try:
-            event = self._http.next_event()
+            event = self._received.next_event(self._http)
         except h11.RemoteProtocolError:
             self.fail(FailureKind.INVALID)
             return False
@@ -240,7 +256,7 @@
             response.headers = dict(event.headers)
         elif isinstance(event, h11.Data):
             response.chunks.append(bytes(event.data))
-            response.size += len(event.data)
+            response.size += len(event.data) + _PART_BYTES
             if response.size > _RESPONSE_BYTES_MAX:
                 self.fail(FailureKind.INVALID)
         elif isinstance(event, h11.EndOfMessage):
@@ -250,18 +266,20 @@
         outcome = read_outcome(pending.attempt_id, pending.response)
         self._pending = None
         self.response_count += 1
-        if self._is_reusable() and not _is_invalid(outcome):
+        if _is_reusable(self._http, self._received) and not _is_invalid(
+            outcome
+        ):
             self._http.start_next_cycle()
             self._on_idle(self)
         else:
             self.fail(FailureKind.RESET)
         pending.on_outcome(outcome)
 
-    def _is_reusable(self) -> bool:
-        if self._http.trailing_data[0]:
-            return False
-        states = {self._http.our_state, self._http.their_state}
-        return states == {h11.DONE}
+
+def _is_reusable(http: h11.Connection, received: ReceivedBytes) -> bool:
+    if received or http.trailing_data[0]:
+        return False
+    return {http.our_state, http.their_state} == {h11.DONE}
 
 
 def _is_invalid(outcome: Outcome) -> bool:
--- a/nutmegstep/targets/core.py
+++ b/nutmegstep/targets/core.py
@@ -22,6 +22,7 @@
     same_address,
 )
 from nutmegstep.targets.wire import Outcome
+from nutmegstep.web.turns import TurnQueue
 
 __all__ = ['SendCheck', 'SilenceLimit', 'TargetPool']
 
@@ -74,6 +75,7 @@
         waiting_max: int = _WAITING_MAX,
     ) -> None:
         self.on_disconnect: DisconnectCallback = _ignore_disconnect
+        self._turns = TurnQueue()
         self._clock = clock
         self._check = check or _allow_send
         self._silence_limit = silence_limit or _default_silence_limit
@@ -167,6 +169,7 @@
                 self._clock,
                 self._serve_waiting,
                 self._report_disconnect,
+                self._turns,
             )
             self._group_by_target[target.name] = group
         group.limit = limit
--- a/nutmegstep/targets/group.py
+++ b/nutmegstep/targets/group.py
@@ -16,6 +16,7 @@
 from nutmegstep.model import Target
 from nutmegstep.targets.connection import OutcomeCallback, TargetConnection
 from nutmegstep.targets.idle import IdleConnections
+from nutmegstep.web.turns import TurnQueue
 
 __all__ = [
     'ConnectionGroup',
@@ -69,6 +70,8 @@
         so that a waiting request may be served.
     on_disconnect : Callable
         Called when the last open connection has been closed.
+    turns : TurnQueue
+        Connections with received bytes that are not parsed yet.
 
     Attributes
     ----------
@@ -91,6 +94,7 @@
         clock: Clock,
         on_change: Callable[['ConnectionGroup'], None],
         on_disconnect: DisconnectCallback,
+        turns: TurnQueue,
     ) -> None:
         self.target = target
         self.limit = 1
@@ -101,6 +105,7 @@
         self._clock = clock
         self._on_change = on_change
         self._on_disconnect = on_disconnect
+        self._turns = turns
         self._opening_shared = 0
         self._opening_fresh: set[int] = set()
         self._is_detached = False
@@ -174,6 +179,7 @@
                     self._on_idle,
                     partial(self.remove, TargetConnectionsLost),
                     partial(self.remove, TargetConnectionsClosed),
+                    self._turns,
                 ),
                 *address,
             )
--- a/nutmegstep/targets/wire.py
+++ b/nutmegstep/targets/wire.py
@@ -32,7 +32,8 @@
     chunks : list of bytes
         Parts of the body in order.
     size : int
-        Total size of `chunks` in bytes.
+        Bytes that the response counts in the limit: those of `chunks`, and a
+        fixed number for each of them.
     """
 
     status: int = 0
--- a/nutmegstep/web/core.py
+++ b/nutmegstep/web/core.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Mapping
+from functools import partial
 from typing import Final
 
 from nutmegstep.web.connection import ServerConnection
@@ -15,6 +16,7 @@
     HttpResponse,
     RequestHead,
 )
+from nutmegstep.web.turns import TurnQueue
 
 __all__ = ['HttpServer', 'serve_http']
 
@@ -86,6 +88,7 @@
         self.error_response = error_response or _empty_error
         self.draining = False
         self.last_accepted_at = float(0)
+        self._turns = TurnQueue()
         self._connections: set[ServerConnection] = set()
         self._socket: socket.socket | None = None
         self._listener: asyncio.Server | None = None
@@ -94,6 +97,11 @@
         self._all_closed = asyncio.Event()
         self._all_closed.set()
 
+    @property
+    def turns(self) -> TurnQueue:
+        """Connections with received bytes that are not parsed yet."""
+        return self._turns
+
     @property
     def sockets(self) -> tuple[socket.socket, ...]:
         """Listening sockets."""
@@ -135,7 +143,7 @@
         )
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            self._new_connection,
+            partial(ServerConnection, self),
             sock=self._socket,
             backlog=_BACKLOG,
         )
@@ -189,9 +197,6 @@
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
 
-    def _new_connection(self) -> ServerConnection:
-        return ServerConnection(self)
-
     def _accept_backlog(self, listening: socket.socket) -> None:
         # Closing a listening socket resets the connections in its backlog,
         # which the kernel has established but the process has not accepted.
@@ -200,7 +205,7 @@
             accepted = _accept(listening)
             while accepted is not None:
                 accepting = loop.connect_accepted_socket(
-                    self._new_connection,
+                    partial(ServerConnection, self),
                     accepted,
                 )
                 self._backlog_tasks.append(loop.create_task(accepting))
--- a/nutmegstep/web/cycle.py
+++ b/nutmegstep/web/cycle.py
@@ -22,6 +22,7 @@
     ReadEvent,
     RequestReader,
 )
+from nutmegstep.web.turns import EVENTS_PER_TURN, TurnQueue
 
 __all__ = ['Phase', 'RequestCycle', 'ServerContext']
 
@@ -42,6 +43,10 @@
     error_response: ErrorResponseBuilder
     draining: bool
 
+    @property
+    def turns(self) -> TurnQueue:
+        """Connections with received bytes that are not parsed yet."""
+
 
 @enum.unique
 class Phase(enum.Enum):
@@ -151,6 +156,10 @@
         if self._task is not None:
             self._task.cancel()
 
+    @property
+    def _may_read(self) -> bool:
+        return self.phase in _READING and not self.write_paused
+
     def _enter(self, phase: Phase, seconds: float) -> None:
         self.phase = phase
         self.deadline = self._loop.time() + seconds
@@ -160,11 +169,21 @@
             self._reader.feed(data)
         if data and self.phase is Phase.IDLE:
             self._enter(Phase.HEAD, self._server.limits.head_seconds)
-        while self.phase in _READING and not self.write_paused:
+        for _ in range(EVENTS_PER_TURN):
+            if not self._may_read:
+                return
             event = self._reader.next_event()
             if event is ReadEvent.NEED_DATA:
+                self._transport.resume_reading()
                 return
             self._handle_event(event)
+        if self._may_read:
+            self._transport.pause_reading()
+            self._server.turns.add(self._read_on)
+
+    def _read_on(self) -> None:
+        if not self._transport.is_closing():
+            self.feed(None)
 
     def _handle_event(self, event: ReadEvent) -> None:
         if event is ReadEvent.HEAD:
@@ -196,6 +215,8 @@
             return
         request = self._reader.request()
         self._enter(Phase.BUSY, math.inf)
+        # Only a connection that is read shows that its peer has left.
+        self._transport.resume_reading()
         self._task = self._loop.create_task(self._answer(request))
 
     async def _answer(self, request: HttpRequest) -> None:
--- a/nutmegstep/web/reader.py
+++ b/nutmegstep/web/reader.py
@@ -12,6 +12,7 @@
     HttpResponse,
     RequestHead,
 )
+from nutmegstep.web.turns import ReceivedBytes
 
 __all__ = ['InvalidRequestError', 'ReadEvent', 'RequestReader']
 
@@ -75,14 +76,14 @@
         self._limits = limits
         self._parser = self._new_parser()
         self._head: h11.Request | None = None
-        self._chunks: list[bytes] = []
-        self._size = 0
+        self._received = ReceivedBytes()
+        self._body = bytearray()
         self._is_first_on_connection = True
 
     @property
     def has_data(self) -> bool:
         """Whether bytes of the next request are buffered."""
-        return bool(self._parser.trailing_data[0])
+        return bool(self._received or self._parser.trailing_data[0])
 
     def feed(self, data: bytes) -> None:
         """Buffer received bytes; empty bytes mark the end of the stream.
@@ -93,7 +94,7 @@
             The stream violates HTTP/1.1.
         """
         try:
-            self._parser.receive_data(data)
+            self._received.feed(self._parser, data)
         except h11.RemoteProtocolError as error:
             raise InvalidRequestError(error.error_status_hint) from error
 
@@ -106,14 +107,14 @@
             The request violates HTTP/1.1 or exceeds a size limit.
         """
         try:
-            event = self._parser.next_event()
+            event = self._received.next_event(self._parser)
         except h11.RemoteProtocolError as error:
             raise InvalidRequestError(error.error_status_hint) from error
         if isinstance(event, h11.Request):
             self._store_head(event)
             return ReadEvent.HEAD
         if isinstance(event, h11.Data):
-            self._append_body(bytes(event.data))
+            self._append_body(event.data)
             return ReadEvent.BODY
         if isinstance(event, h11.EndOfMessage):
             return ReadEvent.COMPLETE
@@ -158,7 +159,7 @@
                 name.decode('latin-1'): text.decode('latin-1')
                 for name, text in self.headers.items()
             },
-            b''.join(self._chunks),
+            bytes(self._body),
             self._head.target,
             tuple(self._head.headers),
             self._is_first_on_connection,
@@ -246,8 +247,7 @@
         self._is_first_on_connection = False
         self.headers = {}
         self._head = None
-        self._chunks = []
-        self._size = 0
+        self._body = bytearray()
 
     def _store_head(self, head: h11.Request) -> None:
         self._head = head
@@ -260,9 +260,8 @@
             raise InvalidRequestError(_STATUS_TOO_LARGE)
 
     def _append_body(self, chunk: bytes) -> None:
-        self._chunks.append(chunk)
-        self._size += len(chunk)
-        if self._size > self._limits.body_bytes:
+        self._body += chunk
+        if len(self._body) > self._limits.body_bytes:
             raise InvalidRequestError(_STATUS_TOO_LARGE)
 
 
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -12,8 +12,8 @@
 from nutmegstep.dispatch.effects import SendRequest
 from nutmegstep.dispatch.events import RoutedRequest, SendFailureKind
 from nutmegstep.gateway.codec import RawReply
+from nutmegstep.gateway.exchange import SendOutcome
 from nutmegstep.gateway.pool import ConnectionPool
-from nutmegstep.gateway.pooled_connection import SendOutcome
 from nutmegstep.platform.wire import CODEC
 
 _HEAD = b'HTTP/1.1 200 OK\r\n'
--- a/tests/gateway/test_receive_buffers.py
+++ b/tests/gateway/test_receive_buffers.py
@@ -9,8 +9,8 @@
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.effects import SendRequest
 from nutmegstep.dispatch.events import RoutedRequest
+from nutmegstep.gateway.exchange import SendOutcome
 from nutmegstep.gateway.pool import ConnectionPool
-from nutmegstep.gateway.pooled_connection import SendOutcome
 from nutmegstep.platform.wire import CODEC
 
 _BLOCK = b'x' * 65536
--- a/tests/gateway/test_response_fuzzing.py
+++ b/tests/gateway/test_response_fuzzing.py
@@ -10,8 +10,10 @@
 
 from nutmegstep.dispatch.events import SendFailureKind
 from nutmegstep.gateway.codec import RawReply
-from nutmegstep.gateway.pooled_connection import PooledConnection, SendOutcome
+from nutmegstep.gateway.exchange import SendOutcome
+from nutmegstep.gateway.pooled_connection import PooledConnection
 from nutmegstep.gateway.response_memory import ResponseMemory
+from nutmegstep.web.turns import TurnQueue
 
 _HEAD = h11.Request(method='GET', target='/a', headers=[('host', 'h')])
 _BODY = b'sixteen bytes!!!'
@@ -64,6 +66,9 @@
     def is_closing(self) -> bool:
         return self.is_closed
 
+    def is_reading(self) -> bool:
+        return True
+
 
 class _Exchange:
     """A connection with one request in flight and its outcomes."""
@@ -73,7 +78,7 @@
         self.memory = ResponseMemory()
         self.transport = _Transport()
         self.connection = PooledConnection(
-            lambda freed: None, lambda closed: None, self.memory
+            lambda freed: None, lambda closed: None, self.memory, TurnQueue()
         )
         self.connection._transport = self.transport
         self.connection.send(_HEAD, b'', self.outcomes.append, lambda: None)
