Count a request as possibly run when its substitute answers 500

What callers could see: an order of a VM without links to targets answered 503, which says that it has not run, although the VM that it was passed to had sent it to a target and then failed; or run a second time by the next substitute.

Cause: found while looking for paths on which a reply becomes something that it is not. An answer without the coordinators' header was taken for that of a foreign process that had got the address, whatever its status; the coordinator's own HTTP server answers 500 without that header when its handler raises, at any point. Change: 500 counts as a possible run.

--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -67,6 +67,7 @@
 )
 _EXPECT: Final = (b'expect', b'100-continue')
 _STATUS_CONFLICT: Final = 409
+_STATUS_INTERNAL_ERROR: Final = 500
 _KEEP_ALIVE: Final = ('Keep-Alive', 'timeout=60')
 _MAX_CONNECTIONS: Final = 16
 """Most connections of this VM to one other VM. All requests of a VM without links
@@ -225,9 +226,12 @@
         return DelegationFailed(request_id, outcome.value, outcome.may_have_run)
     header_by_name = dict(outcome.headers)
     if _COORDINATOR.encode() not in header_by_name:
-        # Another process has got the address; it knows no targets.
+        # Another process has got the address, and knows no targets; or the
+        # coordinator has failed at any point of handling the request.
         return DelegationFailed(
-            request_id, 'not_a_coordinator', may_have_run=False
+            request_id,
+            'not_a_coordinator',
+            may_have_run=outcome.status == _STATUS_INTERNAL_ERROR,
         )
     reason = header_by_name.get(_DECLINED.encode())
     if reason is not None:
