Share the sends of the gateway tests

tests/gateway had three copies of the same send (one of them new); they are one function in sends.py now.

--- a/nutmegstep/peers/__init__.py
+++ b/nutmegstep/peers/__init__.py
@@ -2,7 +2,6 @@
 
 # gRPC reads the variable that this module sets when it is imported.
 from nutmegstep.peers.verbosity import GRPC_VERBOSITY  # isort: split
-
 from nutmegstep.peers.client import PeerClient
 from nutmegstep.peers.core import (
     ClaimReport,
--- a/tests/dispatch/test_target_notices.py
+++ b/tests/dispatch/test_target_notices.py
@@ -27,7 +27,7 @@
 )
 from nutmegstep.dispatch.selection import is_usable
 from nutmegstep.verdict import Reason, Verdict
-from tests.dispatch.conftest import SHARDS, SHED, Dispatcher, records, reply
+from tests.dispatch.conftest import SHED, SHARDS, Dispatcher, records, reply
 
 _LEAVING = reply(b'r' * 16, is_leaving=True)
 _PAUSED = replace(SHED, retry_after=float(2))
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -8,13 +8,13 @@
 import pytest
 
 from nutmegstep.clock import SystemClock
-from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.effects import SendRequest
-from nutmegstep.dispatch.events import RoutedRequest, SendFailureKind
+from nutmegstep.dispatch.events import SendFailureKind
 from nutmegstep.gateway.codec import RawReply
 from nutmegstep.gateway.exchange import SendOutcome
 from nutmegstep.gateway.pool import ConnectionPool
 from nutmegstep.platform.wire import CODEC
+from tests.gateway.sends import send_to
 
 _HEAD = b'HTTP/1.1 200 OK\r\n'
 _BLOCK = b'x' * 65536
@@ -107,9 +107,8 @@
 
     async def ask(self, targets: list[_Target]) -> None:
         """Send a request to each target and wait for all outcomes."""
-        now = SystemClock().monotonic()
         for number, target in enumerate(targets):
-            self.pool.send(_send(number, target, now + _SECONDS))
+            self.pool.send(send_to(number, target.address, _SECONDS))
         async with asyncio.timeout(_SECONDS * 3):
             while len(self.outcome_by_id) < len(targets):
                 self.most_held = max(self.most_held, self.pool.memory.held)
@@ -119,34 +118,6 @@
         self.outcome_by_id[effect.send_id] = outcome
 
 
-def _send(number: int, target: _Target, expires_at: float) -> SendRequest:
-    request = RoutedRequest(
-        number,
-        f'caller-{number}',
-        b'GET',
-        b'/a',
-        'shop.example',
-        '/a',
-        ((b'host', b'shop.example'),),
-        b'',
-        _SECONDS,
-        0,
-    )
-    host, port = target.address
-    record = TargetRecord(
-        f'i-{number}',
-        'shard',
-        host,
-        port,
-        'north',
-        3,
-        is_draining=False,
-        cold_until=0,
-        started_ms=1,
-    )
-    return SendRequest(number, request, record, expires_at, 4, True)
-
-
 @pytest.fixture
 async def caller() -> AsyncIterator[_Caller]:
     """Return a connection pool."""
--- a/tests/gateway/test_receive_buffers.py
+++ b/tests/gateway/test_receive_buffers.py
@@ -6,12 +6,11 @@
 import time
 
 from nutmegstep.clock import SystemClock
-from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.effects import SendRequest
-from nutmegstep.dispatch.events import RoutedRequest
 from nutmegstep.gateway.exchange import SendOutcome
 from nutmegstep.gateway.pool import ConnectionPool
 from nutmegstep.platform.wire import CODEC
+from tests.gateway.sends import send_to
 
 _BLOCK = b'x' * 65536
 _HEAD = b'HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\n'
@@ -52,33 +51,6 @@
     """Ignore the outcome."""
 
 
-def _send_to(number: int, address: tuple[str, int]) -> SendRequest:
-    request = RoutedRequest(
-        number,
-        'caller',
-        b'GET',
-        b'/a',
-        'h',
-        '/a',
-        ((b'host', b'h'),),
-        b'',
-        _SECONDS,
-        0,
-    )
-    record = TargetRecord(
-        f'i-{number}',
-        'shard',
-        *address,
-        'north',
-        3,
-        is_draining=False,
-        cold_until=0,
-        started_ms=1,
-    )
-    expires_at = SystemClock().monotonic() + _SECONDS
-    return SendRequest(number, request, record, expires_at, 1, True)
-
-
 async def test_kernel_holds_few_bytes_of_endless_responses() -> None:
     """Guards against a VM whose memory is taken by the receive buffers of its
     connections, beside the bound on the responses that it has read.
@@ -87,7 +59,7 @@
     pool = ConnectionPool(SystemClock(), CODEC, _record)
     for number, started in enumerate(targets):
         started.start()
-        pool.send(_send_to(number, started.address))
+        pool.send(send_to(number, started.address, _SECONDS))
     async with asyncio.timeout(_SECONDS):
         while pool.memory.held < _READ_BYTES:
             await asyncio.sleep(0)
--- a/tests/gateway/test_tiny_chunks.py
+++ b/tests/gateway/test_tiny_chunks.py
@@ -6,14 +6,14 @@
 import pytest
 
 from nutmegstep.clock import SystemClock
-from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.effects import SendRequest
-from nutmegstep.dispatch.events import RoutedRequest, SendFailureKind
+from nutmegstep.dispatch.events import SendFailureKind
 from nutmegstep.gateway.codec import RawReply
 from nutmegstep.gateway.exchange import SendOutcome
 from nutmegstep.gateway.pool import ConnectionPool
 from nutmegstep.platform.wire import CODEC
 from nutmegstep.web.turns import EVENTS_PER_TURN
+from tests.gateway.sends import send_to
 from tests.turns import ParsingCounter
 
 _CHUNKED = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
@@ -83,7 +83,7 @@
         """Send a request to a target for each answer; return the outcomes."""
         self._targets = [_Target(pieces) for pieces in answers]
         for number, target in enumerate(self._targets):
-            self.pool.send(_send(number, await target.start()))
+            self.pool.send(send_to(number, await target.start(), _SECONDS))
         async with asyncio.timeout(_SECONDS):
             while len(self.outcome_by_id) < len(answers):
                 await asyncio.sleep(0)
@@ -99,33 +99,6 @@
         self.outcome_by_id[effect.send_id] = outcome
 
 
-def _send(number: int, address: tuple[str, int]) -> SendRequest:
-    request = RoutedRequest(
-        number,
-        f'caller-{number}',
-        b'GET',
-        b'/a',
-        'shop.example',
-        '/a',
-        ((b'host', b'shop.example'),),
-        b'',
-        _SECONDS,
-        0,
-    )
-    record = TargetRecord(
-        f'i-{number}',
-        'shard',
-        *address,
-        'north',
-        3,
-        is_draining=False,
-        cold_until=0,
-        started_ms=1,
-    )
-    expires_at = SystemClock().monotonic() + _SECONDS
-    return SendRequest(number, request, record, expires_at, 4, True)
-
-
 @pytest.fixture
 async def caller() -> AsyncIterator[_Caller]:
     """Return a connection pool."""
@@ -185,7 +158,7 @@
     target = caller._targets[0]
     address = target._server.sockets[0].getsockname()
     caller.outcome_by_id.clear()
-    caller.pool.send(_send(0, address))
+    caller.pool.send(send_to(0, address, _SECONDS))
     async with asyncio.timeout(_SECONDS):
         while not caller.outcome_by_id:
             await asyncio.sleep(0)
