--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,6 +15,12 @@
     b'HTTP/1.1 200 OK\r\ncontent-length: 999999999\r\n\r\n' + b'x' * 8_000_000
 )
 """More than a gateway keeps of a response."""
+_TINY_CHUNKS = (
+    b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+    + b'1\r\nz\r\n' * 200_000
+)
+"""More chunks than a gateway reads of a response, with few bytes."""
+_SIGNATURE = b'x-nutmegstep-server-stamp'
 _LINK_MODES = (
     LinkMode.CUT,
     LinkMode.SILENT,
@@ -164,6 +170,8 @@
                 lambda seen: b'',
                 lambda seen: b'\x00' * cut,
                 lambda seen: _ENDLESS,
+                lambda seen: _TINY_CHUNKS,
+                lambda seen: whole(seen).replace(_SIGNATURE, b'x-nutmegstep'),
             ),
         )
         target.script = spoil
