--- a/tests/turns.py
+++ b/tests/turns.py
@@ -46,9 +46,13 @@
         """Stop counting."""
         self._ticker.cancel()
         self._monkeypatch.undo()
+        self._end_turn()
 
     async def _tick(self) -> None:
         while True:
-            self.most_in_a_turn = max(self.most_in_a_turn, self._count)
-            self._count = 0
+            self._end_turn()
             await asyncio.sleep(0)
+
+    def _end_turn(self) -> None:
+        self.most_in_a_turn = max(self.most_in_a_turn, self._count)
+        self._count = 0
