Count parsing events instead of seconds in the tests of tiny chunks

The tests asserted seconds, or had 5 s for what takes 4 s under coverage; a slow machine would have failed them.

--- a/tests/turns.py
+++ b/tests/turns.py
@@ -17,10 +17,13 @@
     ----------
     most_in_a_turn : int
         Largest number so far.
+    total : int
+        Events of all turns.
     """
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.most_in_a_turn = 0
+        self.total = 0
         self._count = 0
         self._monkeypatch = monkeypatch
         self._ticker: asyncio.Task[None]
@@ -31,6 +34,7 @@
 
         def next_event(parser: h11.Connection) -> object:
             counter._count += 1
+            counter.total += 1
             return _NEXT_EVENT(parser)
 
         self._monkeypatch.setattr(h11.Connection, 'next_event', next_event)
