Wait at a stop for connections that were just accepted

Cause: the server knows a connection two turns of the event loop after asyncio has accepted it, and the drain looked for pending connections in the turn in which it closed the listener. Evidence: in the replay that VM logs the end of its drain, nothing pending, 4 ms after the moment at which the lost query was sent and 6 ms before it reached its targets.

Change: the drain waits until all accepted connections are known, those of the backlog and, for four turns, those of asyncio; wait_closed, with which the own interface stops, as well.

--- a/nutmegstep/gateway/lifecycle.py
+++ b/nutmegstep/gateway/lifecycle.py
@@ -59,6 +59,7 @@
     while server.open_connections and loop.time() < closes_at:
         await asyncio.sleep(_POLL_INTERVAL_S)
     server.close()
+    await server.wait_accepted()
     while _unanswered(server, open_requests) and loop.time() < ends_at:
         await asyncio.sleep(_POLL_INTERVAL_S)
     answered = not open_requests()
--- a/nutmegstep/web/core.py
+++ b/nutmegstep/web/core.py
@@ -24,6 +24,9 @@
 _ABORT_FACTOR: Final = 2
 """Multiple of the connection limit above which connections are aborted."""
 _BACKLOG: Final = 1024
+_ACCEPT_TURNS: Final = 4
+"""Turns of the event loop after which the server knows each connection that the
+loop had accepted before. asyncio takes three."""
 
 
 def _pass_request(head: RequestHead) -> None:
@@ -184,33 +187,37 @@
             last = self._socket.dup()
             self._socket = None
             self._listener.close()
-            self._accept_backlog(last)
+            # Closing a listening socket resets the connections in its backlog,
+            # which the kernel has established but the process has not accepted.
+            with last:
+                backlog = tuple(iter(partial(_accept, last), None))
+            loop = asyncio.get_running_loop()
+            new_connection = partial(ServerConnection, self)
+            self._backlog_tasks.extend(
+                loop.create_task(
+                    loop.connect_accepted_socket(new_connection, accepted)
+                )
+                for accepted in backlog
+            )
         for connection in tuple(self._connections):
             cycle = connection.cycle
             if cycle.answered and cycle.phase is Phase.IDLE:
                 connection.abort()
 
+    async def wait_accepted(self) -> None:
+        """Wait, after `close`, until the server knows all its connections."""
+        # A connection that its peer has reset meanwhile is none.
+        await asyncio.gather(*self._backlog_tasks, return_exceptions=True)
+        for _ in range(_ACCEPT_TURNS):
+            await asyncio.sleep(0)
+
     async def wait_closed(self) -> None:
         """Wait until no connection is open."""
-        await asyncio.gather(*self._backlog_tasks)
+        await self.wait_accepted()
         await self._all_closed.wait()
         if self._deadline_timer is not None:
             self._deadline_timer.cancel()
 
-    def _accept_backlog(self, listening: socket.socket) -> None:
-        # Closing a listening socket resets the connections in its backlog,
-        # which the kernel has established but the process has not accepted.
-        loop = asyncio.get_running_loop()
-        with listening:
-            accepted = _accept(listening)
-            while accepted is not None:
-                accepting = loop.connect_accepted_socket(
-                    partial(ServerConnection, self),
-                    accepted,
-                )
-                self._backlog_tasks.append(loop.create_task(accepting))
-                accepted = _accept(listening)
-
     def _schedule_deadline_check(self) -> None:
         self._deadline_timer = asyncio.get_running_loop().call_later(
             _DEADLINE_CHECK_INTERVAL_S,
--- a/tests/gateway/test_lifecycle.py
+++ b/tests/gateway/test_lifecycle.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from datetime import timedelta
 
 import pytest
@@ -105,6 +106,33 @@
     connecting.close()
 
 
+async def test_connection_accepted_in_the_turn_of_the_close(vm: _Vm) -> None:
+    """Guards against a stop that ends before the server knows a connection that
+    the event loop has accepted. A hunted day of dzk-meklesana lost a query that way.
+    """
+    idle_reader, idle_writer = await vm.connect()
+    idle_writer.write(_GET)
+    await idle_reader.readuntil(b'{}')
+    stopping = asyncio.create_task(vm.drain())
+    connected: list[socket.socket] = []
+
+    def connect_while_the_loop_stands() -> None:
+        # The listener is readable and the time of its close has come in the
+        # same turn of the loop.
+        time.sleep(0.2)
+        address = vm.server.sockets[0].getsockname()
+        connected.append(socket.create_connection(address))
+        connected[0].sendall(_GET)
+
+    asyncio.get_running_loop().call_later(0.93, connect_while_the_loop_stands)
+    assert await stopping
+    assert vm.open_requests == 0
+    connected[0].setblocking(False)
+    assert connected[0].recv(100).startswith(b'HTTP/1.1 200')
+    connected[0].close()
+    idle_writer.close()
+
+
 async def test_idle_connections_do_not_delay_the_stop(vm: _Vm) -> None:
     """A connection whose caller waits for nothing is closed at the stop."""
     reader, writer = await vm.connect()
