Use the shared send in the tests of signatures

tests/platform/test_reply_signatures.py built a target, a request and a send of its own, as tests/platform/test_wire.py and tests/gateway/sends.py do. It takes send_to of the latter; the attempt is that send's instead of "abc".

--- a/tests/platform/test_reply_signatures.py
+++ b/tests/platform/test_reply_signatures.py
@@ -2,30 +2,12 @@
 
 import pytest
 
-from nutmegstep.discovery import TargetRecord
-from nutmegstep.dispatch.effects import SendRequest
 from nutmegstep.gateway.codec import RawReply
 from nutmegstep.platform.wire import CODEC
-from nutmegstep.web import HttpRequest
+from tests.gateway.sends import send_to
 
-_HEADERS = {'x-nutmegstep-attempt-id': 'abc'}
-
-
-def _send() -> SendRequest:
-    asked = HttpRequest('GET', '/a', {}, _HEADERS, b'', b'/a')
-    target = TargetRecord(
-        'i-1',
-        'shard',
-        '10.0.0.1',
-        80,
-        'north',
-        3,
-        is_draining=False,
-        cold_until=0,
-        started_ms=1,
-    )
-    request = CODEC.read_request(asked, 7, 50)
-    return SendRequest(1, request, target, 51, 4, is_repeatable=True)
+_SEND = send_to(1, ('10.0.0.1', 80), seconds=1)
+_ATTEMPT = (b'x-nutmegstep-attempt-id', _SEND.request.attempt_id.encode())
 
 
 @pytest.mark.parametrize(
@@ -48,10 +30,10 @@
     answer, or one that is none, which makes the whole answer invalid.
     """
     headers = (
-        (b'x-nutmegstep-attempt-id', b'abc'),
+        _ATTEMPT,
         *((b'x-nutmegstep-server-stamp', text) for text in texts),
     )
-    reply = CODEC.read_reply(_send(), RawReply(200, headers, b''))
+    reply = CODEC.read_reply(_SEND, RawReply(200, headers, b''))
     assert reply is not None
     assert reply.signature == signature
     assert reply.is_success is bool(signature)
@@ -71,9 +53,9 @@
     """An answer that another VM passes on bears the signature of the target,
     one that it has merged those of the parts.
     """
-    headers = ((b'x-nutmegstep-attempt-id', b'abc'), (name, b'a.1'))
+    headers = (_ATTEMPT, (name, b'a.1'))
     raw = RawReply(200, headers, b'')
-    reply = CODEC.read_delegated_reply(_send(), raw)
+    reply = CODEC.read_delegated_reply(_SEND, raw)
     assert reply is not None
     assert reply.signature == signature
 
@@ -85,4 +67,4 @@
         (b'x-nutmegstep-server-stamp', b'a.1'),
     )
     raw = RawReply(200, headers, b'')
-    assert CODEC.read_delegated_reply(_send(), raw) is None
+    assert CODEC.read_delegated_reply(_SEND, raw) is None
