Exchange messages of several kinds between all VMs

Cause: limits of client accounts, evidence about a new version and the load of targets are known to many VMs in parts; only names of suspected targets could be sent, and only within a failure domain. Change: gateway.vm_messages sends JSON objects in datagrams on the socket of the suspect reports, to VMs by name; decoders by kind return events of the dispatcher. VmsCounted names the failure domain of each VM. The parts of the process and the share of a VM in the fleet's bounds are modules of their own. The test of the first start compares the failure domains as well.

--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -188,6 +188,7 @@
     now: float,
 ) -> list[Effect]:
     """Replace the numbers of VMs that share the targets, and the coordinators."""
+    state.domain_by_vm = event.domain_by_vm
     known = (state.vm_count, state.vms_in_domain, state.coordinators)
     if (event.count, event.in_domain, event.coordinators) == known:
         return []
--- a/nutmegstep/dispatch/control_events.py
+++ b/nutmegstep/dispatch/control_events.py
@@ -1,7 +1,7 @@
 """Events that change what the dispatcher knows, apart from single requests."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from nutmegstep.configuration import Configuration
 from nutmegstep.coordinators import CoordinatorChoice
@@ -113,11 +113,14 @@
         Number of VMs in the failure domain of this VM, including this one.
     coordinators : CoordinatorChoice
         Coordinators of queries.
+    domain_by_vm : Mapping
+        Failure domains of the VMs by name, this one included.
     """
 
     count: int
     in_domain: int
     coordinators: CoordinatorChoice = CoordinatorChoice()
+    domain_by_vm: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/dispatch/effects.py
+++ b/nutmegstep/dispatch/effects.py
@@ -25,6 +25,7 @@
     'PublishCrash',
     'ReportSuspect',
     'ReturnSends',
+    'SendMessage',
     'SendRequest',
     'WakeAt',
 ]
@@ -123,6 +124,25 @@
     target_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class SendMessage:
+    """Send a datagram to other VMs; it may be lost.
+
+    Parameters
+    ----------
+    receivers : tuple of str
+        Names of the VMs. VMs that are not known are left out.
+    kind : str
+        Kind of the message.
+    content : Mapping
+        JSON value; see `nutmegstep.gateway.vm_messages` for its size.
+    """
+
+    receivers: tuple[str, ...]
+    kind: str
+    content: Mapping[str, object]
+
+
 @dataclass(frozen=True, slots=True)
 class CheckTarget:
     """Check whether a target that closed a connection still listens."""
@@ -256,6 +276,7 @@
     | PublishCrash
     | ReportSuspect
     | ReturnSends
+    | SendMessage
     | WakeAt
     | DeliverReply
     | DeliverMerged
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -2,18 +2,15 @@
 
 import math
 from datetime import timedelta
-from functools import cache
 from random import Random
 from typing import Final
 
-import xxhash
-
 from nutmegstep.configuration import Configuration, Route, ServiceSpec
-from nutmegstep.coordinators import CoordinatorChoice
 from nutmegstep.discovery import TargetRecord, TargetRegistry
 from nutmegstep.dispatch.budget import RepeatBudget, token_savers
 from nutmegstep.dispatch.coordinator_health import CoordinatorHealth
 from nutmegstep.dispatch.crashes import CrashRecords
+from nutmegstep.dispatch.fleet import FleetShare
 from nutmegstep.dispatch.health import TargetHealth
 from nutmegstep.dispatch.latency import INITIAL_INTERVAL, RequestInterval
 from nutmegstep.dispatch.limits import DispatchLimits
@@ -25,23 +22,14 @@
 
 __all__ = ['DispatchState']
 
-_COORDINATORS_SHARE: Final = 0.7
-"""Share of the bounds over all VMs that the coordinators use."""
 _MAX_REFRESH_SECONDS: Final = 1.0
 """Longest time after a pause for which nothing is sent. If the store has not
 been read again by then, it is unreachable, and what is known must do."""
 _CONNECT_SECONDS: Final = 0.03
 """Time in which a target of any failure domain accepts a connection."""
-_INITIAL_VM_COUNT: Final = 8
-"""Number of VMs that is assumed until they are counted."""
-
 
-@cache
-def _ring_offset(name: str) -> int:
-    return xxhash.xxh3_64_intdigest(name.encode())
 
-
-class DispatchState:
+class DispatchState(FleetShare):
     """State that the handlers of the dispatcher share.
 
     Parameters
@@ -54,6 +42,8 @@
         Random number generator.
     started : float, optional
         Monotonic time of the start in seconds; budgets fill from then on.
+    own_name : str, optional
+        Name of this VM.
 
     Attributes
     ----------
@@ -81,12 +71,6 @@
     keep_withdrawals_until : float
         Monotonic time in seconds until which a withdrawal stays in force
         although the store does not hold it.
-    vm_count : int
-        Number of all VMs, including this one.
-    vms_in_domain : int
-        Number of VMs in the failure domain of this VM, including this one.
-    coordinators : CoordinatorChoice
-        Coordinators of queries.
     coordinator_health : CoordinatorHealth
         Coordinators that are blocked after failures.
     open_by_id : dict
@@ -128,7 +112,9 @@
         limits: DispatchLimits,
         random: Random,
         started: float = 0,
+        own_name: str = '',
     ) -> None:
+        super().__init__(own_name)
         self.own_domain = own_domain
         self.limits = limits
         self.random = random
@@ -141,9 +127,6 @@
         self.withdrawn_domains: frozenset[str] = frozenset()
         self.stored_withdrawals: frozenset[str] = frozenset()
         self.keep_withdrawals_until = float(0)
-        self.vm_count = _INITIAL_VM_COUNT
-        self.vms_in_domain = max(1, _INITIAL_VM_COUNT // 3)
-        self.coordinators = CoordinatorChoice()
         self.coordinator_health = CoordinatorHealth()
         self.open_by_id: dict[int, OpenRequest] = {}
         self.sends_by_id: dict[int, Send] = {}
@@ -184,20 +167,6 @@
         """
         return now >= self.links_suspected_at + _CONNECT_SECONDS
 
-    @property
-    def bound_divisor(self) -> float:
-        """Number of equal shares of a bound over all VMs; this VM has one.
-
-        The coordinators send most requests and share most of each bound.
-        """
-        coordinators = self.coordinators.total
-        others = self.vm_count - coordinators
-        if not coordinators or others < 1:
-            return self.vm_count
-        if self.coordinators.is_coordinator:
-            return coordinators / _COORDINATORS_SHARE
-        return others / (1 - _COORDINATORS_SHARE)
-
     def spec_of(self, service: str) -> ServiceSpec:
         """Return the declaration of a service.
 
@@ -220,13 +189,6 @@
         """Send nothing until the store has been read again."""
         self.refresh_until = now + _MAX_REFRESH_SECONDS
 
-    def phase_of(self, name: str) -> float:
-        """Return a number above 0, at most 1, that spreads the VMs evenly.
-
-        Another name gives another order of the VMs.
-        """
-        return (self._place_of(name) + 1) / self._peers
-
     def health_of(self, target: TargetRecord) -> TargetHealth:
         """Return the health of a target; it is reset for a new incarnation."""
         health = self.health_by_target.get(target.target_id)
@@ -280,21 +242,11 @@
             self._latency_by_route[route.name] = latency
         return latency
 
-    @property
-    def _peers(self) -> int:
-        """Number of VMs that have the same share of a bound as this one."""
-        if self.coordinators.is_coordinator:
-            return max(1, self.coordinators.total)
-        return max(1, self.vm_count - self.coordinators.total)
-
     def _may_save_token(self, service: str) -> bool:
         # The VMs that may save a token are neighbours on a ring, and each
         # service starts at another place of it.
-        peers = self._peers
+        peers = self.peers
         savers = token_savers(
             self.limits.budget, min(1, peers / self.bound_divisor)
         )
-        return self._place_of(service) < savers
-
-    def _place_of(self, name: str) -> int:
-        return (self.coordinators.rank + _ring_offset(name)) % self._peers
+        return self.place_of(service) < savers
--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Final
 
 from nutmegstep.clock import Clock
@@ -20,6 +20,7 @@
     DropTarget,
     ReportSuspect,
     ReturnSends,
+    SendMessage,
     SendRequest,
     WakeAt,
 )
@@ -114,17 +115,18 @@
         self._events: deque[Event] = deque()
         self._is_dispatching = False
         self._pending_by_request: dict[int, PendingRequest] = {}
-        self._handler_by_effect: Mapping[type, Callable[[Any], None]] = {
+        self._handler_by_effect: dict[type, Callable[[Any], None]] = {
             SendRequest: self._send,
             Delegate: self._delegations.send,
             CancelDelegation: self._cancel_delegation,
             DeclineDelegation: self._decline_delegation,
             CancelSend: self._cancel,
-            DropTarget: self._drop_target,
+            DropTarget: lambda effect: self.pool.drop_target(effect.target_id),
             ReturnSends: lambda effect: self.pool.return_sends(
                 effect.target_id
             ),
             ReportSuspect: lambda effect: self.on_suspect(effect.target_id),
+            SendMessage: _ignore,
             WakeAt: self._wake_at,
             DeliverReply: self._deliver,
             DeliverMerged: self._deliver,
@@ -133,6 +135,10 @@
             **self.crash_reporter.handler_by_effect,
         }
 
+    def send_messages_with(self, send: Callable[[SendMessage], None]) -> None:
+        """Set what sends messages to other VMs; without it none are sent."""
+        self._handler_by_effect[SendMessage] = send
+
     @property
     def open_requests(self) -> int:
         """Number of callers' requests that are not answered yet."""
@@ -241,9 +247,6 @@
         if pending is not None and not pending.answer.done():
             pending.answer.set_exception(DelegationDeclined(effect.reason))
 
-    def _drop_target(self, effect: DropTarget) -> None:
-        self.pool.drop_target(effect.target_id)
-
     def _log_decision(self, effect: Decision) -> None:
         self._metrics.count_decision(effect)
         self.decisions.write(effect)
--- a/nutmegstep/gateway/metrics.py
+++ b/nutmegstep/gateway/metrics.py
@@ -45,6 +45,8 @@
         Calls to the platform's store.
     suspect_reports : Counter
         Datagrams with reports about targets.
+    vm_messages : Counter
+        Messages between VMs.
     omitted_log_lines : Gauge
         Decisions without a log line; set before each export.
     """
@@ -88,6 +90,12 @@
             ('outcome',),
             registry=self.registry,
         )
+        self.vm_messages = Counter(
+            'nutmegstep_vm_messages_total',
+            'Messages between VMs by kind and outcome.',
+            ('kind', 'outcome'),
+            registry=self.registry,
+        )
         self.omitted_log_lines = Gauge(
             'nutmegstep_omitted_log_lines',
             'Decisions without a log line since the start.',
--- /dev/null
+++ b/nutmegstep/gateway/process_parts.py
@@ -0,0 +1,218 @@
+"""Parts of a gateway process."""
+
+import asyncio
+import logging
+import secrets
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from random import Random
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final
+
+from nutmegstep.clock import SystemClock
+from nutmegstep.dispatch import ColdLimits, DispatchLimits, DispatchState
+from nutmegstep.dispatch.budget import BudgetLimits
+from nutmegstep.dispatch.control_events import HousekeepingDue
+from nutmegstep.gateway.adapter import PlatformAdapter
+from nutmegstep.gateway.core import Gateway
+from nutmegstep.gateway.metrics import GatewayMetrics
+from nutmegstep.gateway.store_sync import StoreSync, StoreSyncParts
+from nutmegstep.gateway.suspect_reports import SuspectReportExchange
+from nutmegstep.gateway.vm_messages import ReadMessage, VmMessages
+from nutmegstep.settings import GatewaySettings, SettingsError
+from nutmegstep.web import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from nutmegstep.web.exposition import expose_metrics
+
+if TYPE_CHECKING:
+    from nutmegstep.gateway.tracing import Tracing
+
+__all__ = ['GatewayProcess', 'ReadSettings']
+
+ReadSettings = Callable[[], GatewaySettings]
+"""Returns the current settings; raises `SettingsError` if they are invalid."""
+
+_LOG: Final = logging.getLogger(__name__)
+_SEED_BITS: Final = 128
+_HOUSEKEEPING_INTERVAL_S: Final = 0.5
+_RELOAD_INTERVAL_S: Final = 2.0
+"""Time between two reads of the settings when no SIGHUP arrives."""
+_MAX_CALLER_CONNECTIONS: Final = 2000
+"""Most connections of callers; half the file descriptors of a small VM."""
+_READ_BY_KIND: Final[Mapping[str, ReadMessage]] = MappingProxyType({})
+"""Decoders of the messages between VMs, by kind."""
+
+
+class GatewayProcess:
+    """Parts of one gateway process."""
+
+    def __init__(
+        self, adapter: PlatformAdapter, settings: GatewaySettings
+    ) -> None:
+        self.adapter = adapter
+        self.settings = settings
+        self.clock = SystemClock()
+        self.random = Random(secrets.randbits(_SEED_BITS))
+        self.metrics = GatewayMetrics()
+        self.state = DispatchState(
+            settings.failure_domain,
+            _dispatch_limits(settings),
+            self.random,
+            self.clock.monotonic(),
+            settings.vm_name,
+        )
+        self.gateway = Gateway(
+            self.state,
+            self.clock,
+            adapter.codec,
+            self.metrics,
+            _build_tracing(settings),
+        )
+        self.report_exchange = SuspectReportExchange(
+            self.gateway.dispatch,
+            self.random,
+            self.metrics.suspect_reports,
+        )
+        self.gateway.on_suspect = self.report_exchange.report
+        self.vm_messages = VmMessages(
+            self.gateway.dispatch,
+            self.report_exchange.send,
+            self.metrics.vm_messages,
+            _READ_BY_KIND,
+        )
+        self.report_exchange.on_message = self.vm_messages.receive
+        self.gateway.send_messages_with(self.vm_messages.send)
+        self.store = adapter.open_store(
+            settings.store_address,
+            self.clock,
+            self.metrics.store_calls,
+        )
+        self.is_draining = False
+
+    def build_store_sync(self) -> StoreSync:
+        """Return the part that watches the store; it refreshes after pauses."""
+        parts = StoreSyncParts(
+            self.adapter,
+            self.store,
+            self.clock,
+            self.random,
+            self.gateway.dispatch,
+            self.report_exchange.replace_neighbours,
+            self.answer_delegated,
+            self.gateway.crash_reporter,
+            self.vm_messages.replace_vms,
+        )
+        store_sync = StoreSync(parts, self.settings)
+        self.refresh_after_pauses(store_sync)
+        return store_sync
+
+    async def answer_ready(self, request: HttpRequest) -> HttpResponse:
+        """Answer the load balancer's readiness probe."""
+        if request.path != self.adapter.ready_path:
+            return HttpResponse(404, b'{}')
+        is_ready = self.state.is_ready and not self.is_draining
+        return HttpResponse(200 if is_ready else 503, b'{}')
+
+    async def answer_delegated(self, request: HttpRequest) -> HttpResponse:
+        """Answer a query that a neighbour delegated to this VM."""
+        return await self.gateway.handle_delegated(
+            request, is_stopping=self.is_draining
+        )
+
+    async def answer_metrics(self, request: HttpRequest) -> HttpResponse:
+        """Answer a scrape of the metrics."""
+        if request.path != '/metrics':
+            return HttpResponse(404, b'{}')
+        self.metrics.omitted_log_lines.set(self.gateway.decisions.omitted)
+        return expose_metrics(self.metrics.registry)
+
+    def limits(self) -> HttpLimits:
+        """Return the limits on callers in the configuration in force."""
+        http_limits = HttpLimits(
+            connections=_MAX_CALLER_CONNECTIONS,
+            cancels_half_closed=True,
+        )
+        if self.state.configuration is None:
+            return http_limits
+        declared = self.state.configuration.limits
+        return replace(
+            http_limits,
+            head_bytes=declared.head_bytes,
+            body_bytes=declared.body_bytes,
+            head_seconds=declared.head_timeout.total_seconds(),
+            keep_alive_seconds=declared.idle_timeout.total_seconds(),
+        )
+
+    async def run_housekeeping(self, server: HttpServer) -> None:
+        """Periodically remove expired targets and apply limits on callers.
+
+        The periodic event also shows whether the process was paused.
+        """
+        while True:
+            await asyncio.sleep(_HOUSEKEEPING_INTERVAL_S)
+            server.limits = self.limits()
+            self.gateway.dispatch(HousekeepingDue())
+
+    def refresh_after_pauses(self, store_sync: StoreSync) -> None:
+        """Read the store again whenever the process was paused."""
+        refreshes: set[asyncio.Task[None]] = set()
+
+        def refresh() -> None:
+            task = asyncio.create_task(store_sync.refresh())
+            refreshes.add(task)
+            task.add_done_callback(refreshes.discard)
+
+        self.gateway.on_resumed = refresh
+
+    async def reload(
+        self, read: ReadSettings, reload_requested: asyncio.Event
+    ) -> None:
+        """Reload the settings after SIGHUP, or periodically without it."""
+        while True:
+            try:
+                await asyncio.wait_for(
+                    reload_requested.wait(), _RELOAD_INTERVAL_S
+                )
+            except TimeoutError:
+                # The settings file may change without a signal.
+                reload_requested.clear()
+            reload_requested.clear()
+            self._reload_settings(read)
+
+    def _reload_settings(self, read: ReadSettings) -> None:
+        try:
+            settings = read()
+        except SettingsError as error:
+            _LOG.error('settings kept', extra={'detail': str(error)})
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self.state.replace_limits(_dispatch_limits(settings))
+        _LOG.info('settings reloaded')
+
+
+def _build_tracing(settings: GatewaySettings) -> 'Tracing | None':
+    if not settings.trace_ratio:
+        return None
+    # Imported here: a process without traces starts faster and takes less
+    # memory without the telemetry packages.
+    from nutmegstep.gateway.tracing import Tracing
+    from nutmegstep.telemetry.spans import LogSpanExporter, build_tracer
+
+    return Tracing(build_tracer(LogSpanExporter(), settings.trace_ratio))
+
+
+def _dispatch_limits(settings: GatewaySettings) -> DispatchLimits:
+    return DispatchLimits(
+        BudgetLimits(
+            settings.repeat_ratio,
+            settings.repeat_slack,
+            settings.repeat_window,
+        ),
+        ColdLimits(settings.cold_overshoot, settings.cold_slack),
+    )
--- a/nutmegstep/gateway/store_sync.py
+++ b/nutmegstep/gateway/store_sync.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, replace
 from functools import partial
@@ -71,6 +71,8 @@
         Answers the queries that neighbours delegate to this VM.
     crash_reporter : CrashReporter
         Writes records of crashes to the store.
+    on_vms : Callable
+        Called with the registry entries of the other VMs.
     """
 
     adapter: PlatformAdapter
@@ -81,6 +83,7 @@
     on_neighbours: Callable[[Collection[str]], None]
     answer_delegated: Handler
     crash_reporter: CrashReporter
+    on_vms: Callable[[Mapping[str, VmEntry]], None]
 
 
 class StoreSync:
@@ -130,6 +133,7 @@
                 parts.dispatch,
                 self._reader.use_relays,
                 parts.on_neighbours,
+                parts.on_vms,
             ),
             settings.is_first_start,
         )
--- a/nutmegstep/gateway/suspect_reports.py
+++ b/nutmegstep/gateway/suspect_reports.py
@@ -44,6 +44,12 @@
         Draws the receivers of a datagram.
     counter : prometheus_client.Counter
         Counts datagrams by outcome.
+
+    Attributes
+    ----------
+    on_message : Callable or None
+        Called with each datagram that holds a JSON object, which is a message of
+        another kind, and with the address of its sender.
     """
 
     def __init__(
@@ -59,6 +65,7 @@
         self._neighbours: list[_Address] = []
         self._neighbour_hosts: frozenset[str] = frozenset()
         self._pending_target_ids: dict[str, None] = {}
+        self.on_message: Callable[[bytes, _Address], None] | None = None
 
     async def open(self, address: _Address) -> None:
         """Bind the UDP socket of this VM.
@@ -91,6 +98,11 @@
         if len(self._pending_target_ids) < _MAX_TARGETS:
             self._pending_target_ids[target_id] = None
 
+    def send(self, datagram: bytes, address: _Address) -> None:
+        """Send a datagram, unless the socket is closed."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(datagram, address)
+
     def close(self) -> None:
         """Stop sending and receiving."""
         if self._transport is not None:
@@ -98,6 +110,9 @@
 
     def datagram_received(self, data: bytes, addr: _Address) -> None:
         """Decode a datagram, unless its sender is not a neighbour."""
+        if self.on_message is not None and data.startswith(b'{'):
+            self.on_message(data, addr)
+            return
         if addr[0] not in self._neighbour_hosts:
             self._counter.labels('unknown_sender').inc()
             return
--- a/nutmegstep/gateway/vm_registration.py
+++ b/nutmegstep/gateway/vm_registration.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from random import Random
@@ -47,6 +47,10 @@
 _REVISION_BITS: Final = 31
 
 
+def _ignore(entry_by_name: Mapping[str, VmEntry]) -> None:
+    """Do nothing; for a VM that exchanges no messages."""
+
+
 @dataclass(frozen=True, slots=True)
 class VmCallbacks:
     """Callbacks for the results of reading the entries of all VMs.
@@ -61,11 +65,14 @@
     on_neighbours : Callable
         Called with the ``host:port`` addresses of the neighbours, which are
         the other VMs of the failure domain.
+    on_vms : Callable
+        Called with the entries of the other VMs of all failure domains.
     """
 
     on_count: Callable[[VmsCounted], None]
     on_relays: Callable[[RelayChoice], None]
     on_neighbours: Callable[[Collection[str]], None]
+    on_vms: Callable[[Mapping[str, VmEntry]], None] = _ignore
 
 
 class VmRegistrar:
@@ -158,6 +165,18 @@
             await asyncio.sleep(_FIRST_START_DELAY.total_seconds())
         return True
 
+    def _count(self, now: float) -> VmsCounted:
+        entry_by_name = {**self._registry.others(now), self._name: self._entry}
+        return VmsCounted(
+            self._registry.count(now),
+            self._registry.count_in_domain(now),
+            choose_coordinators(self._name, entry_by_name),
+            {
+                name: entry.failure_domain
+                for name, entry in entry_by_name.items()
+            },
+        )
+
     async def _read(self) -> bool:
         listed = await self._store.list_vms()
         if not is_successful(listed):
@@ -169,13 +188,9 @@
         for name in self._registry.expired_names(now):
             await self._store.delete_vm(name)
         neighbours = self._registry.neighbours(now)
-        count = self._registry.count(now)
-        in_domain = self._registry.count_in_domain(now)
-        coordinators = choose_coordinators(
-            self._name,
-            {**self._registry.others(now), self._name: self._entry},
-        )
-        self._callbacks.on_count(VmsCounted(count, in_domain, coordinators))
+        # Messages that the count causes need the addresses.
+        self._callbacks.on_vms(self._registry.others(now))
+        self._callbacks.on_count(self._count(now))
         self._callbacks.on_relays(choose_relays(self._name, neighbours))
         self._callbacks.on_neighbours(
             [entry.address for entry in neighbours.values()],
--- a/tests/gateway/test_vm_registration.py
+++ b/tests/gateway/test_vm_registration.py
@@ -108,7 +108,8 @@
     counts = await _run_registrar(is_first_start=True, meanwhile=_others_write)
     names = [f'vm-{number}' for number in range(1, 23)]
     coordinators = choose_coordinators('vm-1', dict.fromkeys(names, _OWN))
-    assert counts == [VmsCounted(22, 22, coordinators)]
+    domains = dict.fromkeys(names, _OWN.failure_domain)
+    assert counts == [VmsCounted(22, 22, coordinators, domains)]
 
 
 async def test_restart_reads_at_once() -> None:
