Pass values of headers on as bytes

Cause: values of headers came as bytes from a target, were decoded to text and encoded as ASCII for the caller. Change: values stay bytes on all ways (single, passed on by another VM, relayed); the server encodes text as latin-1, as it decodes that of requests, so that an attempt's identifier with such a byte is echoed in merged answers and refusals too. A list of part signatures with an entry that is none counts as none.

--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -185,9 +185,9 @@
     They state the limit of the target, so that the VM which passes the answer
     on keeps to it when it sends requests itself.
     """
-    added = [(_COORDINATOR, '1'), _KEEP_ALIVE]
+    added: list[tuple[str, str | bytes]] = [(_COORDINATOR, '1'), _KEEP_ALIVE]
     if isinstance(delivery, DeliverReply):
-        added.append((_TARGET, delivery.target_id))
+        added.append((_TARGET, delivery.target_id.encode()))
         if delivery.reply.request_limit is not None:
             added.append((_REQUEST_LIMIT, str(delivery.reply.request_limit)))
         if delivery.reply.is_leaving:
@@ -250,5 +250,5 @@
             request_limit=None if stated is None else float(stated),
             is_leaving=_LEAVING.encode() in header_by_name,
         ),
-        header_by_name.get(_TARGET.encode(), b'').decode('latin-1'),
+        header_by_name.get(_TARGET.encode(), b'').decode(errors='replace'),
     )
--- a/nutmegstep/platform/wire.py
+++ b/nutmegstep/platform/wire.py
@@ -18,9 +18,10 @@
 from nutmegstep.verdict import Reason, Refusal, Verdict, http_status
 from nutmegstep.web import HttpRequest, HttpResponse
 
-__all__ = ['CODEC']
+__all__ = ['ATTEMPT_ID', 'CODEC']
 
-_ATTEMPT_ID: Final = b'x-nutmegstep-attempt-id'
+ATTEMPT_ID: Final = b'x-nutmegstep-attempt-id'
+"""Header with the identifier that a caller gives to each attempt."""
 _DEADLINE: Final = b'x-nutmegstep-deadline-ms'
 # Identifier of the target that must answer; any other target answers 421.
 _EXPECTED_TARGET: Final = b'x-nutmegstep-expect-instance'
@@ -77,7 +78,7 @@
     dropped = _hop_by_hop_names(items) | _REPLACED_HEADERS
     return RoutedRequest(
         request_id=request_id,
-        attempt_id=http_request.headers.get(_ATTEMPT_ID.decode(), ''),
+        attempt_id=http_request.headers.get(ATTEMPT_ID.decode(), ''),
         method=http_request.method.encode(),
         target=http_request.target,
         host=http_request.headers.get('host', ''),
@@ -132,7 +133,7 @@
     if not _is_usable(effect, raw.status, header_by_name):
         return None
     merged = header_by_name.get(_PART_SIGNATURES.lower().encode(), b'')
-    signature = _read_signature(raw.headers) or merged.decode(_HEADER_CHARSET)
+    signature = _read_signature(raw.headers) or _read_part_signatures(merged)
     return TargetReply(raw.status, raw.headers, raw.body, signature)
 
 
@@ -145,12 +146,19 @@
     return texts[0].decode('ascii')
 
 
+def _read_part_signatures(merged: bytes) -> str:
+    entries = merged.split(b', ')
+    if not all(_LIST_ENTRY.fullmatch(entry) for entry in entries):
+        return ''
+    return merged.decode('ascii')
+
+
 def _is_usable(
     effect: SendRequest, status: int, header_by_name: Mapping[bytes, bytes]
 ) -> bool:
     """Return whether a response answers this request, with a readable body."""
     attempt_id = effect.request.attempt_id
-    echoed = header_by_name.get(_ATTEMPT_ID)
+    echoed = header_by_name.get(ATTEMPT_ID)
     if echoed is None:
         # Without the identifier, a late copy of an earlier answer could be
         # taken for the answer to this request.
@@ -177,7 +185,7 @@
 def _write_reply(reply: TargetReply) -> HttpResponse:
     dropped = _hop_by_hop_names(reply.headers)
     headers = tuple(
-        (name.decode(_HEADER_CHARSET), text.decode(_HEADER_CHARSET))
+        (name.decode(_HEADER_CHARSET), text)
         for name, text in reply.headers
         if name not in dropped
     )
@@ -189,7 +197,7 @@
     delivery: DeliverMerged,
 ) -> HttpResponse:
     headers = (
-        (_ATTEMPT_ID.decode(), request.attempt_id),
+        (ATTEMPT_ID.decode(), request.attempt_id),
         (_PART_SIGNATURES, ', '.join(delivery.signatures)),
         (_MISSING_PARTS, str(delivery.missing)),
     )
@@ -204,7 +212,7 @@
 def _write_refusal(request: RoutedRequest, refusal: Refusal) -> HttpResponse:
     seconds = refusal.retry_after.total_seconds()
     headers = (
-        (_ATTEMPT_ID.decode(), request.attempt_id),
+        (ATTEMPT_ID.decode(), request.attempt_id),
         ('Retry-After', f'{seconds:.3f}'),
     )
     document = {
--- a/nutmegstep/standins/target_server.py
+++ b/nutmegstep/standins/target_server.py
@@ -211,7 +211,7 @@
             headers=[
                 _JSON,
                 ('Content-Length', str(len(response.body))),
-                *response.headers,
+                *((name, str(text)) for name, text in response.headers),
             ],
         )
         parts = (
--- a/nutmegstep/web/messages.py
+++ b/nutmegstep/web/messages.py
@@ -139,14 +139,15 @@
         Body, a JSON document unless `content_type` says otherwise.
     headers : tuple of pairs
         Further headers. The server adds ``Content-Length`` and, if needed,
-        ``Connection: close``.
+        ``Connection: close``. A value that was received stays bytes: HTTP
+        allows bytes in it that are no ASCII text (obs-text).
     content_type : str
         Value of ``Content-Type``; empty if `headers` contains that header.
     """
 
     status: int
     body: bytes = b''
-    headers: tuple[tuple[str, str], ...] = ()
+    headers: tuple[tuple[str, str | bytes], ...] = ()
     content_type: str = 'application/json'
 
 
--- a/nutmegstep/web/reader.py
+++ b/nutmegstep/web/reader.py
@@ -181,15 +181,21 @@
         ------
         h11.LocalProtocolError
             A header of the response is not valid in HTTP.
+        UnicodeEncodeError
+            The text of a header has a character that is not in latin-1.
         """
         if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return b''
         length = str(len(response.body))
-        headers = [('Content-Length', length), *response.headers]
+        headers = [
+            (name.encode(), _encode(text))
+            for name, text in (('Content-Length', length), *response.headers)
+        ]
         if response.content_type:
-            headers.insert(0, ('Content-Type', response.content_type))
+            content_type = response.content_type.encode()
+            headers.insert(0, (b'Content-Type', content_type))
         if close:
-            headers.append(('Connection', 'close'))
+            headers.append((b'Connection', b'close'))
         head = h11.Response(status_code=response.status, headers=headers)
         is_head = self._head is not None and self._head.method == b'HEAD'
         parts = (
@@ -265,6 +271,11 @@
             raise InvalidRequestError(_STATUS_TOO_LARGE)
 
 
+def _encode(text: str | bytes) -> bytes:
+    # The inverse of the decoding in `RequestReader.request`.
+    return text if isinstance(text, bytes) else text.encode('latin-1')
+
+
 def _head_size(head: h11.Request) -> int:
     lines = (
         len(name) + len(text) + _HEADER_LINE_OVERHEAD
