End a request whose answer fails

Cause: the task that answers a request caught faults of its handler only. Change: whatever fails after a request is complete, the connection is closed and a log line says why, with the request's identifier (header X-Request-Id, on the platform that of the attempt) and the type of the exception.

--- a/nutmegstep/gateway/adapter.py
+++ b/nutmegstep/gateway/adapter.py
@@ -89,6 +89,9 @@
         Translates the HTTP headers of callers and targets.
     kinds : StoreNames
         Names of object kinds and objects in the store.
+    id_header : bytes
+        Lower-case name of the header with the identifier that a caller gave to
+        its attempt, for log lines.
     ready_path : str
         URL path of the load balancer's readiness probe.
     open_store : Callable
@@ -103,6 +106,7 @@
 
     codec: WireCodec
     kinds: StoreNames
+    id_header: bytes
     ready_path: str
     open_store: Callable[[tuple[str, int], Clock, Counter], Store]
     read_configuration: Callable[[object], Result[Configuration, str]]
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -49,6 +49,7 @@
         *settings.callers_address,
         process.limits(),
     )
+    caller_server.id_header = adapter.id_header
     ready_server = await serve_http(
         process.answer_ready, *settings.ready_address
     )
--- a/nutmegstep/gateway/store_sync.py
+++ b/nutmegstep/gateway/store_sync.py
@@ -146,9 +146,10 @@
         relay = RelayServer(
             caches, self._availability.unavailable, self._reader.uses_relay
         )
-        await serve_neighbours(
+        server = await serve_neighbours(
             self._listen_address, parts.answer_delegated, relay.answer
         )
+        server.id_header = parts.adapter.id_header
         subscriptions = [
             _with_relay_cache(one, caches[one.kind])
             for one in source.subscriptions()
--- a/nutmegstep/platform/core.py
+++ b/nutmegstep/platform/core.py
@@ -15,7 +15,7 @@
 from nutmegstep.logs import configure_buffered_logs
 from nutmegstep.platform.documents import read_configuration, read_target
 from nutmegstep.platform.store import ObjectStore
-from nutmegstep.platform.wire import CODEC
+from nutmegstep.platform.wire import ATTEMPT_ID, CODEC
 from nutmegstep.platform_api.transport import HttpTransport
 from nutmegstep.settings import (
     GatewaySettings,
@@ -49,6 +49,7 @@
         withdrawals='evacuations',
         crashes='nutmegstep-crashes',
     ),
+    id_header=ATTEMPT_ID,
     ready_path='/v1/ready',
     open_store=_open_store,
     read_configuration=read_configuration,
--- a/nutmegstep/web/connection.py
+++ b/nutmegstep/web/connection.py
@@ -3,7 +3,8 @@
 import asyncio
 from typing import Protocol
 
-from nutmegstep.web.cycle import Phase, RequestCycle, ServerContext
+from nutmegstep.web.cycle import Phase, RequestCycle
+from nutmegstep.web.server_context import ServerContext
 
 __all__ = ['ConnectionRegistry', 'ServerConnection']
 
--- a/nutmegstep/web/core.py
+++ b/nutmegstep/web/core.py
@@ -68,6 +68,9 @@
     ----------
     draining : bool
         Whether each response closes its connection.
+    id_header : bytes
+        Lower-case name of the header with the identifier of a request, for log
+        lines.
     last_accepted_at : float
         Time of the event loop in seconds at which the latest connection was
         accepted.
@@ -78,6 +81,8 @@
     each request would be more precise than the limits require and cost more.
     """
 
+    id_header: bytes = b'x-request-id'
+
     def __init__(
         self,
         handler: Handler,
--- a/nutmegstep/web/cycle.py
+++ b/nutmegstep/web/cycle.py
@@ -2,31 +2,21 @@
 
 import asyncio
 import enum
-import logging
 import math
-import traceback
-from typing import Final, Protocol
-
-import h11
-
-from nutmegstep.web.messages import (
-    ErrorResponseBuilder,
-    Handler,
-    HeadFilter,
-    HttpLimits,
-    HttpRequest,
-    HttpResponse,
-)
+from typing import Final
+
+from nutmegstep.web.faults import log_fault
+from nutmegstep.web.messages import HttpRequest, HttpResponse
 from nutmegstep.web.reader import (
     InvalidRequestError,
     ReadEvent,
     RequestReader,
 )
-from nutmegstep.web.turns import EVENTS_PER_TURN, TurnQueue
+from nutmegstep.web.server_context import ServerContext
+from nutmegstep.web.turns import EVENTS_PER_TURN
 
-__all__ = ['Phase', 'RequestCycle', 'ServerContext']
+__all__ = ['Phase', 'RequestCycle']
 
-_LOG: Final = logging.getLogger(__name__)
 _STATUS_INTERNAL_ERROR: Final = 500
 _STATUS_TIMEOUT: Final = 408
 _STATUS_UNAVAILABLE: Final = 503
@@ -34,20 +24,6 @@
 """Time after the last response for the peer to close the connection."""
 
 
-class ServerContext(Protocol):
-    """Handler, limits and state of the server, as a request cycle sees them."""
-
-    handler: Handler
-    limits: HttpLimits
-    head_filter: HeadFilter
-    error_response: ErrorResponseBuilder
-    draining: bool
-
-    @property
-    def turns(self) -> TurnQueue:
-        """Connections with received bytes that are not parsed yet."""
-
-
 @enum.unique
 class Phase(enum.Enum):
     """What a connection waits for.
@@ -220,10 +196,22 @@
         self._task = self._loop.create_task(self._answer(request))
 
     async def _answer(self, request: HttpRequest) -> None:
+        # A busy connection has no time limit. Whatever fails here must end it,
+        # or the caller would wait for good.
+        try:
+            await self._handle_and_respond(request)
+        except asyncio.CancelledError:
+            self._transport.abort()
+            raise
+        except Exception as error:
+            self._log_fault('HTTP request could not be answered', error)
+            self._transport.abort()
+
+    async def _handle_and_respond(self, request: HttpRequest) -> None:
         try:
             response = await self._server.handler(request)
         except Exception as error:
-            _log_exception(error)
+            self._log_fault('HTTP request handler raised an exception', error)
             response = self._server.error_response(
                 _STATUS_INTERNAL_ERROR,
                 self._reader.headers,
@@ -257,12 +245,15 @@
     def _write(self, response: HttpResponse, close: bool) -> None:
         try:
             encoded = self._reader.encode(response, close)
-        except h11.LocalProtocolError:
-            _LOG.exception('could not encode an HTTP response')
+        except Exception as error:
+            self._log_fault('HTTP response could not be encoded', error)
             return
         if encoded:
             self._transport.write(encoded)
 
+    def _log_fault(self, message: str, error: Exception) -> None:
+        log_fault(message, error, self._server.id_header, self._reader.headers)
+
     def _linger(self) -> None:
         # Lingering close: closing a socket with unread bytes makes the kernel
         # send a reset, and the peer may then lose a response that it has not
@@ -283,13 +274,3 @@
             self._transport.abort()
             return
         self._transport.resume_reading()
-
-
-def _log_exception(error: Exception) -> None:
-    # The message of an exception may contain a request body or an idempotency
-    # key, so only its type and the source lines of its traceback are logged.
-    fields = {
-        'fault': type(error).__name__,
-        'stack': traceback.format_tb(error.__traceback__),
-    }
-    _LOG.error('HTTP request handler raised an exception', extra=fields)
