Bound the memory and descriptors that callers can take together

Change: web/account.py decides without a network; each connection is charged per read (web/charges.py), not per byte, to one account for callers and neighbours, 0.3 of NUTMEGSTEP_MEMORY_MB. When it is full, those that have held most for longest without progress give up what they hold: an unread request is answered 503 with Retry-After, an unread answer is broken off; a request that is being handled stays. Connections read at most 64 KB at once into shared memory; accepted sockets have buffers of 32 KB and 128 KB in the kernel.

--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -7,6 +7,7 @@
 
 from nutmegstep.dispatch.control_events import StopScheduled
 from nutmegstep.gateway.adapter import PlatformAdapter
+from nutmegstep.gateway.allocator import return_large_blocks
 from nutmegstep.gateway.lifecycle import (
     ANSWER_BEFORE_END_S,
     drain,
@@ -14,7 +15,7 @@
 )
 from nutmegstep.gateway.process_parts import GatewayProcess, ReadSettings
 from nutmegstep.settings import GatewaySettings
-from nutmegstep.web import HttpServer, serve_http
+from nutmegstep.web import HttpServer
 
 __all__ = ['ReadSettings', 'serve']
 
@@ -42,22 +43,11 @@
     bool
         Whether every request was answered before the process stopped.
     """
+    return_large_blocks()
     process = GatewayProcess(adapter, settings)
     stop_requested, reload_requested = install_signal_handlers()
-    caller_server = await serve_http(
-        process.gateway.handle,
-        *settings.callers_address,
-        process.limits(),
-    )
-    ready_server = await serve_http(
-        process.answer_ready, *settings.ready_address
-    )
-    if settings.metrics_port:
-        await serve_http(
-            process.answer_metrics,
-            settings.callers_address[0],
-            settings.metrics_port,
-        )
+    caller_server = await process.serve_callers()
+    ready_server = await process.serve_operators()
     await process.report_exchange.open(settings.peers_address)
     tasks = _start_tasks(process, caller_server, read, reload_requested)
     for task in tasks:
--- a/nutmegstep/gateway/process_parts.py
+++ b/nutmegstep/gateway/process_parts.py
@@ -5,6 +5,7 @@
 import secrets
 from collections.abc import Callable, Mapping
 from dataclasses import replace
+from functools import partial
 from random import Random
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
@@ -16,6 +17,13 @@
 from nutmegstep.gateway.adapter import PlatformAdapter
 from nutmegstep.gateway.core import Gateway
 from nutmegstep.gateway.metrics import GatewayMetrics
+from nutmegstep.gateway.neighbours import neighbour_limits, serve_neighbours
+from nutmegstep.gateway.peer_limits import (
+    RECEIVE_BUFFER_BYTES,
+    SEND_BUFFER_BYTES,
+    PeerAccount,
+    share_out,
+)
 from nutmegstep.gateway.store_sync import StoreSync, StoreSyncParts
 from nutmegstep.gateway.suspect_reports import SuspectReportExchange
 from nutmegstep.gateway.vm_messages import ReadMessage, VmMessages
@@ -25,6 +33,7 @@
     HttpRequest,
     HttpResponse,
     HttpServer,
+    serve_http,
 )
 from nutmegstep.web.exposition import expose_metrics
 
@@ -41,8 +50,8 @@
 _HOUSEKEEPING_INTERVAL_S: Final = 0.5
 _RELOAD_INTERVAL_S: Final = 2.0
 """Time between two reads of the settings when no SIGHUP arrives."""
-_MAX_CALLER_CONNECTIONS: Final = 2000
-"""Most connections of callers; half the file descriptors of a small VM."""
+_OPERATOR_LIMITS: Final = HttpLimits(connections=16, sockets=32)
+"""Limits of the ports for the load balancer's probes and for metrics."""
 _READ_BY_KIND: Final[Mapping[str, ReadMessage]] = MappingProxyType({})
 """Decoders of the messages between VMs, by kind."""
 
@@ -92,6 +101,33 @@
             self.metrics.store_calls,
         )
         self.is_draining = False
+        self.peer_limits = share_out(
+            settings.memory_mb, settings.max_descriptors
+        )
+        self.account = PeerAccount(
+            self.peer_limits.memory_bytes, self.clock, self.metrics.registry
+        )
+
+    async def serve_callers(self) -> HttpServer:
+        """Start the server for callers."""
+        return await serve_http(
+            self.gateway.handle,
+            *self.settings.callers_address,
+            self.limits(),
+            shared=self.account.shared_parts('callers'),
+        )
+
+    async def serve_operators(self) -> HttpServer:
+        """Start the servers for readiness, which is returned, and metrics."""
+        serve = partial(
+            serve_http,
+            limits=_OPERATOR_LIMITS,
+            shared=self.account.shared_parts('operators'),
+        )
+        if self.settings.metrics_port:
+            host = self.settings.callers_address[0]
+            await serve(self.answer_metrics, host, self.settings.metrics_port)
+        return await serve(self.answer_ready, *self.settings.ready_address)
 
     def build_store_sync(self) -> StoreSync:
         """Return the part that watches the store; it refreshes after pauses."""
@@ -102,7 +138,13 @@
             self.random,
             self.gateway.dispatch,
             self.report_exchange.replace_neighbours,
-            self.answer_delegated,
+            partial(
+                serve_neighbours,
+                self.settings.peers_address,
+                self.answer_delegated,
+                limits=neighbour_limits(self.peer_limits),
+                shared=self.account.shared_parts('neighbours'),
+            ),
             self.gateway.crash_reporter,
             self.vm_messages.replace_vms,
         )
@@ -133,7 +175,10 @@
     def limits(self) -> HttpLimits:
         """Return the limits on callers in the configuration in force."""
         http_limits = HttpLimits(
-            connections=_MAX_CALLER_CONNECTIONS,
+            connections=self.peer_limits.callers,
+            sockets=self.peer_limits.caller_sockets,
+            receive_buffer=RECEIVE_BUFFER_BYTES,
+            send_buffer=SEND_BUFFER_BYTES,
             cancels_half_closed=True,
         )
         if self.state.configuration is None:
--- a/nutmegstep/gateway/store_sync.py
+++ b/nutmegstep/gateway/store_sync.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, replace
 from functools import partial
@@ -20,7 +20,6 @@
 from nutmegstep.dispatch.events import Event
 from nutmegstep.gateway.adapter import PlatformAdapter, Store
 from nutmegstep.gateway.crash_records import CrashReporter
-from nutmegstep.gateway.neighbours import serve_neighbours
 from nutmegstep.gateway.subscriptions import StoreSubscriptions
 from nutmegstep.gateway.vm_registration import VmCallbacks, VmRegistrar
 from nutmegstep.relay import (
@@ -67,8 +66,9 @@
         Passes an event to the dispatcher.
     on_neighbours : Callable
         Called with the ``host:port`` addresses of the neighbours.
-    answer_delegated : Handler
-        Answers the queries that neighbours delegate to this VM.
+    serve_neighbours : Callable
+        Starts the server for neighbours. Takes what answers those that read the
+        store through this VM.
     crash_reporter : CrashReporter
         Writes records of crashes to the store.
     on_vms : Callable
@@ -81,7 +81,7 @@
     random: Random
     dispatch: Callable[[Event], None]
     on_neighbours: Callable[[Collection[str]], None]
-    answer_delegated: Handler
+    serve_neighbours: Callable[[Handler], Awaitable[object]]
     crash_reporter: CrashReporter
     on_vms: Callable[[Mapping[str, VmEntry]], None]
 
@@ -112,7 +112,6 @@
         self._reader = FallbackReader(
             parts.store, partial(connect_relay, parts.clock)
         )
-        self._listen_address = settings.peers_address
         self._vm_list_timeout_s = (
             _FIRST_START_VM_LIST_TIMEOUT_S
             if settings.is_first_start
@@ -146,9 +145,7 @@
         relay = RelayServer(
             caches, self._availability.unavailable, self._reader.uses_relay
         )
-        await serve_neighbours(
-            self._listen_address, parts.answer_delegated, relay.answer
-        )
+        await parts.serve_neighbours(relay.answer)
         subscriptions = [
             _with_relay_cache(one, caches[one.kind])
             for one in source.subscriptions()
--- a/nutmegstep/measure/parts.py
+++ b/nutmegstep/measure/parts.py
@@ -42,6 +42,14 @@
         """Return False, since the connection is never closed."""
         return False
 
+    def is_reading(self) -> bool:
+        """Return True, since reading is never paused."""
+        return True
+
+    def get_write_buffer_size(self) -> int:
+        """Return 0, since written bytes are dropped."""
+        return 0
+
     def resume_reading(self) -> None:
         """Do nothing."""
 
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -10,6 +10,7 @@
 from nutmegstep.settings.fields import (
     LEVELS,
     read_address,
+    read_count,
     read_level,
     read_name,
     read_port,
@@ -24,6 +25,8 @@
 _BOOLEANS: Final = frozenset(('true', 'false'))
 _NON_NEGATIVE_NUMBER: Final = 'a number of at least 0'
 _POSITIVE_NUMBER: Final = 'a number above 0'
+_MIN_DESCRIPTORS: Final = 400
+"""Fewest descriptors with which callers, targets and files have some each."""
 
 
 def _read_number(text: str) -> float:
@@ -46,6 +49,13 @@
     return number
 
 
+def _read_descriptors(text: str) -> int:
+    count = read_count(text)
+    if count < _MIN_DESCRIPTORS:
+        raise ValueError(text)
+    return count
+
+
 def _read_seconds(text: str) -> timedelta:
     return timedelta(seconds=_read_positive_number(text))
 
@@ -76,6 +86,10 @@
         Processor time that this VM may use, in seconds per second.
     cpu_speed : float
         Speed of its processor, as a multiple of a reference core.
+    memory_mb : int
+        Memory of this VM in MB; a process that takes more is killed.
+    max_descriptors : int
+        Most open descriptors of this VM.
     metrics_port : int
         Port of the metrics, on the IP address for callers; 0 disables them.
     grace : datetime.timedelta
@@ -140,6 +154,18 @@
         'speed of its processor, as a multiple of a reference core',
         1,
     )
+    memory_mb: int = setting(
+        read_count,
+        'a number of MB of at least 1',
+        'memory of this VM, in MB',
+        200,
+    )
+    max_descriptors: int = setting(
+        _read_descriptors,
+        f'a number of at least {_MIN_DESCRIPTORS}',
+        'open descriptors that this VM may have',
+        4100,
+    )
     metrics_port: int = setting(
         read_port,
         'a port',
--- a/nutmegstep/web/__init__.py
+++ b/nutmegstep/web/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server on top of h11, used for every port of the project."""
 
+from nutmegstep.web.account import MemoryAccount
 from nutmegstep.web.core import HttpServer, serve_http
 from nutmegstep.web.messages import (
     EncodedResponse,
@@ -11,8 +12,10 @@
     HttpResponse,
     RequestHead,
 )
+from nutmegstep.web.phases import CloseReason, SharedParts
 
 __all__ = [
+    'CloseReason',
     'EncodedResponse',
     'ErrorResponseBuilder',
     'Handler',
@@ -21,6 +24,8 @@
     'HttpRequest',
     'HttpResponse',
     'HttpServer',
+    'MemoryAccount',
     'RequestHead',
+    'SharedParts',
     'serve_http',
 ]
--- a/nutmegstep/web/core.py
+++ b/nutmegstep/web/core.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from nutmegstep.web.connection import ServerConnection
-from nutmegstep.web.cycle import Phase
+from nutmegstep.web.listening import accept_backlog, bind, serve_on
 from nutmegstep.web.messages import (
     ErrorResponseBuilder,
     Handler,
@@ -16,14 +16,14 @@
     HttpResponse,
     RequestHead,
 )
-from nutmegstep.web.turns import TurnQueue
+from nutmegstep.web.phases import Phase, SharedParts
+from nutmegstep.web.places import make_places
 
 __all__ = ['HttpServer', 'serve_http']
 
 _DEADLINE_CHECK_INTERVAL_S: Final = 0.25
 _ABORT_FACTOR: Final = 2
 """Multiple of the connection limit above which connections are aborted."""
-_BACKLOG: Final = 1024
 _ACCEPT_TURNS: Final = 4
 """Turns of the event loop after which the server knows each connection that the
 loop had accepted before. asyncio takes three."""
@@ -40,15 +40,6 @@
     return HttpResponse(status, b'{}')
 
 
-def _accept(listening: socket.socket) -> socket.socket | None:
-    try:
-        accepted, _ = listening.accept()
-    except OSError:
-        return None
-    accepted.setblocking(False)
-    return accepted
-
-
 class HttpServer:
     """A listening server and its connections.
 
@@ -63,6 +54,8 @@
         every request goes to the handler.
     error_response : ErrorResponseBuilder, optional
         Builds error responses; by default their body is an empty JSON object.
+    shared : SharedParts, optional
+        Parts that the connections share; by default their memory has no bound.
 
     Attributes
     ----------
@@ -84,6 +77,7 @@
         limits: HttpLimits,
         head_filter: HeadFilter | None = None,
         error_response: ErrorResponseBuilder | None = None,
+        shared: SharedParts | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -91,8 +85,9 @@
         self.error_response = error_response or _empty_error
         self.draining = False
         self.last_accepted_at = float(0)
-        self._turns = TurnQueue()
+        self._shared = shared or SharedParts()
         self._connections: set[ServerConnection] = set()
+        self._making_place: set[ServerConnection] = set()
         self._socket: socket.socket | None = None
         self._listener: asyncio.Server | None = None
         self._backlog_tasks: list[asyncio.Task[object]] = []
@@ -101,9 +96,9 @@
         self._all_closed.set()
 
     @property
-    def turns(self) -> TurnQueue:
-        """Connections with received bytes that are not parsed yet."""
-        return self._turns
+    def shared(self) -> SharedParts:
+        """Parts that the connections share."""
+        return self._shared
 
     @property
     def sockets(self) -> tuple[socket.socket, ...]:
@@ -138,36 +133,34 @@
         port : int
             TCP port; 0 lets the kernel choose one.
         """
-        family = socket.AF_INET6 if ':' in host else socket.AF_INET
-        self._socket = socket.create_server(
-            (host, port),
-            family=family,
-            backlog=_BACKLOG,
-        )
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            partial(ServerConnection, self),
-            sock=self._socket,
-            backlog=_BACKLOG,
+        self._socket = bind(host, port, self.limits)
+        self._listener = await serve_on(
+            self._socket, partial(ServerConnection, self)
         )
         self._schedule_deadline_check()
 
     def add(self, connection: ServerConnection) -> bool:
         """Register a connection; return whether the limit is exceeded.
 
-        Above twice the limit the connection is aborted.
+        If the limits state a number of sockets, idle connections are closed
+        for it. Above that number it is aborted.
         """
         self.last_accepted_at = asyncio.get_running_loop().time()
+        limits = self.limits
+        over = len(self._connections) + 1 - limits.connections
+        if over > 0 and limits.sockets:
+            over -= make_places(self._connections, self._making_place, over)
         self._connections.add(connection)
         self._all_closed.clear()
-        count = len(self._connections)
-        if count > self.limits.connections * _ABORT_FACTOR:
+        most = limits.sockets or limits.connections * _ABORT_FACTOR
+        if len(self._connections) > most:
             connection.abort()
-        return count > self.limits.connections
+        return over > 0
 
     def discard(self, connection: ServerConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
+        self._making_place.discard(connection)
         if not self._connections:
             self._all_closed.set()
 
@@ -187,10 +180,8 @@
             last = self._socket.dup()
             self._socket = None
             self._listener.close()
-            # Closing a listening socket resets the connections in its backlog,
-            # which the kernel has established but the process has not accepted.
             with last:
-                backlog = tuple(iter(partial(_accept, last), None))
+                backlog = accept_backlog(last)
             loop = asyncio.get_running_loop()
             new_connection = partial(ServerConnection, self)
             self._backlog_tasks.extend(
@@ -232,7 +223,7 @@
         self._schedule_deadline_check()
 
 
-async def serve_http(
+async def serve_http(  # noqa: WPS211 - one for each optional part, by keyword
     handler: Handler,
     host: str,
     port: int,
@@ -240,6 +231,7 @@
     *,
     head_filter: HeadFilter | None = None,
     error_response: ErrorResponseBuilder | None = None,
+    shared: SharedParts | None = None,
 ) -> HttpServer:
     """Start a server that answers each request with `handler`.
 
@@ -258,6 +250,8 @@
         Answers requests from their head, before the body is read.
     error_response : ErrorResponseBuilder, optional
         Builds error responses.
+    shared : SharedParts, optional
+        Parts that the connections share, such as the account of their memory.
 
     Returns
     -------
@@ -269,6 +263,7 @@
         limits or HttpLimits(),
         head_filter,
         error_response,
+        shared,
     )
     await server.listen(host, port)
     return server
--- a/nutmegstep/web/cycle.py
+++ b/nutmegstep/web/cycle.py
@@ -1,76 +1,41 @@
 """Request cycle of one connection: read, handle, respond, repeat."""
 
 import asyncio
-import enum
 import logging
 import math
 import traceback
-from typing import Final, Protocol
+from dataclasses import replace
+from typing import Final
 
 import h11
 
-from nutmegstep.web.messages import (
-    ErrorResponseBuilder,
-    Handler,
-    HeadFilter,
-    HttpLimits,
-    HttpRequest,
-    HttpResponse,
+from nutmegstep.web.charges import ConnectionCharge
+from nutmegstep.web.messages import HttpRequest, HttpResponse
+from nutmegstep.web.phases import (
+    INCOMPLETE,
+    READING,
+    CloseReason,
+    Phase,
+    ServerContext,
 )
 from nutmegstep.web.reader import (
     InvalidRequestError,
     ReadEvent,
     RequestReader,
 )
-from nutmegstep.web.turns import EVENTS_PER_TURN, TurnQueue
+from nutmegstep.web.turns import EVENTS_PER_TURN
 
-__all__ = ['Phase', 'RequestCycle', 'ServerContext']
+__all__ = ['RequestCycle']
 
 _LOG: Final = logging.getLogger(__name__)
 _STATUS_INTERNAL_ERROR: Final = 500
 _STATUS_TIMEOUT: Final = 408
 _STATUS_UNAVAILABLE: Final = 503
+_RETRY_AFTER: Final = 'retry-after'
 _LINGER_S: Final = 2
 """Time after the last response for the peer to close the connection."""
 
 
-class ServerContext(Protocol):
-    """Handler, limits and state of the server, as a request cycle sees them."""
-
-    handler: Handler
-    limits: HttpLimits
-    head_filter: HeadFilter
-    error_response: ErrorResponseBuilder
-    draining: bool
-
-    @property
-    def turns(self) -> TurnQueue:
-        """Connections with received bytes that are not parsed yet."""
-
-
-@enum.unique
-class Phase(enum.Enum):
-    """What a connection waits for.
-
-    ``IDLE`` waits for a request, ``HEAD`` for the rest of its head and
-    ``BODY`` for the rest of its body. ``SKIPPING`` discards the body of a
-    request that was answered from its head. ``BUSY`` waits for the handler.
-    ``LINGERING`` waits for the peer to close the connection. Every phase but
-    ``BUSY`` has a time limit.
-    """
-
-    IDLE = 'idle'
-    HEAD = 'head'
-    BODY = 'body'
-    SKIPPING = 'skipping'
-    BUSY = 'busy'
-    LINGERING = 'lingering'
-
-
-_INCOMPLETE: Final = frozenset((Phase.HEAD, Phase.BODY))
-_READING: Final = _INCOMPLETE | {Phase.IDLE, Phase.SKIPPING}
-
-
 class RequestCycle:
     """Reads and answers the requests of one connection, one at a time.
 
@@ -94,6 +59,8 @@
     write_paused : bool
         Whether the write buffer is full because the peer does not read its
         responses. No further request is read meanwhile.
+    charge : ConnectionCharge
+        What the connection has in the account of the process.
     """
 
     def __init__(
@@ -111,6 +78,13 @@
         self._closes_after_body = False
         self._task: asyncio.Task[None] | None = None
         self._loop = asyncio.get_running_loop()
+        self.charge = ConnectionCharge(
+            server.shared.account,
+            transport,
+            self._reader,
+            self.give_up,
+            self._loop.time,
+        )
         self._enter(Phase.IDLE, server.limits.head_seconds)
 
     @property
@@ -139,6 +113,8 @@
             # Further pipelined requests stay in the socket buffer until the
             # current one is answered, which bounds the memory per connection.
             self._transport.pause_reading()
+        if not self.charge.settle():
+            self.give_up()
 
     def time_out(self) -> None:
         """Handle the expiry of `deadline`.
@@ -146,11 +122,24 @@
         An incomplete request gets status 408; otherwise the connection is
         aborted.
         """
-        if self.phase in _INCOMPLETE and not self.write_paused:
+        if self.phase in INCOMPLETE and not self.write_paused:
             self._send_error(_STATUS_TIMEOUT)
         else:
             self._transport.abort()
 
+    def give_up(self) -> None:
+        """Free what the connection holds, because the account is full.
+
+        A request that has not been read completely is refused: it has not run.
+        Otherwise the connection is aborted.
+        """
+        self._server.shared.on_closed(CloseReason.MEMORY)
+        is_unread = self.phase in INCOMPLETE or self.phase is Phase.IDLE
+        if is_unread and not self._transport.get_write_buffer_size():
+            self._send_error(_STATUS_UNAVAILABLE)
+        else:
+            self._transport.abort()
+
     def cancel(self) -> None:
         """Cancel the handler, since its response can no longer be delivered."""
         if self._task is not None:
@@ -158,7 +147,7 @@
 
     @property
     def _may_read(self) -> bool:
-        return self.phase in _READING and not self.write_paused
+        return self.phase in READING and not self.write_paused
 
     def _enter(self, phase: Phase, seconds: float) -> None:
         self.phase = phase
@@ -179,7 +168,7 @@
             self._handle_event(event)
         if self._may_read:
             self._transport.pause_reading()
-            self._server.turns.add(self._read_on)
+            self._server.shared.turns.add(self._read_on)
 
     def _read_on(self) -> None:
         if not self._transport.is_closing():
@@ -214,6 +203,9 @@
             )
             return
         request = self._reader.request()
+        if not self.charge.hold_request(request):
+            self.give_up()
+            return
         self._enter(Phase.BUSY, math.inf)
         # Only a connection that is read shows that its peer has left.
         self._transport.resume_reading()
@@ -247,13 +239,24 @@
             self._enter(Phase.IDLE, limits.keep_alive_seconds)
         if not self.write_paused:
             self._transport.resume_reading()
+        if not self.charge.end_request():
+            self.give_up()
 
     def _send_error(self, status: int) -> None:
         if self.phase is not Phase.SKIPPING:
             response = self._server.error_response(status, self._reader.headers)
+            if status == _STATUS_UNAVAILABLE:
+                response = self._with_retry_after(response)
             self._write(response, close=True)
         self._linger()
 
+    def _with_retry_after(self, response: HttpResponse) -> HttpResponse:
+        if any(name.lower() == _RETRY_AFTER for name, _ in response.headers):
+            return response
+        seconds = f'{self._server.limits.retry_after_seconds:.3f}'
+        header = (_RETRY_AFTER, seconds)
+        return replace(response, headers=(*response.headers, header))
+
     def _write(self, response: HttpResponse, close: bool) -> None:
         try:
             encoded = self._reader.encode(response, close)
@@ -267,6 +270,7 @@
         # Lingering close: closing a socket with unread bytes makes the kernel
         # send a reset, and the peer may then lose a response that it has not
         # read yet.
+        self._reader.drop()
         unsent = self._transport.get_write_buffer_size() > 0
         limits = self._server.limits
         self._enter(
--- a/nutmegstep/web/messages.py
+++ b/nutmegstep/web/messages.py
@@ -40,8 +40,16 @@
         still written.
     connections : int
         Maximum number of open connections. Requests on further connections
-        are refused once their head is read; connections above twice this
-        number are aborted.
+        are refused once their head is read, unless an idle one can be closed
+        for them.
+    sockets : int
+        Number of open connections above which new ones are aborted; twice
+        `connections` if 0.
+    receive_buffer, send_buffer : int
+        Bytes that the kernel keeps of a connection for the process and for the
+        peer; 0 leaves the choice to the kernel.
+    retry_after_seconds : float
+        Value of ``Retry-After`` of a refusal for want of room.
     """
 
     head_bytes: int = 16384
@@ -52,6 +60,10 @@
     keep_alive_seconds: float = 60
     connections: int = 1000
     cancels_half_closed: bool = False
+    sockets: int = 0
+    receive_buffer: int = 0
+    send_buffer: int = 0
+    retry_after_seconds: float = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/web/reader.py
+++ b/nutmegstep/web/reader.py
@@ -14,13 +14,20 @@
 )
 from nutmegstep.web.turns import ReceivedBytes
 
-__all__ = ['InvalidRequestError', 'ReadEvent', 'RequestReader']
+__all__ = [
+    'HEADER_BYTES',
+    'InvalidRequestError',
+    'ReadEvent',
+    'RequestReader',
+]
 
 _STATUS_BAD_REQUEST: Final = 400
 _STATUS_TOO_LARGE: Final = 413
 _STATUS_HEAD_TOO_LARGE: Final = 431
 _HEADER_LINE_OVERHEAD: Final = 4
 """Bytes of a header line besides name and value: colon, space, CR and LF."""
+HEADER_BYTES: Final = 256
+"""Memory of a header of a request besides its text; 210 bytes as measured."""
 _CONTINUE: Final = 100
 _CONTENT_LENGTH: Final = b'content-length'
 
@@ -74,10 +81,11 @@
     def __init__(self, limits: HttpLimits) -> None:
         self.headers: dict[bytes, bytes] = {}
         self._limits = limits
-        self._parser = self._new_parser()
+        self._parser = _new_parser(self._limits)
         self._head: h11.Request | None = None
         self._received = ReceivedBytes()
         self._body = bytearray()
+        self._head_memory = 0
         self._is_first_on_connection = True
 
     @property
@@ -85,6 +93,18 @@
         """Whether bytes of the next request are buffered."""
         return bool(self._received or self._parser.trailing_data[0])
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the current request and unparsed bytes take."""
+        body = len(self._body)
+        return self._head_memory + self._received.held_bytes + body + body // 8
+
+    def drop(self) -> None:
+        """Forget what was received."""
+        self._received = ReceivedBytes()
+        self._parser = _new_parser(self._limits)
+        self._reset_request()
+
     def feed(self, data: bytes) -> None:
         """Buffer received bytes; empty bytes mark the end of the stream.
 
@@ -93,6 +113,8 @@
         InvalidRequestError
             The stream violates HTTP/1.1.
         """
+        if self._head is None:
+            self._head_memory += len(data)
         try:
             self._received.feed(self._parser, data)
         except h11.RemoteProtocolError as error:
@@ -114,7 +136,9 @@
             self._store_head(event)
             return ReadEvent.HEAD
         if isinstance(event, h11.Data):
-            self._append_body(event.data)
+            self._body += event.data
+            if len(self._body) > self._limits.body_bytes:
+                raise InvalidRequestError(_STATUS_TOO_LARGE)
             return ReadEvent.BODY
         if isinstance(event, h11.EndOfMessage):
             return ReadEvent.COMPLETE
@@ -151,6 +175,8 @@
             parts = urlsplit(self._head.target.decode('ascii'))
         except ValueError as error:
             raise InvalidRequestError(_STATUS_BAD_REQUEST) from error
+        body = bytes(self._body)
+        self._body = bytearray()
         return HttpRequest(
             self._head.method.decode('ascii'),
             parts.path,
@@ -159,7 +185,7 @@
                 name.decode('latin-1'): text.decode('latin-1')
                 for name, text in self.headers.items()
             },
-            bytes(self._body),
+            body,
             self._head.target,
             tuple(self._head.headers),
             self._is_first_on_connection,
@@ -231,38 +257,36 @@
         unused, ended = self._parser.trailing_data
         if ended or self._parser.their_state is not h11.DONE:
             return False
-        self._parser = self._new_parser()
+        self._parser = _new_parser(self._limits)
         if unused:
             self._parser.receive_data(unused)
         self._reset_request()
         return True
 
-    def _new_parser(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=self._limits.head_bytes,
-        )
-
     def _reset_request(self) -> None:
         self._is_first_on_connection = False
         self.headers = {}
         self._head = None
+        self._head_memory = 0
         self._body = bytearray()
 
     def _store_head(self, head: h11.Request) -> None:
         self._head = head
         self.headers = dict(head.headers)
         # h11 checks the size only of heads that arrive in several reads.
-        if _head_size(head) > self._limits.head_bytes:
+        size = _head_size(head)
+        self._head_memory = size * 2 + len(head.headers) * HEADER_BYTES
+        if size > self._limits.head_bytes:
             raise InvalidRequestError(_STATUS_HEAD_TOO_LARGE)
         declared_length = int(self.headers.get(_CONTENT_LENGTH, b'0'))
         if declared_length > self._limits.body_bytes:
             raise InvalidRequestError(_STATUS_TOO_LARGE)
 
-    def _append_body(self, chunk: bytes) -> None:
-        self._body += chunk
-        if len(self._body) > self._limits.body_bytes:
-            raise InvalidRequestError(_STATUS_TOO_LARGE)
+
+def _new_parser(limits: HttpLimits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.head_bytes
+    )
 
 
 def _head_size(head: h11.Request) -> int:
--- a/nutmegstep/web/sockets.py
+++ b/nutmegstep/web/sockets.py
@@ -3,7 +3,11 @@
 import socket
 from asyncio.trsock import TransportSocket
 
-__all__ = ['limit_receive_buffer', 'set_user_timeout']
+__all__ = [
+    'limit_buffers',
+    'limit_receive_buffer',
+    'set_user_timeout',
+]
 
 
 def set_user_timeout(
@@ -47,3 +51,24 @@
         Size of the buffer in bytes.
     """
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
+def limit_buffers(
+    listening: socket.socket, receive_buffer: int, send_buffer: int
+) -> None:
+    """Set ``SO_RCVBUF`` and ``SO_SNDBUF`` of all connections that are accepted.
+
+    Parameters
+    ----------
+    listening : socket.socket
+        A socket that does not listen yet; its connections inherit the sizes.
+    receive_buffer, send_buffer : int
+        Bytes that the kernel may take, which is twice the value of the option;
+        0 leaves the choice to the kernel.
+    """
+    if receive_buffer:
+        limit_receive_buffer(listening, receive_buffer // 2)
+    if send_buffer:
+        listening.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer // 2
+        )
--- a/nutmegstep/web/turns.py
+++ b/nutmegstep/web/turns.py
@@ -34,6 +34,11 @@
         """Return whether bytes wait for the parser."""
         return bool(self._waiting)
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the bytes that wait."""
+        return len(self._waiting)
+
     def feed(self, parser: h11.Connection, data: bytes) -> None:
         """Give a parser the first piece of received bytes, and keep the others.
 
--- a/tests/web/test_core.py
+++ b/tests/web/test_core.py
@@ -211,6 +211,9 @@
     def get_write_buffer_size(self) -> int:
         return 0
 
+    def is_reading(self) -> bool:
+        return True
+
     def write_eof(self) -> None:
         raise OSError
 
