Identify callers by the keys of client accounts

Cause: Where the configuration holds accounts, targets got the caller's key and not the name of its account, and requests without a key ran. Change: The VM that takes a request finds the account by the digest of its key, drops the key and any stated account, and tells targets and coordinators the name. 401 is said only by a VM that has read the newest configuration within 3 s. The account is part of a request's content digest, and OpenRequest has a rank.

--- /dev/null
+++ b/nutmegstep/accounts/__init__.py
@@ -0,0 +1,15 @@
+"""Client accounts: the keys that identify them, their ranks and limits."""
+
+from nutmegstep.accounts.core import (
+    AccountDirectory,
+    ClientAccount,
+    build_directory,
+    key_digest,
+)
+
+__all__ = [
+    'AccountDirectory',
+    'ClientAccount',
+    'build_directory',
+    'key_digest',
+]
--- a/nutmegstep/configuration/core.py
+++ b/nutmegstep/configuration/core.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from nutmegstep.accounts import AccountDirectory
+
 __all__ = [
     'CallerLimits',
     'Configuration',
@@ -69,6 +71,8 @@
     required_coverage : float
         Smallest fraction of the shards, from 0 to 1, that an answer may
         cover.
+    is_public : bool
+        Whether requests need no key where the configuration has accounts.
     """
 
     name: str
@@ -83,6 +87,7 @@
     shards: tuple[str, ...] = ()
     top_records: int = 0
     required_coverage: float = 1
+    is_public: bool = False
 
     @property
     def is_gather(self) -> bool:
@@ -151,6 +156,8 @@
         Declared services.
     limits : CallerLimits
         Limits on the size and timing of callers' requests.
+    accounts : AccountDirectory or None
+        Client accounts; None if callers need none.
     """
 
     version: int
@@ -164,6 +171,7 @@
             idle_timeout=timedelta(seconds=15),
         ),
     )
+    accounts: AccountDirectory | None = None
 
 
 def match_route(
--- a/nutmegstep/dispatch/arrivals.py
+++ b/nutmegstep/dispatch/arrivals.py
@@ -4,13 +4,18 @@
 from datetime import timedelta
 from typing import Final
 
-from nutmegstep.configuration import Configuration, Route, match_route
+from nutmegstep.configuration import Route, match_route
 from nutmegstep.dispatch.crash_control import is_refused, refuse_crashing
 from nutmegstep.dispatch.declining import decline_if_unsuitable
 from nutmegstep.dispatch.delegation import delegate
 from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
 from nutmegstep.dispatch.events import RequestArrived, RoutedRequest
 from nutmegstep.dispatch.forwarding import refuse_without_contact
+from nutmegstep.dispatch.identification import (
+    Identified,
+    identify,
+    refuse_unidentified,
+)
 from nutmegstep.dispatch.requests import OpenRequest, Part
 from nutmegstep.dispatch.starting import start_sends
 from nutmegstep.dispatch.state import DispatchState
@@ -42,8 +47,9 @@
 ) -> list[Effect]:
     """Delegate a request, send it to the targets of its route, or refuse it.
 
-    It is refused if this VM is not ready, if no route matches, if it has crashed
-    too many targets, if this VM stops too soon, or if too few shards have a usable target for an answer.
+    It is refused if this VM is not ready, if no route matches, if it lacks the key
+    of an account, if it has crashed too many targets, if this VM stops too soon, or
+    if too few shards have a usable target for an answer.
     """
     request = event.request
     declined = decline_if_unsuitable(state, request, now)
@@ -60,7 +66,10 @@
             refuse(Verdict.NOT_RUN, Reason.UNKNOWN_ROUTE, 'no route matches'),
             {'config_version': configuration.version},
         )
-    open_request = _open(state, configuration, request, route)
+    identified = identify(configuration, request, route)
+    if identified is None:
+        return refuse_unidentified(state, request, now)
+    open_request = _open(state, identified, route)
     state.open_by_id[request.request_id] = open_request
     return _serve(state, open_request, now)
 
@@ -82,10 +91,10 @@
 
 def _open(
     state: DispatchState,
-    configuration: Configuration,
-    request: RoutedRequest,
+    identified: Identified,
     route: Route,
 ) -> OpenRequest:
+    request = identified.request
     timeout = route.timeout.total_seconds()
     time_left = timeout if request.time_left is None else request.time_left
     services = route.shards or (_pick_destination(state, route),)
@@ -102,6 +111,7 @@
             state.stops_at,
         ),
         required=_required_parts(route, len(services)),
+        account=identified.account,
     )
 
 
--- a/nutmegstep/dispatch/content.py
+++ b/nutmegstep/dispatch/content.py
@@ -15,7 +15,7 @@
     """Return a digest that is the same for all attempts of a request.
 
     Attempts have identifiers of their own; they agree in method, host, path,
-    query and body.
+    query and body, and in the account where the configuration has accounts.
 
     Parameters
     ----------
@@ -28,12 +28,14 @@
         Digest of 128 bits in 32 hexadecimal digits.
     """
     digest = xxhash.xxh3_128()
-    fields = (
+    fields = [
         request.method,
         request.host.lower().encode(),
         request.target,
         request.body,
-    )
+    ]
+    if request.account is not None:
+        fields.append(request.account.encode())
     for field in fields:
         digest.update(len(field).to_bytes(_LENGTH_BYTES, 'big'))
         digest.update(field)
--- a/nutmegstep/dispatch/control_events.py
+++ b/nutmegstep/dispatch/control_events.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     'ConfigurationChanged',
+    'ConfigurationRead',
     'ControlEvent',
     'CrashDeleted',
     'CrashRecord',
@@ -37,6 +38,11 @@
     configuration: Configuration
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationRead:
+    """The store said that the version that was read last is the newest."""
+
+
 @dataclass(frozen=True, slots=True)
 class TargetsListed:
     """The complete list of target announcements was read."""
@@ -211,6 +217,7 @@
 
 ControlEvent = (
     ConfigurationChanged
+    | ConfigurationRead
     | CrashDeleted
     | CrashStored
     | CrashesListed
--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -9,6 +9,7 @@
 from nutmegstep.dispatch.completion import answer_if_due, close_request
 from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
+    ConfigurationRead,
     CrashDeleted,
     CrashesListed,
     CrashStored,
@@ -38,6 +39,7 @@
     SendFailed,
     TargetReplied,
 )
+from nutmegstep.dispatch.identification import record_read
 from nutmegstep.dispatch.outcomes import handle_failure, handle_reply
 from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.dispatch.stopping import schedule_stop
@@ -128,6 +130,7 @@
         DelegationAnswered: delegation.handle_delegate_answer,
         DelegationFailed: delegation.handle_delegate_failure,
         ConfigurationChanged: control.apply_configuration,
+        ConfigurationRead: record_read,
         TargetsListed: control.replace_targets,
         TargetAnnounced: control.update_target,
         TargetRemoved: control.remove_target,
--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -100,6 +100,14 @@
     delegated : DelegationTerms or None
         Terms of the neighbour that delegated the request to this VM; None if
         it comes from a caller.
+    key_digest : str
+        Digest of the caller's key; empty if it sent none that can be read.
+    private_headers : frozenset of bytes
+        Names of the headers that are not forwarded where the configuration has
+        accounts.
+    account : str or None
+        Name of the caller's account, empty for a caller without one; None if the
+        configuration has no accounts or this is not decided.
     """
 
     request_id: int
@@ -114,6 +122,9 @@
     arrived_at: float
     is_first_on_connection: bool = False
     delegated: DelegationTerms | None = None
+    key_digest: str = ''
+    private_headers: frozenset[bytes] = frozenset()
+    account: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/dispatch/requests.py
+++ b/nutmegstep/dispatch/requests.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
+from nutmegstep.accounts import ClientAccount
 from nutmegstep.configuration import Route
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.content import content_digest
@@ -117,6 +118,8 @@
     substitutes_asked : int
         Number of VMs that were asked to serve the request because this VM
         reaches no target.
+    account : ClientAccount or None
+        Account of the caller; None for a caller without one.
     """
 
     request: RoutedRequest
@@ -131,8 +134,18 @@
     next_lone_hedge_at: float = 0
     delegation: Delegation | None = None
     substitutes_asked: int = 0
+    account: ClientAccount | None = None
     _content: str = ''
 
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Rank of the account, then that of the route; 0 is the most urgent.
+
+        A caller without an account has the most urgent rank of accounts.
+        """
+        account_rank = 0 if self.account is None else self.account.rank
+        return account_rank, self.route.priority
+
     @property
     def content(self) -> str:
         """Digest that all attempts with the same content share."""
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -57,6 +57,9 @@
         Configuration in force; None until one has been read.
     registry : TargetRegistry
         Announced targets.
+    configuration_read_at : float
+        Monotonic time in seconds at which the store last said which version of
+        the configuration is the newest.
     has_targets : bool
         Whether a list of targets has been read.
     refresh_until : float
@@ -120,6 +123,7 @@
         self.random = random
         self._started = started
         self.configuration: Configuration | None = None
+        self.configuration_read_at = -math.inf
         self.registry = TargetRegistry()
         self.has_targets = False
         self.refresh_until = float(0)
--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -41,6 +41,9 @@
 _PARTIAL_ANSWER_IN: Final = 'nutmegstep-partial-answer-ms'
 _POSSIBLE_RUNS: Final = 'nutmegstep-possible-runs'
 """Request header with the attempts that the sender has made."""
+_ACCOUNT: Final = 'nutmegstep-account'
+"""Request header with the name of the caller's account, which the sender has
+found by the caller's key; empty if the caller has none."""
 _COORDINATOR: Final = 'nutmegstep-coordinator'
 """Response header that shows that a coordinator answers, and not another process
 that has got the address of one."""
@@ -58,6 +61,7 @@
         _VERSION,
         _PARTIAL_ANSWER_IN,
         _POSSIBLE_RUNS,
+        _ACCOUNT,
         _COORDINATOR,
         _DECLINED,
         _TARGET,
@@ -174,6 +178,7 @@
         request,
         headers=_without_own(request.headers),
         delegated=terms,
+        account=http_request.headers.get(_ACCOUNT),
     )
 
 
@@ -205,12 +210,14 @@
     request: RoutedRequest, terms: DelegationTerms
 ) -> RoutedRequest:
     milliseconds = int(terms.partial_answer_in * _MS_PER_SECOND)
-    added = (
+    added = [
         (_VERSION.encode(), b'%d' % terms.config_version),
         (_PARTIAL_ANSWER_IN.encode(), b'%d' % milliseconds),
         (_POSSIBLE_RUNS.encode(), b'%d' % terms.possible_runs),
         _EXPECT,
-    )
+    ]
+    if request.account is not None:
+        added.append((_ACCOUNT.encode(), request.account.encode()))
     return replace(request, headers=(*_without_own(request.headers), *added))
 
 
--- a/nutmegstep/gateway/subscriptions.py
+++ b/nutmegstep/gateway/subscriptions.py
@@ -11,6 +11,7 @@
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.control_events import (
     ConfigurationChanged,
+    ConfigurationRead,
     CrashDeleted,
     CrashesListed,
     CrashStored,
@@ -80,6 +81,7 @@
         self._clock = clock
         self._dispatch = dispatch
         self._withdrawn_domains: set[str] = set()
+        self._has_newest_configuration = False
 
     def subscriptions(self) -> tuple[Subscription, ...]:
         """Return the subscriptions; the first one probes the store."""
@@ -91,7 +93,7 @@
                 _BATCH_PAUSE,
                 _MAX_LAG,
                 self._on_configurations_listed,
-                _for_each(self._on_configuration_changed),
+                self._on_configurations_changed,
             ),
             Subscription(
                 kinds.targets,
@@ -119,6 +121,16 @@
             _LOG.info('the store has no configuration yet')
         else:
             self._apply_configuration(document)
+        self._confirm_configuration()
+
+    def _on_configurations_changed(self, found: ObjectChanges) -> None:
+        for change in found.changes:
+            self._on_configuration_changed(change)
+        self._confirm_configuration()
+
+    def _confirm_configuration(self) -> None:
+        if self._has_newest_configuration:
+            self._dispatch(ConfigurationRead())
 
     def _on_configuration_changed(self, change: ObjectChange) -> None:
         if change.name != self._adapter.kinds.current:
@@ -130,6 +142,7 @@
 
     def _apply_configuration(self, document: object) -> None:
         read = self._adapter.read_configuration(document)
+        self._has_newest_configuration = is_successful(read)
         if is_successful(read):
             self._dispatch(ConfigurationChanged(read.unwrap()))
         else:
--- a/nutmegstep/platform/documents.py
+++ b/nutmegstep/platform/documents.py
@@ -10,6 +10,11 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure, Result, Success
 
+from nutmegstep.accounts import (
+    AccountDirectory,
+    ClientAccount,
+    build_directory,
+)
 from nutmegstep.configuration import (
     CallerLimits,
     Configuration,
@@ -26,6 +31,8 @@
 _MAX_COLD_MS: Final = 86_400_000
 """Longest time in milliseconds for which a target may stay cold; one day."""
 _PORT: Final = re.compile('[1-9][0-9]{0,4}')
+_HEADER_TEXT: Final = r'^[!-~]+$'
+"""Visible ASCII characters, which a header can hold."""
 _MAX_QUOTED: Final = 64
 """Most characters of an invalid text that are quoted in a message."""
 
@@ -57,6 +64,8 @@
     gather: list[str] = Field(default_factory=list)
     top_k: int = 0
     min_coverage: float = 1
+    # Whether requests need no key where there are tenants.
+    public: bool = False
 
 
 class _ServiceDocument(_StrictModel):
@@ -74,11 +83,21 @@
     idle_timeout_ms: float
 
 
+class _TenantDocument(_StrictModel):
+    name: str = Field(min_length=1, pattern=_HEADER_TEXT)
+    api_keys: list[str] = Field(default_factory=list)
+    priority: int = 0
+    # Limit over all VMs together; 0 or nothing for none.
+    rate_per_s: float | None = Field(default=None, ge=0)
+    burst: float | None = Field(default=None, ge=0)
+
+
 class _ConfigurationDocument(_StrictModel):
     config_version: int
     routes: list[_RouteDocument]
     services: list[_ServiceDocument]
     limits: _LimitsDocument
+    tenants: list[_TenantDocument] | None = None
 
 
 class _TargetDocument(_StrictModel):
@@ -129,6 +148,7 @@
                 decoded.limits.header_timeout_ms * _MILLISECOND,
                 decoded.limits.idle_timeout_ms * _MILLISECOND,
             ),
+            _build_accounts(decoded.tenants),
         ),
     )
 
@@ -216,6 +236,23 @@
         shards=tuple(decoded.gather),
         top_records=decoded.top_k,
         required_coverage=decoded.min_coverage,
+        is_public=decoded.public,
+    )
+
+
+def _build_accounts(
+    tenants: list[_TenantDocument] | None,
+) -> AccountDirectory | None:
+    if not tenants:
+        return None
+    return build_directory(
+        (
+            ClientAccount(
+                one.name, one.priority, one.rate_per_s or 0, one.burst or 0
+            ),
+            one.api_keys,
+        )
+        for one in tenants
     )
 
 
--- a/nutmegstep/platform/wire.py
+++ b/nutmegstep/platform/wire.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from nutmegstep.accounts import key_digest
 from nutmegstep.dispatch.effects import (
     DeliverMerged,
     DeliverReply,
@@ -33,6 +34,11 @@
 _LEAVING: Final = b'server-leaving'
 # Seconds for which a target wants no request after a reply with status 503.
 _RETRY_AFTER: Final = b'retry-after'
+_CREDENTIALS: Final = b'authorization'
+_KEY: Final = re.compile(rb'bearer +([!-~]+)', re.IGNORECASE)
+# Name of the caller's account, which only this system may state.
+_ACCOUNT: Final = b'x-nutmegstep-tenant'
+_PRIVATE_HEADERS: Final = frozenset((_CREDENTIALS, _ACCOUNT))
 _MAX_LOGGED_TEXT: Final = 40
 # Visible ASCII characters without the comma.
 _LIST_ENTRY: Final = re.compile(rb'[!-+\--~]+')
@@ -89,9 +95,24 @@
         ),
         arrived_at=now,
         is_first_on_connection=http_request.is_first_on_connection,
+        key_digest=_read_key_digest(http_request),
+        private_headers=_PRIVATE_HEADERS,
     )
 
 
+def _read_key_digest(http_request: HttpRequest) -> str:
+    if _CREDENTIALS.decode() not in http_request.headers:
+        return ''
+    # Of several keys nobody knows which one is meant, so none is.
+    texts = [
+        text for name, text in http_request.header_items if name == _CREDENTIALS
+    ]
+    key = _KEY.fullmatch(texts[0])
+    if key is None or len(frozenset(texts)) > 1:
+        return ''
+    return key_digest(key[1])
+
+
 def _request_headers(
     request: RoutedRequest,
     milliseconds_left: int,
@@ -100,6 +121,8 @@
     added = [(_DEADLINE, b'%d' % milliseconds_left)]
     if expected_target:
         added.append((_EXPECTED_TARGET, expected_target.encode()))
+    if request.account:
+        added.append((_ACCOUNT, request.account.encode()))
     if request.body or request.method not in _METHODS_WITHOUT_BODY:
         added.append((b'content-length', b'%d' % len(request.body)))
     return (*request.headers, *added)
@@ -203,16 +226,20 @@
 
 def _write_refusal(request: RoutedRequest, refusal: Refusal) -> HttpResponse:
     seconds = refusal.retry_after.total_seconds()
-    headers = (
+    headers = [
         (_ATTEMPT_ID.decode(), request.attempt_id),
         ('Retry-After', f'{seconds:.3f}'),
-    )
+    ]
+    if refusal.reason is Reason.UNKNOWN_KEY:
+        headers.append(('WWW-Authenticate', 'Bearer'))
     document = {
         'verdict': refusal.verdict.value,
         'reason': refusal.reason.value,
         'detail': refusal.detail,
     }
-    return HttpResponse(_status_of(refusal), orjson.dumps(document), headers)
+    return HttpResponse(
+        _status_of(refusal), orjson.dumps(document), tuple(headers)
+    )
 
 
 def _status_of(refusal: Refusal) -> int:
--- a/nutmegstep/verdict/core.py
+++ b/nutmegstep/verdict/core.py
@@ -26,6 +26,7 @@
     TOO_LARGE = 'too_large'
     UNKNOWN_SERVICE = 'unknown_service'
     UNKNOWN_ROUTE = 'unknown_route'
+    UNKNOWN_KEY = 'unknown_key'
     NO_TARGET = 'no_target'
     NO_CONFIGURATION = 'no_configuration'
     OVERLOADED = 'overloaded'
@@ -78,6 +79,7 @@
     {
         Reason.BAD_REQUEST: 400,
         Reason.KEY_INVALID: 400,
+        Reason.UNKNOWN_KEY: 401,
         Reason.UNKNOWN_SERVICE: 404,
         Reason.UNKNOWN_ROUTE: 404,
         Reason.ALREADY_CLAIMED: 409,
