Give returned targets their load at the pace of their answers

Cause: a target that had started was left idle while cold and got all requests at once afterwards; one that replied after failures, or was fast again, waited until estimates had decayed, up to 8 s a half-life. Change: nutmegstep.pace and dispatch.pacing: a share of the requests treats the target as warm; answers as fast as those of its warm peers double the share, others halve it. The bound on cold targets stays as it was. Off unless NUTMEGSTEP_PACES_RETURNS is true. Lines pace_begun, pace_slowed, pace_ended. Result: tests/pace, tests/dispatch/test_pacing.py (28 tests) and tests/settings pass; tests/dispatch passed before the last changes (505 passed, 1 known failure), not run again whole.

--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -21,6 +21,7 @@
 )
 from nutmegstep.dispatch.effects import Decision, DropTarget, Effect
 from nutmegstep.dispatch.reporting import record_report
+from nutmegstep.dispatch.pacing import begin_relisted, begin_restarted
 from nutmegstep.dispatch.state import DispatchState
 
 __all__ = [
@@ -69,7 +70,7 @@
     listed = Decision(
         'targets_listed', '', {'count': len(state.registry.by_id)}
     )
-    return [listed, *_drop(state, dropped)]
+    return [listed, *_drop(state, dropped), *begin_relisted(state, now)]
 
 
 def update_target(
@@ -93,6 +94,8 @@
     effects: list[Effect] = []
     if known is not None and is_new:
         effects.append(DropTarget(record.target_id))
+    if is_new and state.has_targets:
+        effects.extend(begin_restarted(state, record, now))
     if is_logged:
         inputs = {
             'target': record.target_id,
--- a/nutmegstep/dispatch/decaying_mean.py
+++ b/nutmegstep/dispatch/decaying_mean.py
@@ -46,6 +46,11 @@
         elapsed = now - self._updated
         return self.rest + self._deviation * math.exp2(-elapsed / half_life)
 
+    def restart(self, mean: float, now: float) -> None:
+        """Replace the mean; it decays from `now` on."""
+        self._deviation = mean - self.rest
+        self._updated = now
+
     def observe(self, sample: float, now: float, half_life: float) -> None:
         """Add a sample.
 
--- a/nutmegstep/dispatch/health.py
+++ b/nutmegstep/dispatch/health.py
@@ -6,6 +6,7 @@
 
 from nutmegstep.dispatch.decaying_mean import DecayingMean
 from nutmegstep.dispatch.suspicion import Suspicion
+from nutmegstep.pace import Pace
 
 __all__ = ['TargetHealth']
 
@@ -63,6 +64,8 @@
         have returned halfway to their default values.
     suspicion : Suspicion
         Reports of the VMs of the failure domain about the target.
+    pace : Pace
+        Share of its load that the target gets after a return.
     """
 
     started_ms: int
@@ -74,6 +77,7 @@
     cold_until: float = 0
     half_life: float = _MAX_HALF_LIFE
     suspicion: Suspicion = field(default_factory=Suspicion)
+    pace: Pace = field(default_factory=Pace)
     _slowness: DecayingMean = field(
         default_factory=lambda: DecayingMean(_LATENCY_WEIGHT, rest=1),
     )
@@ -121,6 +125,13 @@
         self.consecutive_failures = 0
         self._failure_share.observe(0, now, self.half_life)
 
+    def settle(self, now: float) -> None:
+        """Take what was observed at the pace of a return as the estimates."""
+        self._slowness = DecayingMean(_LATENCY_WEIGHT, rest=1)
+        self._slowness.restart(self.pace.slowness, now)
+        self._failure_share = DecayingMean(_FAILURE_WEIGHT, rest=0)
+        self.pace.end()
+
     def record_rejection(self, now: float) -> None:
         """Record a reply that is an error or states that nothing ran."""
         self.consecutive_failures = 0
--- a/nutmegstep/dispatch/limits.py
+++ b/nutmegstep/dispatch/limits.py
@@ -33,7 +33,11 @@
         Bound on repeats and hedges.
     cold : ColdLimits
         Bound on requests to cold targets.
+    paces_returns : bool, optional
+        Whether targets that have started or recovered get their load back at
+        the pace of their answers.
     """
 
     budget: BudgetLimits
     cold: ColdLimits
+    paces_returns: bool = False
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -15,6 +15,10 @@
 )
 from nutmegstep.dispatch.forwarding import forward_unsent
 from nutmegstep.dispatch.merging import shorten_part
+from nutmegstep.dispatch.pacing import (
+    record_paced_answer,
+    record_paced_failure,
+)
 from nutmegstep.dispatch.reporting import report_target
 from nutmegstep.dispatch.requests import OpenRequest, Send
 from nutmegstep.dispatch.sending import repeat
@@ -189,6 +193,7 @@
         latency = state.latency_of(send.open_request.route)
         seconds = now - send.sent_at
         ratio = seconds / latency.median
+        effects.extend(record_paced_answer(state, send.target, ratio, now))
         health.record_reply(ratio, now)
         latency.observe(seconds)
         effects.extend(record_success(state, send, now))
@@ -196,6 +201,7 @@
         if is_slow:
             effects.extend(report_target(state, send.target, now))
         return effects
+    effects.extend(record_paced_failure(state, send.target, now))
     health.record_rejection(now)
     return effects
 
@@ -208,8 +214,9 @@
 ) -> list[Effect]:
     if event.kind in _NOT_CAUSED_BY_TARGET:
         return []
+    effects = record_paced_failure(state, send.target, now)
     state.health_of(send.target).record_no_reply(now)
-    effects = record_no_contact(state, send.target, now)
+    effects.extend(record_no_contact(state, send.target, now))
     if not state.has_lost_targets:
         effects.extend(report_target(state, send.target, now))
     if event.kind is SendFailureKind.NO_RESPONSE:
--- a/nutmegstep/dispatch/selection.py
+++ b/nutmegstep/dispatch/selection.py
@@ -13,6 +13,7 @@
 
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.health import TargetHealth
+from nutmegstep.dispatch.pacing import has_warm_peer, is_paced
 from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.dispatch.suspicion import trial_probability
 
@@ -33,7 +34,8 @@
 _FAILURE_PENALTY: Final = 4.0
 """Penalty of a target at which every send fails, scaled by its failure rate."""
 _COLD_PENALTY: Final = 3.0
-"""Penalty of a cold target, one that started recently."""
+"""Penalty of a cold target, one that started recently, and of one that is held
+back after a return."""
 _STALLED_PENALTY: Final = 100.0
 """Penalty of a stalled target; so much larger than the others that such a
 target is chosen only when no other one is usable."""
@@ -123,14 +125,18 @@
     excluded : collection of str, optional
         Identifiers of targets to leave out.
     """
-    scored = [
-        (_score(state, target, now), target.target_id, target)
+    usable = [
+        target
         for target in state.registry.of_service(service)
         if target.target_id not in excluded and is_usable(state, target, now)
     ]
-    if not scored:
+    if not usable:
         return None
-    score, _, target = min(scored)
+    has_warm = has_warm_peer(state, usable, now)
+    score, _, target = min(
+        (_score(state, target, has_warm, now), target.target_id, target)
+        for target in usable
+    )
     return Choice(target, score >= _STALLED_PENALTY)
 
 
@@ -161,16 +167,22 @@
     return _refill_cold_tokens(state, target, health, now) >= 1
 
 
-def _score(state: DispatchState, target: TargetRecord, now: float) -> float:
+def _score(
+    state: DispatchState, target: TargetRecord, has_warm: bool, now: float
+) -> float:
     health = state.health_of(target)
     load = 1 + health.in_flight / max(1, target.slots)
-    score = health.slowness(now) * load
-    score += _FAILURE_PENALTY * health.failure_rate(now)
+    if has_warm and is_paced(health, now):
+        # What was known before the return is void.
+        score = health.pace.slowness * load
+    else:
+        score = health.slowness(now) * load
+        score += _FAILURE_PENALTY * health.failure_rate(now)
     if target.failure_domain != state.own_domain:
         score += _REMOTE_PENALTY
         if state.reachability_of(target.failure_domain).is_unreachable(now):
             score += _UNREACHABLE_DOMAIN_PENALTY
-    if now < target.cold_until:
+    if _is_held_back(state, target, has_warm, now):
         score += _COLD_PENALTY
     if health.suspicion.is_active(now) and not _is_trial_request(
         state, target, now
@@ -181,6 +193,18 @@
     return score + _JITTER * state.random.random()
 
 
+def _is_held_back(
+    state: DispatchState, target: TargetRecord, has_warm: bool, now: float
+) -> bool:
+    if not state.limits.paces_returns:
+        return now < target.cold_until
+    health = state.health_of(target)
+    if not (has_warm and is_paced(health, now)):
+        return False
+    share = health.pace.share(now, health.half_life)
+    return state.random.random() >= share
+
+
 def _is_trial_request(
     state: DispatchState,
     target: TargetRecord,
@@ -209,6 +233,8 @@
         # so that their first requests do not arrive together.
         health.cold_tokens = state.phase_of(target.target_id)
         health.cold_updated = now
+        if state.limits.paces_returns:
+            health.pace.begin('cold', target.cold_until)
     health.cold_until = target.cold_until
     elapsed = max(0, now - health.cold_updated)
     health.cold_updated = now
--- a/nutmegstep/experiment/core.py
+++ b/nutmegstep/experiment/core.py
@@ -223,6 +223,7 @@
                     _REPEAT_RATIO, self.fleet.repeat_slack, _REPEAT_WINDOW
                 ),
                 ColdLimits(1.5, 5),
+                self.fleet.paces_returns,
             ),
             Random(self.random.getrandbits(32)),
             started=-_LEAD_SECONDS,
--- a/nutmegstep/experiment/fleet.py
+++ b/nutmegstep/experiment/fleet.py
@@ -175,6 +175,9 @@
         requests, summed over all VMs.
     faults : tuple of InjectedFault
         Faults that are injected.
+    paces_returns : bool
+        Whether targets that recover get their load back at the pace of their
+        answers.
     """
 
     domains: int
@@ -185,3 +188,4 @@
     to_callers: timedelta
     repeat_slack: float = 50
     faults: tuple[InjectedFault, ...] = ()
+    paces_returns: bool = False
--- a/nutmegstep/gateway/process_parts.py
+++ b/nutmegstep/gateway/process_parts.py
@@ -215,4 +215,5 @@
             settings.repeat_window,
         ),
         ColdLimits(settings.cold_overshoot, settings.cold_slack),
+        settings.paces_returns,
     )
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -89,6 +89,9 @@
     cold_overshoot, cold_slack : float
         Limit on the load of a cold target over all VMs, in requests per
         second: its declared rate times `cold_overshoot`, plus `cold_slack`.
+    paces_returns : bool
+        Whether targets that have started or recovered get their load back at
+        the pace of their answers.
     trace_ratio : float
         Fraction of requests whose spans are recorded, from 0 to 1; with 0 no
         tracer is loaded.
@@ -182,6 +185,12 @@
         'requests per second to a cold target in addition',
         5,
     )
+    paces_returns: bool = setting(
+        _read_boolean,
+        'true or false',
+        'whether targets that return get their load at the pace of their answers',
+        default=False,
+    )
     trace_ratio: float = setting(
         read_ratio,
         'a number from 0 to 1',
