Move the traffic of a service to a new version on an order

Change: subpackage rollouts (records, sequential test, phases, messages), state and decider in the dispatcher, orders watched and their state written under a condition, both only with NUTMEGSTEP_EXPOSURE_SHARE; design note.

--- a/nutmegstep/discovery/core.py
+++ b/nutmegstep/discovery/core.py
@@ -50,6 +50,8 @@
         bears few requests because it started recently.
     started_ms : int
         Start of this incarnation of the target in Unix milliseconds.
+    version : str
+        Version of its software; empty if it is not announced.
     """
 
     target_id: str
@@ -61,6 +63,7 @@
     is_draining: bool
     cold_until: float
     started_ms: int
+    version: str = ''
 
     def is_same_process(self, other: 'TargetRecord') -> bool:
         """Return whether two announcements come from the same process.
--- a/nutmegstep/dispatch/control_events.py
+++ b/nutmegstep/dispatch/control_events.py
@@ -6,6 +6,7 @@
 from nutmegstep.configuration import Configuration
 from nutmegstep.coordinators import CoordinatorChoice
 from nutmegstep.discovery import TargetRecord
+from nutmegstep.dispatch.rollout_events import RolloutEvent
 
 __all__ = [
     'ConfigurationChanged',
@@ -211,6 +212,7 @@
 
 ControlEvent = (
     ConfigurationChanged
+    | RolloutEvent
     | CrashDeleted
     | CrashStored
     | CrashesListed
--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -4,7 +4,13 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from nutmegstep.dispatch import contact, control, crash_control, delegation
+from nutmegstep.dispatch import (
+    contact,
+    control,
+    crash_control,
+    delegation,
+    rollout_control,
+)
 from nutmegstep.dispatch.arrivals import handle_arrival
 from nutmegstep.dispatch.completion import answer_if_due, close_request
 from nutmegstep.dispatch.control_events import (
@@ -39,6 +45,13 @@
     TargetReplied,
 )
 from nutmegstep.dispatch.outcomes import handle_failure, handle_reply
+from nutmegstep.dispatch.rollout_events import (
+    RolloutDirected,
+    RolloutRemoved,
+    RolloutReported,
+    RolloutsListed,
+    RolloutStored,
+)
 from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.dispatch.stopping import schedule_stop
 from nutmegstep.dispatch.trials import hedge_due_parts, release_parts
@@ -114,6 +127,7 @@
     return [
         *control.expire_targets(state, event, now),
         *contact.probe_links(state, event, now),
+        *rollout_control.advance_rollouts(state, now),
     ]
 
 
@@ -144,5 +158,10 @@
         CrashesListed: crash_control.record_listed,
         CrashStored: crash_control.record_stored,
         CrashDeleted: crash_control.record_deleted,
+        RolloutsListed: rollout_control.list_orders,
+        RolloutStored: rollout_control.store_order,
+        RolloutRemoved: rollout_control.remove_order,
+        RolloutReported: rollout_control.record_report,
+        RolloutDirected: rollout_control.apply_directive,
     },
 )
--- a/nutmegstep/dispatch/effects.py
+++ b/nutmegstep/dispatch/effects.py
@@ -7,6 +7,7 @@
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.control_events import CrashRecord
 from nutmegstep.dispatch.events import RoutedRequest, TargetReply
+from nutmegstep.rollouts import Outcome
 from nutmegstep.verdict import Refusal
 
 __all__ = [
@@ -28,6 +29,7 @@
     'SendMessage',
     'SendRequest',
     'WakeAt',
+    'WriteRollout',
 ]
 
 
@@ -143,6 +145,26 @@
     content: Mapping[str, object]
 
 
+@dataclass(frozen=True, slots=True)
+class WriteRollout:
+    """Write the state of a roll-out to the store.
+
+    Parameters
+    ----------
+    service, version : str
+        Service and version of the order.
+    revision : int
+        Revision of the order; the write fails if the store holds another one.
+    outcome : Outcome
+        State to write.
+    """
+
+    service: str
+    version: str
+    revision: int
+    outcome: Outcome
+
+
 @dataclass(frozen=True, slots=True)
 class CheckTarget:
     """Check whether a target that closed a connection still listens."""
@@ -277,6 +299,7 @@
     | ReportSuspect
     | ReturnSends
     | SendMessage
+    | WriteRollout
     | WakeAt
     | DeliverReply
     | DeliverMerged
--- a/nutmegstep/dispatch/limits.py
+++ b/nutmegstep/dispatch/limits.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from nutmegstep.dispatch.budget import BudgetLimits
+from nutmegstep.rollouts import ExposureLimits
 
 __all__ = ['ColdLimits', 'DispatchLimits']
 
@@ -33,7 +34,10 @@
         Bound on repeats and hedges.
     cold : ColdLimits
         Bound on requests to cold targets.
+    exposure : ExposureLimits or None
+        Bound on requests to a bad version; without it there are no roll-outs.
     """
 
     budget: BudgetLimits
     cold: ColdLimits
+    exposure: ExposureLimits | None = None
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -17,6 +17,10 @@
 from nutmegstep.dispatch.merging import shorten_part
 from nutmegstep.dispatch.reporting import report_target
 from nutmegstep.dispatch.requests import OpenRequest, Send
+from nutmegstep.dispatch.rollout_outcomes import (
+    record_failed_send,
+    record_replied_send,
+)
 from nutmegstep.dispatch.sending import repeat
 from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.dispatch.target_notices import record_notices
@@ -180,6 +184,7 @@
 ) -> list[Effect]:
     health = state.health_of(send.target)
     effects = record_contact(state, send.target, now)
+    effects.extend(record_replied_send(state, send, reply, now))
     if reply.is_misdirected:
         health.record_rejection(now)
         health.blocked_until = now + _MISDIRECTED_BLOCK_SECONDS
@@ -206,10 +211,11 @@
     event: SendFailed,
     now: float,
 ) -> list[Effect]:
+    evidence = record_failed_send(state, send, event.kind, now)
     if event.kind in _NOT_CAUSED_BY_TARGET:
-        return []
+        return evidence
     state.health_of(send.target).record_no_reply(now)
-    effects = record_no_contact(state, send.target, now)
+    effects = [*evidence, *record_no_contact(state, send.target, now)]
     if not state.has_lost_targets:
         effects.extend(report_target(state, send.target, now))
     if event.kind is SendFailureKind.NO_RESPONSE:
--- /dev/null
+++ b/nutmegstep/dispatch/rollout_state.py
@@ -0,0 +1,305 @@
+"""Roll-outs as one VM knows them, and which versions a send may go to."""
+
+import math
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from nutmegstep.discovery import TargetRecord
+from nutmegstep.rollouts import (
+    Evidence,
+    ExposureLimits,
+    Outcome,
+    Phase,
+    RolloutOrder,
+    RolloutReport,
+)
+
+__all__ = ['LEASE_SECONDS', 'Rollout', 'Rollouts']
+
+LEASE_SECONDS: Final = 2.0
+"""Time without a word of the decider after which nothing is sent to the new
+version: four of its messages."""
+_CREDIT_SHARE: Final = 0.6
+"""Share of the exposure that the trial uses. The rest is for the time between
+the move and its end if the version turns bad."""
+_SLACK_SHARE: Final = 0.5
+"""Share of the slack that the trial uses."""
+_COLD_TRIAL_SHARE: Final = 0.4
+"""Share of the time ordered after which cold targets are tried too."""
+_RAMP_SHARE: Final = 0.3
+"""Share of the first sends that go to the new version during the ramp."""
+
+_Targets = tuple[TargetRecord, ...]
+
+
+@dataclass(slots=True)
+class Rollout:
+    """State of one order.
+
+    Attributes
+    ----------
+    order : RolloutOrder
+        The order as the store holds it.
+    ordered_at : float
+        Monotonic time in seconds of the order, as far as known.
+    credit : float
+        First sends that may go to the new version during the trial.
+    phase : Phase
+        Phase that the decider has stated.
+    phase_at : float
+        Monotonic time in seconds at which this VM learnt of it.
+    directed_at : float
+        Monotonic time in seconds of the decider's latest word.
+    directed_by : int
+        Rank of that decider.
+    heard_at_by_rank : dict
+        Monotonic times in seconds of the latest words of deciders, by rank.
+    held_until : float
+        Monotonic time in seconds until which this VM sends nothing to the new
+        version, because of what it has seen itself.
+    old_good, old_bad : int
+        Answers of other versions that this VM has got.
+    counts_by_row : dict
+        Good and bad answers of the new version that this VM has got, by target
+        and route.
+    seen : Evidence
+        The same answers as evidence.
+    pooled : Evidence
+        Answers of all VMs, as far as they have reported to this one.
+    report_by_vm : dict
+        Latest report of each VM, and the monotonic time in seconds of it.
+    written_at : float
+        Monotonic time in seconds of the latest write to the store.
+    """
+
+    order: RolloutOrder
+    ordered_at: float
+    credit: float
+    phase: Phase = Phase.TRIAL
+    phase_at: float = -math.inf
+    directed_at: float = -math.inf
+    directed_by: int = 0
+    heard_at_by_rank: dict[int, float] = field(default_factory=dict)
+    held_until: float = -math.inf
+    old_good: int = 0
+    old_bad: int = 0
+    counts_by_row: dict[tuple[str, str], list[int]] = field(
+        default_factory=dict
+    )
+    seen: Evidence = field(default_factory=Evidence)
+    pooled: Evidence = field(default_factory=Evidence)
+    report_by_vm: dict[str, tuple[RolloutReport, float]] = field(
+        default_factory=dict
+    )
+    written_at: float = -math.inf
+
+    def phase_in_force(self, now: float) -> Phase | None:
+        """Return the phase that binds sends; None if only old targets may be used.
+
+        A VM that hears nothing falls back to the old version.
+        """
+        if self.phase.is_final:
+            return self.phase
+        is_heard = now < self.directed_at + LEASE_SECONDS
+        return self.phase if is_heard and now >= self.held_until else None
+
+    def is_new(self, target: TargetRecord) -> bool:
+        """Return whether a target is of the version that is rolled out."""
+        return target.version == self.order.version
+
+
+class Rollouts:
+    """Orders that are known, and the running version of each service.
+
+    Without limits there are no roll-outs, and every version may be used.
+
+    Parameters
+    ----------
+    random : Callable
+        Returns a number from 0 to 1.
+
+    Attributes
+    ----------
+    limits : ExposureLimits or None
+        Bound on the requests to a bad version.
+    by_service : dict
+        Roll-outs by service.
+    """
+
+    def __init__(self, random: Callable[[], float]) -> None:
+        self.limits: ExposureLimits | None = None
+        self.by_service: dict[str, Rollout] = {}
+        self._epoch: int | None = None
+        self._random = random
+        self._running_by_service: dict[str, tuple[_Targets, str]] = {}
+
+    @property
+    def epoch(self) -> int:
+        """Number of this process in its reports."""
+        if self._epoch is None:
+            self._epoch = int(self._random() * 2**31)
+        return self._epoch
+
+    def put(self, order: RolloutOrder, now: float, divisor: float) -> bool:
+        """Add or update an order; return whether it is a new one.
+
+        Parameters
+        ----------
+        order : RolloutOrder
+            The order.
+        now : float
+            Monotonic time in seconds.
+        divisor : float
+            Number of equal shares of a bound over all VMs.
+        """
+        known = self.by_service.get(order.service)
+        is_new = known is None or known.order.version != order.version
+        if known is None or is_new:
+            slack = self.limits.slack if self.limits else 0
+            credit = slack * _SLACK_SHARE / divisor
+            known = Rollout(order, now, credit)
+            self.by_service[order.service] = known
+        known.order = order
+        if order.outcome is Outcome.COMPLETED:
+            self.finish(known, Phase.COMPLETED, now)
+        if order.outcome is Outcome.REVERTED:
+            self.finish(known, Phase.REVERTED, now)
+        return is_new
+
+    def finish(self, rollout: Rollout, phase: Phase, now: float) -> bool:
+        """Put a final phase in force; return whether it was not yet."""
+        if rollout.phase is phase:
+            return False
+        rollout.phase = phase
+        rollout.phase_at = now
+        service = rollout.order.service
+        if phase is Phase.COMPLETED:
+            self._running_by_service[service] = ((), rollout.order.version)
+        return True
+
+    def forget(self, service: str) -> None:
+        """Remove an order that the operators have deleted."""
+        self.by_service.pop(service, None)
+
+    def is_open(
+        self, target: TargetRecord, targets: _Targets, now: float
+    ) -> bool:
+        """Return whether sends of any kind may go to the version of a target.
+
+        Parameters
+        ----------
+        target : TargetRecord
+            The target.
+        targets : tuple of TargetRecord
+            All targets of its service.
+        now : float
+            Monotonic time in seconds.
+        """
+        if self.limits is None:
+            return True
+        rollout = self.by_service.get(target.service)
+        if rollout is None:
+            return target.version == self.running_version(targets)
+        phase = rollout.phase_in_force(now)
+        is_moved = phase in {Phase.MOVED, Phase.COMPLETED}
+        return rollout.is_new(target) is is_moved
+
+    def candidate_groups(
+        self, service: str, targets: _Targets, is_first: bool, now: float
+    ) -> tuple[_Targets, ...]:
+        """Return the targets that a send may go to, in groups.
+
+        A later group is for sends for which an earlier one has no usable target.
+
+        Parameters
+        ----------
+        service : str
+            Service that is sent to.
+        targets : tuple of TargetRecord
+            Its targets.
+        is_first : bool
+            False for repeats and hedges.
+        now : float
+            Monotonic time in seconds.
+        """
+        if self.limits is None:
+            return (targets,)
+        usual = tuple(one for one in targets if self.is_open(one, targets, now))
+        rollout = self.by_service.get(service)
+        if rollout is None or not is_first:
+            return (usual,)
+        tried = self._tried_targets(rollout, targets, now)
+        return (tried, usual) if tried else (usual,)
+
+    def record_send(self, target: TargetRecord, is_first: bool) -> None:
+        """Count a send for the credit of the trial."""
+        if self.limits is None:
+            return
+        rollout = self.by_service.get(target.service)
+        if rollout is None or rollout.phase is not Phase.TRIAL:
+            return
+        if is_first:
+            # Sends beyond the first of a request are no part of the bound's
+            # base, as they need not reach the service.
+            rollout.credit += self.limits.share * _CREDIT_SHARE
+        if rollout.is_new(target):
+            rollout.credit -= 1
+
+    def running_version(self, targets: _Targets) -> str:
+        """Return the version of a service without an order.
+
+        It is the one that ran before others were announced, or else that of most
+        targets, of equally many the one that started first.
+        """
+        if not targets:
+            return ''
+        service = targets[0].service
+        known_targets, known = self._running_by_service.get(service, ((), ''))
+        if known_targets is targets:
+            return known
+        versions = [one.version for one in targets]
+        if known not in versions:
+            known = min(targets, key=_usual_first(versions)).version
+        self._running_by_service[service] = (targets, known)
+        return known
+
+    def unfinished(self) -> Mapping[str, Rollout]:
+        """Return the roll-outs whose end the store does not hold."""
+        return {
+            service: one
+            for service, one in self.by_service.items()
+            if not one.phase.is_final or _is_unwritten(one)
+        }
+
+    def _tried_targets(
+        self, rollout: Rollout, targets: Iterable[TargetRecord], now: float
+    ) -> _Targets:
+        phase = rollout.phase_in_force(now)
+        if phase is Phase.RAMP and self._random() < _RAMP_SHARE:
+            return tuple(filter(rollout.is_new, targets))
+        if phase is not Phase.TRIAL or rollout.credit < 1:
+            return ()
+        warm_only = (
+            now < rollout.ordered_at + rollout.order.seconds * _COLD_TRIAL_SHARE
+        )
+        return tuple(
+            one
+            for one in targets
+            if rollout.is_new(one) and not (warm_only and now < one.cold_until)
+        )
+
+
+def _is_unwritten(rollout: Rollout) -> bool:
+    outcome = rollout.order.outcome
+    return outcome is None or outcome.value != rollout.phase.value
+
+
+def _usual_first(
+    versions: list[str],
+) -> Callable[[TargetRecord], tuple[int, int, str]]:
+    return lambda one: (
+        -versions.count(one.version),
+        one.started_ms,
+        one.version,
+    )
--- a/nutmegstep/dispatch/selection.py
+++ b/nutmegstep/dispatch/selection.py
@@ -78,8 +78,9 @@
     blocked after failures, or that are cold or state a limit and have no token
     left are not usable.
     """
-    return _is_available(state, target, now) and state.request_limits.may_send(
-        target, now
+    targets = state.registry.of_service(target.service)
+    return state.rollouts.is_open(target, targets, now) and _accepts(
+        state, target, now
     )
 
 
@@ -96,10 +97,12 @@
         Time in seconds; infinite if not only the limits of the targets keep
         them from being used.
     """
+    targets = state.registry.of_service(service)
     waits = (
         state.request_limits.seconds_until_allowed(target, now)
-        for target in state.registry.of_service(service)
-        if _is_available(state, target, now)
+        for target in targets
+        if state.rollouts.is_open(target, targets, now)
+        and _is_available(state, target, now)
     )
     return min(waits, default=math.inf)
 
@@ -123,15 +126,19 @@
     excluded : collection of str, optional
         Identifiers of targets to leave out.
     """
-    scored = [
-        (_score(state, target, now), target.target_id, target)
-        for target in state.registry.of_service(service)
-        if target.target_id not in excluded and is_usable(state, target, now)
-    ]
-    if not scored:
-        return None
-    score, _, target = min(scored)
-    return Choice(target, score >= _STALLED_PENALTY)
+    groups = state.rollouts.candidate_groups(
+        service, state.registry.of_service(service), not excluded, now
+    )
+    for targets in groups:
+        scored = [
+            (_score(state, target, now), target.target_id, target)
+            for target in targets
+            if target.target_id not in excluded and _accepts(state, target, now)
+        ]
+        if scored:
+            score, _, target = min(scored)
+            return Choice(target, score >= _STALLED_PENALTY)
+    return None
 
 
 def spend_cold_token(
@@ -144,6 +151,12 @@
         state.health_of(target).cold_tokens -= 1
 
 
+def _accepts(state: DispatchState, target: TargetRecord, now: float) -> bool:
+    return _is_available(state, target, now) and state.request_limits.may_send(
+        target, now
+    )
+
+
 def _is_available(
     state: DispatchState,
     target: TargetRecord,
--- a/nutmegstep/dispatch/sending.py
+++ b/nutmegstep/dispatch/sending.py
@@ -141,6 +141,7 @@
     health.stall_at_by_send[send_id] = now + delay * _STALL_HEDGE_DELAYS
     spend_cold_token(state, target, now)
     state.request_limits.record_send(target)
+    state.rollouts.record_send(target, is_first=not part.tried_targets)
     has_responsive_send = bool(part.pending_sends) and not part.is_stalled
     part.is_stalled = choice.is_stalled and not has_responsive_send
     part.pending_sends.add(send_id)
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -18,6 +18,7 @@
 from nutmegstep.dispatch.reachability import DomainReachability
 from nutmegstep.dispatch.request_limits import RequestLimits
 from nutmegstep.dispatch.requests import OpenRequest, Send
+from nutmegstep.dispatch.rollout_state import Rollouts
 from nutmegstep.dispatch.route_latency import RouteLatency
 
 __all__ = ['DispatchState']
@@ -100,6 +101,8 @@
         Targets that closed a connection without a response.
     crashes : CrashRecords
         Content that was in flight on crashed targets.
+    rollouts : Rollouts
+        Roll-outs of new versions.
     split_credits_by_route : dict
         Round-robin credit of each service, by the name of the route.
     next_send_id : int
@@ -142,6 +145,8 @@
         )
         self.losses = Losses()
         self.crashes = CrashRecords()
+        self.rollouts = Rollouts(random.random)
+        self.rollouts.limits = limits.exposure
         self.split_credits_by_route: dict[str, dict[str, float]] = {}
         self.next_send_id = 1
         self._budget_by_service: dict[str, RepeatBudget] = {}
@@ -200,6 +205,7 @@
     def replace_limits(self, limits: DispatchLimits) -> None:
         """Replace the bounds, also those of existing budgets."""
         self.limits = limits
+        self.rollouts.limits = limits.exposure
         for service, budget in self._budget_by_service.items():
             budget.limits = limits.budget
             budget.may_save_token = self._may_save_token(service)
--- a/nutmegstep/gateway/adapter.py
+++ b/nutmegstep/gateway/adapter.py
@@ -1,6 +1,6 @@
 """Interface between a gateway process and the platform it runs on."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -12,7 +12,8 @@
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.gateway.codec import WireCodec
 from nutmegstep.platform_api.records import PlatformFailure
-from nutmegstep.store_watch import StoreReader
+from nutmegstep.rollouts import Outcome, RolloutOrder
+from nutmegstep.store_watch import StatusWrite, StoreReader
 from nutmegstep.store_watch.vm_registry import VmEntry
 
 __all__ = ['PlatformAdapter', 'Store', 'StoreNames']
@@ -48,6 +49,15 @@
     ) -> Result[None, PlatformFailure]:
         """Delete an object, if it exists."""
 
+    async def put_status(
+        self,
+        kind: str,
+        name: str,
+        revision: int,
+        status: Mapping[str, str],
+    ) -> Result[StatusWrite, PlatformFailure]:
+        """Replace the status of an object that still has a revision."""
+
     def close(self) -> None:
         """Close idle connections."""
 
@@ -70,6 +80,9 @@
     crashes : str
         Kind of the records of crashes, which the gateways write. The name of
         such an object holds all of the record.
+    rollouts : str
+        Kind of the orders of roll-outs. The name of such an object is the name
+        of the service.
     """
 
     configuration: str
@@ -77,6 +90,7 @@
     targets: str
     withdrawals: str
     crashes: str
+    rollouts: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +113,11 @@
     read_target : Callable
         Decodes an announcement, or returns why it is invalid. Takes the name
         of the object, the document and the monotonic time in seconds.
+    read_rollout : Callable
+        Decodes an order of a roll-out and its state, or returns why it is
+        invalid. Takes the name of the object and the whole object.
+    write_rollout : Callable
+        Encodes the state of a roll-out. Takes the state and the version.
     """
 
     codec: WireCodec
@@ -107,3 +126,5 @@
     open_store: Callable[[tuple[str, int], Clock, Counter], Store]
     read_configuration: Callable[[object], Result[Configuration, str]]
     read_target: Callable[[str, object, float], Result[TargetRecord, str]]
+    read_rollout: Callable[[str, object], Result[RolloutOrder, str]]
+    write_rollout: Callable[[Outcome, str], Mapping[str, str]]
--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -23,6 +23,7 @@
     SendMessage,
     SendRequest,
     WakeAt,
+    WriteRollout,
 )
 from nutmegstep.dispatch.events import (
     CallerLeft,
@@ -126,7 +127,7 @@
                 effect.target_id
             ),
             ReportSuspect: lambda effect: self.on_suspect(effect.target_id),
-            SendMessage: _ignore,
+            **dict.fromkeys((SendMessage, WriteRollout), _ignore),
             WakeAt: self._wake_at,
             DeliverReply: self._deliver,
             DeliverMerged: self._deliver,
@@ -135,9 +136,9 @@
             **self.crash_reporter.handler_by_effect,
         }
 
-    def send_messages_with(self, send: Callable[[SendMessage], None]) -> None:
-        """Set what sends messages to other VMs; without it none are sent."""
-        self._handler_by_effect[SendMessage] = send
+    def carry_out_with(self, kind: type, handle: Callable[[Any], None]) -> None:
+        """Set what carries out messages or writes; without it nothing does."""
+        self._handler_by_effect[kind] = handle
 
     @property
     def open_requests(self) -> int:
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -84,6 +84,7 @@
     await asyncio.gather(*tasks, return_exceptions=True)
     process.gateway.close()
     process.report_exchange.close()
+    process.rollout_writer.close()
     process.store.close()
     ready_server.close()
     return answered
--- a/nutmegstep/gateway/process_parts.py
+++ b/nutmegstep/gateway/process_parts.py
@@ -13,12 +13,20 @@
 from nutmegstep.dispatch import ColdLimits, DispatchLimits, DispatchState
 from nutmegstep.dispatch.budget import BudgetLimits
 from nutmegstep.dispatch.control_events import HousekeepingDue
+from nutmegstep.dispatch.effects import SendMessage, WriteRollout
 from nutmegstep.gateway.adapter import PlatformAdapter
 from nutmegstep.gateway.core import Gateway
 from nutmegstep.gateway.metrics import GatewayMetrics
+from nutmegstep.gateway.rollout_store import (
+    RolloutWriter,
+    read_directive,
+    read_report,
+)
 from nutmegstep.gateway.store_sync import StoreSync, StoreSyncParts
 from nutmegstep.gateway.suspect_reports import SuspectReportExchange
 from nutmegstep.gateway.vm_messages import ReadMessage, VmMessages
+from nutmegstep.rollouts import ExposureLimits
+from nutmegstep.rollouts.messages import KIND_DIRECTIVE, KIND_REPORT
 from nutmegstep.settings import GatewaySettings, SettingsError
 from nutmegstep.web import (
     HttpLimits,
@@ -43,7 +51,9 @@
 """Time between two reads of the settings when no SIGHUP arrives."""
 _MAX_CALLER_CONNECTIONS: Final = 2000
 """Most connections of callers; half the file descriptors of a small VM."""
-_READ_BY_KIND: Final[Mapping[str, ReadMessage]] = MappingProxyType({})
+_READ_BY_KIND: Final[Mapping[str, ReadMessage]] = MappingProxyType(
+    {KIND_REPORT: read_report, KIND_DIRECTIVE: read_directive}
+)
 """Decoders of the messages between VMs, by kind."""
 
 
@@ -85,12 +95,16 @@
             _READ_BY_KIND,
         )
         self.report_exchange.on_message = self.vm_messages.receive
-        self.gateway.send_messages_with(self.vm_messages.send)
+        self.gateway.carry_out_with(SendMessage, self.vm_messages.send)
         self.store = adapter.open_store(
             settings.store_address,
             self.clock,
             self.metrics.store_calls,
         )
+        self.rollout_writer = RolloutWriter(
+            adapter, self.store, self.gateway.dispatch
+        )
+        self.gateway.carry_out_with(WriteRollout, self.rollout_writer.write)
         self.is_draining = False
 
     def build_store_sync(self) -> StoreSync:
@@ -215,4 +229,7 @@
             settings.repeat_window,
         ),
         ColdLimits(settings.cold_overshoot, settings.cold_slack),
+        ExposureLimits(settings.exposure_share, settings.exposure_slack)
+        if settings.exposure_share
+        else None,
     )
--- a/nutmegstep/gateway/store_sync.py
+++ b/nutmegstep/gateway/store_sync.py
@@ -113,6 +113,7 @@
             parts.store, partial(connect_relay, parts.clock)
         )
         self._listen_address = settings.peers_address
+        self._has_rollouts = settings.exposure_share > 0
         self._vm_list_timeout_s = (
             _FIRST_START_VM_LIST_TIMEOUT_S
             if settings.is_first_start
@@ -141,7 +142,12 @@
     async def run(self) -> None:
         """Watch the store and serve as a relay until cancelled."""
         parts = self._parts
-        source = StoreSubscriptions(parts.adapter, parts.clock, parts.dispatch)
+        source = StoreSubscriptions(
+            parts.adapter,
+            parts.clock,
+            parts.dispatch,
+            has_rollouts=self._has_rollouts,
+        )
         caches = {one.kind: RelayCache() for one in source.subscriptions()}
         relay = RelayServer(
             caches, self._availability.unavailable, self._reader.uses_relay
--- a/nutmegstep/gateway/subscriptions.py
+++ b/nutmegstep/gateway/subscriptions.py
@@ -22,6 +22,7 @@
 from nutmegstep.dispatch.events import Event
 from nutmegstep.gateway.adapter import PlatformAdapter
 from nutmegstep.gateway.crash_records import read_record
+from nutmegstep.gateway.rollout_store import rollout_subscription
 from nutmegstep.store_watch import (
     Listing,
     ObjectChange,
@@ -68,6 +69,8 @@
         Monotonic clock that gives the time at which announcements are read.
     dispatch : Callable
         Passes an event to the dispatcher.
+    has_rollouts : bool
+        Whether orders of roll-outs are watched.
     """
 
     def __init__(
@@ -75,7 +78,10 @@
         adapter: PlatformAdapter,
         clock: Clock,
         dispatch: Callable[[Event], None],
+        *,
+        has_rollouts: bool = False,
     ) -> None:
+        self._has_rollouts = has_rollouts
         self._adapter = adapter
         self._clock = clock
         self._dispatch = dispatch
@@ -84,6 +90,11 @@
     def subscriptions(self) -> tuple[Subscription, ...]:
         """Return the subscriptions; the first one probes the store."""
         kinds = self._adapter.kinds
+        rollouts = (
+            (rollout_subscription(self._adapter, self._dispatch),)
+            if self._has_rollouts
+            else ()
+        )
         return (
             Subscription(
                 kinds.configuration,
@@ -110,6 +121,7 @@
                 _for_each(self._on_withdrawal_changed),
             ),
             crash_subscription(kinds.crashes, self._dispatch),
+            *rollouts,
         )
 
     def _on_configurations_listed(self, listing: Listing) -> None:
--- a/nutmegstep/platform/core.py
+++ b/nutmegstep/platform/core.py
@@ -14,7 +14,8 @@
 from nutmegstep.gateway.process import ReadSettings, serve
 from nutmegstep.logs import configure_buffered_logs
 from nutmegstep.platform.documents import read_configuration, read_target
-from nutmegstep.platform.store import ObjectStore
+from nutmegstep.platform.rollouts import read_rollout, write_rollout
+from nutmegstep.platform.store import KIND_ROLLOUTS, ObjectStore
 from nutmegstep.platform.wire import CODEC
 from nutmegstep.platform_api.transport import HttpTransport
 from nutmegstep.settings import (
@@ -48,11 +49,14 @@
         targets='servers',
         withdrawals='evacuations',
         crashes='nutmegstep-crashes',
+        rollouts=KIND_ROLLOUTS,
     ),
     ready_path='/v1/ready',
     open_store=_open_store,
     read_configuration=read_configuration,
     read_target=read_target,
+    read_rollout=read_rollout,
+    write_rollout=write_rollout,
 )
 
 
--- a/nutmegstep/platform/documents.py
+++ b/nutmegstep/platform/documents.py
@@ -93,6 +93,8 @@
     seq: int
     # Start of the target process in Unix milliseconds.
     born: int = 0
+    # Version of its software, a text.
+    config_version: object = None
 
 
 def read_configuration(document: object) -> Result[Configuration, str]:
@@ -177,6 +179,11 @@
             is_draining=decoded.state == 'draining',
             cold_until=now + decoded.cold_remaining_ms / 1000,
             started_ms=decoded.born,
+            version=(
+                decoded.config_version
+                if isinstance(decoded.config_version, str)
+                else ''
+            ),
         ),
     )
 
--- a/nutmegstep/platform/store.py
+++ b/nutmegstep/platform/store.py
@@ -28,14 +28,21 @@
     PlatformFailureKind,
 )
 from nutmegstep.platform_api.transport import HttpTransport
-from nutmegstep.store_watch import HistoryGone, Listing, ObjectChanges
+from nutmegstep.store_watch import (
+    HistoryGone,
+    Listing,
+    ObjectChanges,
+    StatusWrite,
+)
 from nutmegstep.store_watch.revisions import era_of, number_of
 from nutmegstep.store_watch.vm_registry import VmEntry
 
-__all__ = ['KIND_VMS', 'ObjectStore']
+__all__ = ['KIND_ROLLOUTS', 'KIND_VMS', 'ObjectStore']
 
 KIND_VMS: Final = 'nutmegstep-vms'
 """Kind of the entries by which VMs find and count each other."""
+KIND_ROLLOUTS: Final = 'rollouts'
+"""Kind of the orders of roll-outs, which are read with their status."""
 
 _LOG: Final = logging.getLogger(__name__)
 _ERA_HEADER: Final = 'store-era'
@@ -78,7 +85,10 @@
         listed = await self._list_pages(kind, {})
         return listed.map(
             lambda page: Listing(
-                {name_of(one): one.get('spec') for one in page.listed_objects},
+                {
+                    name_of(one): _document_of(kind, one)
+                    for one in page.listed_objects
+                },
                 page.revision,
             ),
         )
@@ -116,7 +126,10 @@
         is_same_era = _era_of(reply) == era_of(revision)
         if reply.status == _STATUS_GONE or not is_same_era:
             return Success(HistoryGone())
-        return _decode(read_changes, reply)
+        return _decode(
+            partial(read_changes, read_object=partial(_document_of, kind)),
+            reply,
+        )
 
     async def list_vms(self) -> Result[dict[str, VmEntry], PlatformFailure]:
         """Return the registry entries of all VMs, possibly seconds stale."""
@@ -183,6 +196,31 @@
         called = await self._call('delete', call, is_write=True)
         return called.map(lambda _: None)
 
+    async def put_status(
+        self,
+        kind: str,
+        name: str,
+        revision: int,
+        status: Mapping[str, str],
+    ) -> Result[StatusWrite, PlatformFailure]:
+        """Replace the status of an object that has not changed.
+
+        Parameters
+        ----------
+        kind, name : str
+            Kind and name of the object.
+        revision : int
+            Revision of its latest change; the write is refused if it has another
+            one.
+        status : Mapping
+            The status.
+        """
+        document = {'meta': {'name': name, 'rev': revision}, 'status': status}
+        path = f'{_path(kind, {})}/{quote(name)}/status'
+        call = HttpCall('PUT', path, orjson.dumps(document), _JSON)
+        called = await self._call('replace', call, is_write=True)
+        return called.map(_read_status_write)
+
     def close(self) -> None:
         """Close idle connections."""
         self._transport.close()
@@ -241,6 +279,22 @@
         self._era = era
 
 
+def _document_of(kind: str, one: Mapping[str, Any]) -> object:
+    return one if kind == KIND_ROLLOUTS else one.get('spec')
+
+
+def _read_status_write(reply: HttpReply) -> StatusWrite:
+    try:
+        document = decode_leniently(reply.body)
+    except ValueError:
+        document = None
+    return StatusWrite(document, not _is_success(reply))
+
+
+def _is_success(reply: HttpReply) -> bool:
+    return _STATUS_OK <= reply.status < _STATUS_MULTIPLE_CHOICES
+
+
 def _conflicts(called: Result[HttpReply, PlatformFailure]) -> bool:
     # 409: the object to create exists. 404: the one to replace does not.
     missed = (_STATUS_CONFLICT, _STATUS_NOT_FOUND)
@@ -257,7 +311,7 @@
     reply: HttpReply,
 ) -> Result[HttpReply, PlatformFailure]:
     # 404, 409 and 410 are results that the calling method handles.
-    if _STATUS_OK <= reply.status < _STATUS_MULTIPLE_CHOICES:
+    if _is_success(reply):
         return Success(reply)
     if reply.status in _EXPECTED_ERROR_STATUSES:
         return Success(reply)
--- a/nutmegstep/platform/store_documents.py
+++ b/nutmegstep/platform/store_documents.py
@@ -1,7 +1,7 @@
 """Decodes the answers of the operators' object store."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from functools import partial
 from typing import Any
@@ -94,7 +94,15 @@
     )
 
 
-def read_changes(document: Any, era: int) -> ObjectChanges:
+def _spec_of(one: _Object) -> object:
+    return one.get('spec')
+
+
+def read_changes(
+    document: Any,
+    era: int,
+    read_object: Callable[[_Object], object] = _spec_of,
+) -> ObjectChanges:
     """Decode the answer of a watch; leave objects without a name out.
 
     Parameters
@@ -103,6 +111,8 @@
         Decoded JSON value.
     era : int
         Era of the store that sent it.
+    read_object : Callable, optional
+        Returns the document of an object; by default its specification.
 
     Raises
     ------
@@ -115,7 +125,7 @@
     changes = (
         ObjectChange(
             name_of(event['object']),
-            event['object'].get('spec'),
+            read_object(event['object']),
             bool(event['deleted']),
         )
         for event in events
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -89,6 +89,10 @@
     cold_overshoot, cold_slack : float
         Limit on the load of a cold target over all VMs, in requests per
         second: its declared rate times `cold_overshoot`, plus `cold_slack`.
+    exposure_share, exposure_slack : float
+        Limit on the requests that a bad version of a service gets from all VMs
+        while it is rolled out: a share of all requests for the service, plus
+        `exposure_slack`. With a share of 0 there are no roll-outs.
     trace_ratio : float
         Fraction of requests whose spans are recorded, from 0 to 1; with 0 no
         tracer is loaded.
@@ -182,6 +186,18 @@
         'requests per second to a cold target in addition',
         5,
     )
+    exposure_share: float = setting(
+        read_ratio,
+        'a number from 0 to 1',
+        'share of requests that a bad version may get; 0: no roll-outs',
+        0,
+    )
+    exposure_slack: float = setting(
+        _read_number,
+        _NON_NEGATIVE_NUMBER,
+        'requests that a bad version may get in addition',
+        0,
+    )
     trace_ratio: float = setting(
         read_ratio,
         'a number from 0 to 1',
--- a/nutmegstep/store_watch/__init__.py
+++ b/nutmegstep/store_watch/__init__.py
@@ -7,6 +7,7 @@
     Listing,
     ObjectChange,
     ObjectChanges,
+    StatusWrite,
     StoreReader,
 )
 
@@ -15,6 +16,7 @@
     'Listing',
     'ObjectChange',
     'ObjectChanges',
+    'StatusWrite',
     'StoreAvailability',
     'StoreReader',
     'Subscription',
--- a/nutmegstep/store_watch/reader.py
+++ b/nutmegstep/store_watch/reader.py
@@ -74,6 +74,22 @@
     """The store no longer has the changes after a revision; list again."""
 
 
+@dataclass(frozen=True, slots=True)
+class StatusWrite:
+    """Answer of the store to a conditional write of a status.
+
+    Parameters
+    ----------
+    document : object
+        The object as the store holds it; None if the answer does not say.
+    is_conflict : bool
+        Whether nothing was written, because the object has changed or is gone.
+    """
+
+    document: object
+    is_conflict: bool
+
+
 class StoreReader(Protocol):
     """Client that lists and watches kinds of objects."""
 
--- a/tests/gateway/unimplemented_store.py
+++ b/tests/gateway/unimplemented_store.py
@@ -1,11 +1,17 @@
 """Base of store stand-ins whose unexpected calls fail the test."""
 
+from collections.abc import Mapping
 from datetime import timedelta
 
 from returns.result import Result
 
 from nutmegstep.platform_api.records import PlatformFailure
-from nutmegstep.store_watch import HistoryGone, Listing, ObjectChanges
+from nutmegstep.store_watch import (
+    HistoryGone,
+    Listing,
+    ObjectChanges,
+    StatusWrite,
+)
 from nutmegstep.store_watch.vm_registry import VmEntry
 
 
@@ -53,5 +59,15 @@
         """Fail the test."""
         raise NotImplementedError
 
+    async def put_status(
+        self,
+        kind: str,
+        name: str,
+        revision: int,
+        status: Mapping[str, str],
+    ) -> Result[StatusWrite, PlatformFailure]:
+        """Fail the test."""
+        raise NotImplementedError
+
     def close(self) -> None:
         """Do nothing; there are no connections."""
--- /dev/null
+++ b/tests/rollouts/test_fleet.py
@@ -0,0 +1,71 @@
+"""Roll-outs over whole fleets: verdicts, exposure and their end in time."""
+
+import pytest
+
+from nutmegstep.rollouts import Outcome
+from tests.rollouts.fleet import DURATION, SERVICE, Behaviour, Fleet
+
+_SLACK = 50
+_SHARE = 0.1
+
+
+def _exposure_bound(fleet: Fleet) -> float:
+    return sum(fleet.sent_by_version.values()) * _SHARE + _SLACK
+
+
+@pytest.mark.parametrize('vms', [7, 70, 300])
+def test_good_version_is_complete_in_time(vms: int) -> None:
+    """Guards against a good version that is taken back or comes late, and against
+    requests to old targets when these stop.
+    """
+    fleet = Fleet(vms, 50, Behaviour(), seed=vms)
+    fleet.run()
+    assert fleet.order.outcome is Outcome.COMPLETED
+    assert not fleet.old_sends_after_end
+
+
+@pytest.mark.parametrize('vms', [7, 70, 300])
+@pytest.mark.parametrize(
+    'behaviour',
+    [
+        Behaviour(0.5),
+        Behaviour(0.5, slow=True),
+        Behaviour(0.5, since=5),
+        Behaviour(1, since=8.5),
+    ],
+    ids=['fails', 'slow', 'fails-later', 'fails-after-the-move'],
+)
+def test_bad_version_is_taken_back(vms: int, behaviour: Behaviour) -> None:
+    """Guards against a bad version that gets more requests than allowed."""
+    fleet = Fleet(vms, 50, behaviour, seed=vms)
+    fleet.run()
+    assert fleet.order.outcome is Outcome.REVERTED
+    assert fleet.sent_by_version['v2'] <= _exposure_bound(fleet)
+    assert fleet.bad_answers < 50
+
+
+def test_one_slow_target_is_not_blamed_on_the_version() -> None:
+    """Guards against trouble of one target that takes a good version back."""
+    behaviour = Behaviour(0.8, slow=True, only_target=f'{SERVICE}-north-v2')
+    fleet = Fleet(70, 50, behaviour, seed=2)
+    fleet.run()
+    assert fleet.order.outcome is Outcome.COMPLETED
+
+
+def test_other_version_gets_nothing_without_an_order() -> None:
+    """Guards against targets of a version that no order has named."""
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    fleet.publish = lambda: None  # type: ignore[method-assign]
+    fleet.run(3)
+    assert fleet.sent_by_version['v1'] > 100
+    assert not fleet.sent_by_version['v2']
+
+
+def test_order_costs_nothing_after_its_end() -> None:
+    """Guards against messages for ever."""
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    fleet.run(DURATION + 6)
+    sent: list[str] = []
+    fleet.is_lost = lambda sender, receiver: bool(sent.append(sender))
+    fleet.time.run_until(fleet.time.now + 5)
+    assert not sent
