--- a/nutmegstep/dispatch/limits.py
+++ b/nutmegstep/dispatch/limits.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from nutmegstep.dispatch.budget import BudgetLimits
+from nutmegstep.rollouts import ExposureLimits
 
 __all__ = ['ColdLimits', 'DispatchLimits']
 
@@ -36,8 +37,11 @@
     paces_returns : bool, optional
         Whether targets that have started or recovered get their load back at
         the pace of their answers.
+    exposure : ExposureLimits or None
+        Bound on requests to a bad version; without it there are no roll-outs.
     """
 
     budget: BudgetLimits
     cold: ColdLimits
     paces_returns: bool = False
+    exposure: ExposureLimits | None = None
--- a/nutmegstep/dispatch/outcomes.py
+++ b/nutmegstep/dispatch/outcomes.py
@@ -21,6 +21,10 @@
 )
 from nutmegstep.dispatch.reporting import report_target
 from nutmegstep.dispatch.requests import OpenRequest, Send
+from nutmegstep.dispatch.rollout_outcomes import (
+    record_failed_send,
+    record_replied_send,
+)
 from nutmegstep.dispatch.sending import repeat
 from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.dispatch.target_notices import record_notices
@@ -184,39 +188,47 @@
 ) -> list[Effect]:
     health = state.health_of(send.target)
     effects = record_contact(state, send.target, now)
+    effects.extend(record_replied_send(state, send, reply, now))
     if reply.is_misdirected:
         health.record_rejection(now)
         health.blocked_until = now + _MISDIRECTED_BLOCK_SECONDS
         return effects
     effects.extend(record_notices(state, send.target, reply, now))
     if reply.is_success:
-        latency = state.latency_of(send.open_request.route)
-        seconds = now - send.sent_at
-        ratio = seconds / latency.median
-        effects.extend(record_paced_answer(state, send.target, ratio, now))
-        health.record_reply(ratio, now)
-        latency.observe(seconds)
-        effects.extend(record_success(state, send, now))
-        is_slow = seconds >= _SLOW_SECONDS and ratio >= _SLOW_MEDIANS
-        if is_slow:
-            effects.extend(report_target(state, send.target, now))
-        return effects
+        return [*effects, *_record_success(state, send, now)]
     effects.extend(record_paced_failure(state, send.target, now))
     health.record_rejection(now)
     return effects
 
 
+def _record_success(
+    state: DispatchState, send: Send, now: float
+) -> list[Effect]:
+    latency = state.latency_of(send.open_request.route)
+    seconds = now - send.sent_at
+    ratio = seconds / latency.median
+    effects = record_paced_answer(state, send.target, ratio, now)
+    state.health_of(send.target).record_reply(ratio, now)
+    latency.observe(seconds)
+    effects.extend(record_success(state, send, now))
+    if seconds >= _SLOW_SECONDS and ratio >= _SLOW_MEDIANS:
+        effects.extend(report_target(state, send.target, now))
+    return effects
+
+
 def _record_failure(
     state: DispatchState,
     send: Send,
     event: SendFailed,
     now: float,
 ) -> list[Effect]:
+    evidence = record_failed_send(state, send, event.kind, now)
     if event.kind in _NOT_CAUSED_BY_TARGET:
-        return []
-    effects = record_paced_failure(state, send.target, now)
+        return evidence
+    paced = record_paced_failure(state, send.target, now)
     state.health_of(send.target).record_no_reply(now)
-    effects.extend(record_no_contact(state, send.target, now))
+    lost = record_no_contact(state, send.target, now)
+    effects = [*evidence, *paced, *lost]
     if not state.has_lost_targets:
         effects.extend(report_target(state, send.target, now))
     if event.kind is SendFailureKind.NO_RESPONSE:
--- a/nutmegstep/gateway/process_parts.py
+++ b/nutmegstep/gateway/process_parts.py
@@ -14,6 +14,7 @@
 from nutmegstep.dispatch import ColdLimits, DispatchLimits, DispatchState
 from nutmegstep.dispatch.budget import BudgetLimits
 from nutmegstep.dispatch.control_events import HousekeepingDue
+from nutmegstep.dispatch.effects import SendMessage, WriteRollout
 from nutmegstep.gateway.adapter import PlatformAdapter
 from nutmegstep.gateway.core import Gateway
 from nutmegstep.gateway.metrics import GatewayMetrics
@@ -24,9 +25,16 @@
     PeerAccount,
     share_out,
 )
+from nutmegstep.gateway.rollout_store import (
+    RolloutWriter,
+    read_directive,
+    read_report,
+)
 from nutmegstep.gateway.store_sync import StoreSync, StoreSyncParts
 from nutmegstep.gateway.suspect_reports import SuspectReportExchange
 from nutmegstep.gateway.vm_messages import ReadMessage, VmMessages
+from nutmegstep.rollouts import ExposureLimits
+from nutmegstep.rollouts.messages import KIND_DIRECTIVE, KIND_REPORT
 from nutmegstep.settings import GatewaySettings, SettingsError
 from nutmegstep.web import (
     HttpLimits,
@@ -52,7 +60,9 @@
 """Time between two reads of the settings when no SIGHUP arrives."""
 _OPERATOR_LIMITS: Final = HttpLimits(connections=16, sockets=32)
 """Limits of the ports for the load balancer's probes and for metrics."""
-_READ_BY_KIND: Final[Mapping[str, ReadMessage]] = MappingProxyType({})
+_READ_BY_KIND: Final[Mapping[str, ReadMessage]] = MappingProxyType(
+    {KIND_REPORT: read_report, KIND_DIRECTIVE: read_directive}
+)
 """Decoders of the messages between VMs, by kind."""
 
 
@@ -94,12 +104,16 @@
             _READ_BY_KIND,
         )
         self.report_exchange.on_message = self.vm_messages.receive
-        self.gateway.send_messages_with(self.vm_messages.send)
+        self.gateway.carry_out_with(SendMessage, self.vm_messages.send)
         self.store = adapter.open_store(
             settings.store_address,
             self.clock,
             self.metrics.store_calls,
         )
+        self.rollout_writer = RolloutWriter(
+            adapter, self.store, self.gateway.dispatch
+        )
+        self.gateway.carry_out_with(WriteRollout, self.rollout_writer.write)
         self.is_draining = False
         self.peer_limits = share_out(
             settings.memory_mb, settings.max_descriptors
@@ -263,4 +277,7 @@
         ),
         ColdLimits(settings.cold_overshoot, settings.cold_slack),
         settings.paces_returns,
+        ExposureLimits(settings.exposure_share, settings.exposure_slack)
+        if settings.exposure_share
+        else None,
     )
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -106,6 +106,10 @@
     paces_returns : bool
         Whether targets that have started or recovered get their load back at
         the pace of their answers.
+    exposure_share, exposure_slack : float
+        Limit on the requests that a bad version of a service gets from all VMs
+        while it is rolled out: a share of all requests for the service, plus
+        `exposure_slack`. With a share of 0 there are no roll-outs.
     trace_ratio : float
         Fraction of requests whose spans are recorded, from 0 to 1; with 0 no
         tracer is loaded.
@@ -217,6 +221,18 @@
         'whether targets that return get their load at the pace of their answers',
         default=False,
     )
+    exposure_share: float = setting(
+        read_ratio,
+        'a number from 0 to 1',
+        'share of requests that a bad version may get; 0: no roll-outs',
+        0,
+    )
+    exposure_slack: float = setting(
+        _read_number,
+        _NON_NEGATIVE_NUMBER,
+        'requests that a bad version may get in addition',
+        0,
+    )
     trace_ratio: float = setting(
         read_ratio,
         'a number from 0 to 1',
