Do not pass on a target's untrue promise that nothing has run

Cause: a target may run a request and fail with 503, 429 or 408 without saying that it was not run. Change: such a reply is not passed on; the caller gets 502 of this VM without the signature, with the target's status in its text and the target's time in Retry-After.

--- a/nutmegstep/dispatch/completion.py
+++ b/nutmegstep/dispatch/completion.py
@@ -10,8 +10,9 @@
   deadline.
 
 A request to a single service is answered with the signed reply of its target, or
-refused when no target is left or at the deadline. A reply without a signature is
-never passed on; the request may have run, and its caller is told so.
+refused when no target is left or at the deadline. Neither a reply without a signature
+nor one whose status would promise that nothing has run is passed on; the request may
+have run, and its caller is told so.
 """
 
 from collections.abc import Mapping
@@ -31,6 +32,10 @@
 )
 from nutmegstep.dispatch.events import TargetReply
 from nutmegstep.dispatch.merging import merge_records
+from nutmegstep.dispatch.promises import (
+    is_untrue_promise,
+    untrue_promise_refusal,
+)
 from nutmegstep.dispatch.requests import OpenRequest, Part
 from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.verdict import Reason, Refusal, refuse
@@ -267,6 +272,10 @@
 
 
 def _target_failure_refusal(open_request: OpenRequest, failed: int) -> Refusal:
+    reply = open_request.parts[0].failure
+    is_single = not open_request.route.is_gather
+    if is_single and reply is not None and is_untrue_promise(reply):
+        return untrue_promise_refusal(reply)
     return refuse(
         open_request.verdict,
         Reason.TARGET_FAILED,
--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -9,6 +9,7 @@
 
 from nutmegstep.dispatch.completion import (
     close_request,
+    give_up,
     give_up_at_deadline,
     give_up_unanswered,
 )
@@ -32,6 +33,10 @@
     record_substitute_answer,
     refuse_without_contact,
 )
+from nutmegstep.dispatch.promises import (
+    is_untrue_promise,
+    untrue_promise_refusal,
+)
 from nutmegstep.dispatch.requests import Delegation, OpenRequest
 from nutmegstep.dispatch.starting import start_sends
 from nutmegstep.dispatch.state import DispatchState
@@ -161,6 +166,10 @@
     if target is not None:
         notices = record_notices(state, target, event.reply, now)
     open_request.delegation = None
+    if is_untrue_promise(event.reply):
+        # Builds before this rule pass such replies of targets on.
+        refusal = untrue_promise_refusal(event.reply)
+        return [*notices, *give_up(state, open_request, refusal)]
     request = open_request.request
     inputs = {
         'route': open_request.route.name,
--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -2,6 +2,7 @@
 
 import enum
 from dataclasses import dataclass
+from typing import Final
 
 from nutmegstep.coordinators import DelegationTerms
 from nutmegstep.dispatch.control_events import ControlEvent
@@ -22,6 +23,9 @@
     'TargetReply',
 ]
 
+_PROMISES: Final = frozenset((408, 421, 429, 503))
+"""Statuses that promise a caller that its request has not run and never will."""
+
 HeaderItems = tuple[tuple[bytes, bytes], ...]
 """Names and values of HTTP headers."""
 
@@ -162,9 +166,19 @@
     def may_be_passed_on(self) -> bool:
         """Whether the reply may become the answer to the caller.
 
-        Without a signature nothing shows that it comes from the target.
+        Without a signature nothing shows that it comes from the target. A status
+        that promises the caller that its request has not run would be untrue.
         """
-        return bool(self.signature) and self.was_executed
+        return (
+            bool(self.signature)
+            and self.was_executed
+            and not self.promises_not_run
+        )
+
+    @property
+    def promises_not_run(self) -> bool:
+        """Whether callers take the status for a promise that nothing has run."""
+        return self.status in _PROMISES
 
     @property
     def has_success_status(self) -> bool:
