Give refusals of what may have run no promise as their status

Change: such a refusal has 502. The verdict of the attempt decides: an attempt that was refused unsent keeps its status though an earlier one of its key may have run, as it is repeated with the key.

--- a/nutmegstep/callers/responses.py
+++ b/nutmegstep/callers/responses.py
@@ -9,7 +9,7 @@
 
 from nutmegstep.callers.headers import ensure_request_id
 from nutmegstep.model import Answer
-from nutmegstep.verdict import Reason, Refusal, Verdict, http_status, refuse
+from nutmegstep.verdict import Reason, Refusal, Verdict, refusal_status, refuse
 from nutmegstep.web import EncodedResponse, HttpResponse
 
 __all__ = [
@@ -59,7 +59,7 @@
         'detail': refusal.detail,
     }
     return HttpResponse(
-        http_status(refusal.reason),
+        refusal_status(refusal),
         orjson.dumps(document),
         (
             ('X-Request-Id', request_id),
--- a/nutmegstep/verdict/__init__.py
+++ b/nutmegstep/verdict/__init__.py
@@ -5,7 +5,15 @@
     Refusal,
     Verdict,
     http_status,
+    refusal_status,
     refuse,
 )
 
-__all__ = ['Reason', 'Refusal', 'Verdict', 'http_status', 'refuse']
+__all__ = [
+    'Reason',
+    'Refusal',
+    'Verdict',
+    'http_status',
+    'refusal_status',
+    'refuse',
+]
--- a/nutmegstep/verdict/core.py
+++ b/nutmegstep/verdict/core.py
@@ -6,7 +6,14 @@
 from types import MappingProxyType
 from typing import Final
 
-__all__ = ['Reason', 'Refusal', 'Verdict', 'http_status', 'refuse']
+__all__ = [
+    'Reason',
+    'Refusal',
+    'Verdict',
+    'http_status',
+    'refusal_status',
+    'refuse',
+]
 
 
 @enum.unique
@@ -89,6 +96,9 @@
     }
 )
 _DEFAULT_STATUS: Final = 503
+_PROMISES: Final = frozenset((429, 503))
+"""Statuses of refusals that callers take for a promise that nothing has run."""
+_STATUS_MAY_HAVE_RUN: Final = 502
 
 
 def http_status(reason: Reason) -> int:
@@ -104,6 +114,22 @@
     return _STATUS_BY_REASON.get(reason, _DEFAULT_STATUS)
 
 
+def refusal_status(refusal: Refusal) -> int:
+    """Return the HTTP status code of a refusal, which promises nothing untrue.
+
+    Examples
+    --------
+    >>> refusal_status(refuse(Verdict.MAY_HAVE_RUN, Reason.OVERLOADED, 'late'))
+    502
+    >>> refusal_status(refuse(Verdict.NOT_RUN, Reason.OVERLOADED, 'full'))
+    429
+    """
+    status = http_status(refusal.reason)
+    if refusal.attempt_verdict is Verdict.NOT_RUN or status not in _PROMISES:
+        return status
+    return _STATUS_MAY_HAVE_RUN
+
+
 def refuse(
     verdict: Verdict,
     reason: Reason,
