Give each delegation an identity of its own

Cause: a substitute that did not confirm in time was cancelled and the next one was asked under the same identifier, that of the request. Change: a delegation has an identifier beside that of its request; effects and events name it, and events about another delegation than the present one are ignored. Tests name it too, their assertions are unchanged but for the identifier.

--- a/nutmegstep/dispatch/completion.py
+++ b/nutmegstep/dispatch/completion.py
@@ -89,7 +89,9 @@
     )
     cancelled: list[Effect] = [CancelSend(send_id) for send_id in send_ids]
     if open_request.delegation is not None:
-        cancelled.append(CancelDelegation(request_id))
+        cancelled.append(
+            CancelDelegation(open_request.delegation.delegation_id)
+        )
     return cancelled
 
 
--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -134,7 +134,7 @@
     now: float,
 ) -> list[Effect]:
     """Wait longer for a coordinator that has read the query."""
-    delegated = _find_delegated(state, event.request_id)
+    delegated = _find_delegated(state, event)
     if delegated is not None:
         delegated[1].is_accepted = True
     return []
@@ -150,7 +150,7 @@
     A success must bear the signatures of targets. A refusal has none, as it comes
     from the coordinator itself.
     """
-    delegated = _find_delegated(state, event.request_id)
+    delegated = _find_delegated(state, event)
     if delegated is None:
         return []
     open_request, delegation = delegated
@@ -191,7 +191,7 @@
     now: float,
 ) -> list[Effect]:
     """Send the parts of a query that its coordinator did not serve."""
-    delegated = _find_delegated(state, event.request_id)
+    delegated = _find_delegated(state, event)
     if delegated is None:
         return []
     open_request, delegation = delegated
@@ -210,13 +210,20 @@
 
 def _find_delegated(
     state: DispatchState,
-    request_id: int,
+    event: DelegationAccepted | DelegationAnswered | DelegationFailed,
 ) -> tuple[OpenRequest, Delegation] | None:
-    """Return an open request and its delegation, or None without one."""
-    open_request = state.open_by_id.get(request_id)
+    """Return the open request and its delegation that an event is about.
+
+    The end of a delegation that was cancelled is about none: the request has been
+    passed to the next VM since.
+    """
+    open_request = state.open_by_id.get(event.request_id)
     if open_request is None or open_request.delegation is None:
         return None
-    return open_request, open_request.delegation
+    delegation = open_request.delegation
+    if delegation.delegation_id != event.delegation_id:
+        return None
+    return open_request, delegation
 
 
 def _take_over(
@@ -226,12 +233,12 @@
     reason: str,
     may_have_run: bool,
 ) -> list[Effect]:
-    request = open_request.request
     inputs = {'reason': reason, 'may_have_run': may_have_run}
     effects: list[Effect] = [
-        Decision('delegation_failed', request.attempt_id, inputs),
-        CancelDelegation(request.request_id),
+        Decision('delegation_failed', open_request.request.attempt_id, inputs),
     ]
+    if open_request.delegation is not None:
+        effects.append(CancelDelegation(open_request.delegation.delegation_id))
     if may_have_run:
         _count_possible_sends(state, open_request, now)
     open_request.delegation = None
--- a/nutmegstep/dispatch/effects.py
+++ b/nutmegstep/dispatch/effects.py
@@ -76,6 +76,8 @@
     ----------
     request : RoutedRequest
         Request of the caller.
+    delegation_id : int
+        Identifier of the delegation, which no send has either.
     terms : DelegationTerms
         Terms for the other VM.
     address : str
@@ -87,6 +89,7 @@
     """
 
     request: RoutedRequest
+    delegation_id: int
     terms: DelegationTerms
     address: str
     expires_at: float
@@ -97,7 +100,7 @@
 class CancelDelegation:
     """End a delegation; the coordinator cancels the query."""
 
-    request_id: int
+    delegation_id: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -233,6 +233,7 @@
     """A coordinator confirmed that it has read a delegated query."""
 
     request_id: int
+    delegation_id: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,6 +244,8 @@
     ----------
     request_id : int
         Request of the caller.
+    delegation_id : int
+        Delegation of the request that has ended.
     reply : TargetReply
         Answer of the coordinator.
     target_id : str
@@ -251,6 +254,7 @@
     """
 
     request_id: int
+    delegation_id: int
     reply: TargetReply
     target_id: str = ''
 
@@ -263,6 +267,8 @@
     ----------
     request_id : int
         Request of the caller.
+    delegation_id : int
+        Delegation of the request that has ended.
     reason : str
         What happened, for the log.
     may_have_run : bool
@@ -270,6 +276,7 @@
     """
 
     request_id: int
+    delegation_id: int
     reason: str
     may_have_run: bool
 
--- a/nutmegstep/dispatch/forwarding.py
+++ b/nutmegstep/dispatch/forwarding.py
@@ -121,6 +121,8 @@
     """
     assert state.configuration is not None
     request = open_request.request
+    delegation.delegation_id = state.next_send_id
+    state.next_send_id += 1
     open_request.delegation = delegation
     terms = DelegationTerms(
         state.configuration.version,
@@ -135,6 +137,7 @@
         Decision('delegated', request.attempt_id, inputs),
         Delegate(
             request,
+            delegation.delegation_id,
             terms,
             delegation.address,
             open_request.deadline,
--- a/nutmegstep/dispatch/requests.py
+++ b/nutmegstep/dispatch/requests.py
@@ -76,11 +76,15 @@
         request.
     is_accepted : bool
         Whether it has confirmed the request.
+    delegation_id : int
+        Identifier of this delegation. The end of an earlier one of the same
+        request is told apart by it.
     """
 
     address: str
     accept_by: float
     is_accepted: bool = False
+    delegation_id: int = 0
 
 
 @dataclass(slots=True)
--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -240,7 +240,7 @@
         self.pool.cancel(effect.send_id)
 
     def _cancel_delegation(self, effect: CancelDelegation) -> None:
-        self._delegations.cancel(effect.request_id)
+        self._delegations.cancel(effect.delegation_id)
 
     def _decline_delegation(self, effect: DeclineDelegation) -> None:
         pending = self._pending_by_request.get(effect.request_id)
--- a/nutmegstep/gateway/delegation.py
+++ b/nutmegstep/gateway/delegation.py
@@ -128,7 +128,7 @@
         )
         self._pool.send(
             SendRequest(
-                effect.request.request_id,
+                effect.delegation_id,
                 _with_terms(effect.request, effect.terms),
                 coordinator,
                 effect.expires_at,
@@ -137,16 +137,18 @@
             ),
         )
 
-    def cancel(self, request_id: int) -> None:
+    def cancel(self, delegation_id: int) -> None:
         """Close the connection of a query, so that its coordinator stops."""
-        self._pool.cancel(request_id)
+        self._pool.cancel(delegation_id)
 
     def close(self) -> None:
         """Close all connections."""
         self._pool.close()
 
     def _confirm(self, effect: SendRequest) -> None:
-        self._dispatch(DelegationAccepted(effect.send_id))
+        self._dispatch(
+            DelegationAccepted(effect.request.request_id, effect.send_id)
+        )
 
     def _finish(self, effect: SendRequest, outcome: SendOutcome) -> None:
         self._dispatch(_read_outcome(self._codec, effect, outcome))
@@ -221,29 +223,29 @@
 def _read_outcome(
     codec: WireCodec, effect: SendRequest, outcome: SendOutcome
 ) -> Event:
-    request_id = effect.send_id
+    ids = (effect.request.request_id, effect.send_id)
     if isinstance(outcome, SendFailureKind):
-        return DelegationFailed(request_id, outcome.value, outcome.may_have_run)
+        return DelegationFailed(*ids, outcome.value, outcome.may_have_run)
     header_by_name = dict(outcome.headers)
     if _COORDINATOR.encode() not in header_by_name:
         # Another process has got the address, and knows no targets; or the
         # coordinator has failed at any point of handling the request.
         return DelegationFailed(
-            request_id,
+            *ids,
             'not_a_coordinator',
             may_have_run=outcome.status == _STATUS_INTERNAL_ERROR,
         )
     reason = header_by_name.get(_DECLINED.encode())
     if reason is not None:
         return DelegationFailed(
-            request_id, reason.decode('latin-1'), may_have_run=False
+            *ids, reason.decode('latin-1'), may_have_run=False
         )
     reply = codec.read_delegated_reply(effect, outcome)
     if reply is None:
-        return DelegationFailed(request_id, 'invalid', may_have_run=True)
+        return DelegationFailed(*ids, 'invalid', may_have_run=True)
     stated = header_by_name.get(_REQUEST_LIMIT.encode())
     return DelegationAnswered(
-        request_id,
+        *ids,
         replace(
             reply,
             headers=_without_own(reply.headers),
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -27,7 +27,7 @@
     ConfigurationChanged,
     TargetsListed,
 )
-from nutmegstep.dispatch.effects import Effect, SendRequest
+from nutmegstep.dispatch.effects import Delegate, Effect, SendRequest
 from nutmegstep.dispatch.events import (
     Event,
     RequestArrived,
@@ -136,13 +136,23 @@
         self.now = 100.0
         self.effects: list[Effect] = []
         self._ids = count(1)
+        self._delegations: dict[int, int] = {}
 
     def apply(self, event: Event) -> list[Effect]:
         """Apply an event; return and collect its effects."""
         made = reduce_event(self.state, event, self.now)
         self.effects.extend(made)
+        self._delegations.update(
+            (one.request.request_id, one.delegation_id)
+            for one in made
+            if isinstance(one, Delegate)
+        )
         return made
 
+    def ids_of(self, request: RoutedRequest) -> tuple[int, int]:
+        """Return the identifiers of a request and its latest delegation."""
+        return request.request_id, self._delegations[request.request_id]
+
     def request(
         self, path: str = '/sweep/x', **fields: object
     ) -> RoutedRequest:
--- a/tests/dispatch/test_cut_off_fleet.py
+++ b/tests/dispatch/test_cut_off_fleet.py
@@ -81,7 +81,7 @@
         self._ids = count(1)
         self.timeline = Timeline(_START)
         self._cancelled: set[tuple[int, int]] = set()
-        self._passed_on: dict[tuple[int, int], tuple[int, int]] = {}
+        self._passed_on: dict[tuple[int, int], tuple[int, int, int]] = {}
         self.entries = entries_of_vms(self.vms)
         targets = records()
         self.states = [
@@ -205,8 +205,9 @@
         other = self._vm_by_address[effect.address]
         request = effect.request
         request_id = next(self._ids)
-        self._passed_on[other, request_id] = (vm, request.request_id)
-        accepted = DelegationAccepted(request.request_id)
+        ids = (request.request_id, effect.delegation_id)
+        self._passed_on[other, request_id] = (vm, *ids)
+        accepted = DelegationAccepted(*ids)
         self._apply_later(2 * _HOP_SECONDS, vm, accepted)
         self.timeline.later(
             _HOP_SECONDS,
@@ -220,15 +221,14 @@
         )
 
     def _cancel_delegation(self, vm: int, effect: CancelDelegation) -> None:
-        sender = (vm, effect.request_id)
         for (other, request_id), origin in tuple(self._passed_on.items()):
-            if origin == sender:
+            if (origin[0], origin[-1]) == (vm, effect.delegation_id):
                 self._passed_on.pop((other, request_id))
                 self._apply(other, CallerLeft(request_id))
 
     def _decline(self, vm: int, effect: DeclineDelegation) -> None:
-        origin, request_id = self._passed_on.pop((vm, effect.request_id))
-        failed = DelegationFailed(request_id, effect.reason, may_have_run=False)
+        origin, *ids = self._passed_on.pop((vm, effect.request_id))
+        failed = DelegationFailed(*ids, effect.reason, may_have_run=False)
         self._apply_later(_HOP_SECONDS, origin, failed)
 
     def _deliver_reply(self, vm: int, effect: DeliverReply) -> None:
@@ -247,7 +247,7 @@
             self.outcomes.append((self.timeline.now, vm, is_served))
             return
         answer = reply() if is_served else reply(status=503, signature='')
-        answered = DelegationAnswered(origin[1], answer)
+        answered = DelegationAnswered(*origin[1:], answer)
         self._apply_later(_HOP_SECONDS, origin[0], answered)
 
 
--- a/tests/dispatch/test_delegation.py
+++ b/tests/dispatch/test_delegation.py
@@ -80,7 +80,7 @@
     assert _addresses(member) == [_FIRST]
     assert not member.effects_of(SendRequest)
     member.now += 0.06
-    member.apply(DelegationAnswered(request.request_id, _ANSWER))
+    member.apply(DelegationAnswered(*member.ids_of(request), _ANSWER))
     delivered = _only(member.effects_of(DeliverReply))
     assert delivered.reply == _ANSWER
     assert not member.state.open_by_id
@@ -119,7 +119,7 @@
 def test_declined_query_is_sent_at_once(member: Dispatcher) -> None:
     """A declined query has not run, so all sends are still allowed."""
     request = member.request()
-    member.apply(DelegationFailed(request.request_id, 'stopping', False))
+    member.apply(DelegationFailed(*member.ids_of(request), 'stopping', False))
     sends = member.effects_of(SendRequest)
     assert len(sends) == len(SHARDS)
     open_request = member.state.open_by_id[request.request_id]
@@ -142,7 +142,7 @@
 def test_accepted_query_waits_longer(member: Dispatcher) -> None:
     """A coordinator that has read the query is given time to gather."""
     request = member.request()
-    member.apply(DelegationAccepted(request.request_id))
+    member.apply(DelegationAccepted(*member.ids_of(request)))
     member.now += 1.9
     member.apply(RequestDue(request.request_id))
     assert not member.effects_of(SendRequest)
@@ -159,9 +159,9 @@
     """
     _allow_attempts(member, attempts)
     request = member.request()
-    member.apply(DelegationAccepted(request.request_id))
+    member.apply(DelegationAccepted(*member.ids_of(request)))
     if kind == 'reset':
-        member.apply(DelegationFailed(request.request_id, 'reset', True))
+        member.apply(DelegationFailed(*member.ids_of(request), 'reset', True))
     else:
         member.now += 2
         member.apply(RequestDue(request.request_id))
@@ -175,7 +175,7 @@
     attempts this VM may send each part once more, and not hedge.
     """
     request = member.request()
-    member.apply(DelegationFailed(request.request_id, 'reset', True))
+    member.apply(DelegationFailed(*member.ids_of(request), 'reset', True))
     assert len(member.effects_of(SendRequest)) == len(SHARDS)
     member.now += 0.1
     member.apply(RequestDue(request.request_id))
@@ -188,7 +188,7 @@
     """
     _allow_attempts(member, 1)
     request = member.request()
-    member.apply(DelegationFailed(request.request_id, 'reset', True))
+    member.apply(DelegationFailed(*member.ids_of(request), 'reset', True))
     assert not member.effects_of(SendRequest)
     refused = _only(member.effects_of(DeliverRefusal))
     assert refused.refusal.verdict is Verdict.MAY_HAVE_RUN
@@ -198,7 +198,9 @@
     """Without a coordinator a VM serves its queries itself."""
     for _ in range(2):
         request = member.request()
-        member.apply(DelegationFailed(request.request_id, 'connect', False))
+        member.apply(
+            DelegationFailed(*member.ids_of(request), 'connect', False)
+        )
     member.effects.clear()
     member.request()
     assert len(member.effects_of(SendRequest)) == len(SHARDS)
@@ -213,8 +215,8 @@
     request = member.request()
     member.apply(CallerLeft(request.request_id))
     cancelled = _only(member.effects_of(CancelDelegation))
-    assert cancelled.request_id == request.request_id
-    late = DelegationAnswered(request.request_id, _ANSWER)
+    assert cancelled.delegation_id == member.ids_of(request)[1]
+    late = DelegationAnswered(*member.ids_of(request), _ANSWER)
     assert not member.apply(late)
 
 
@@ -224,7 +226,7 @@
     member.now += 0.03
     member.apply(RequestDue(request.request_id))
     member.effects.clear()
-    late = DelegationFailed(request.request_id, 'cancelled', True)
+    late = DelegationFailed(*member.ids_of(request), 'cancelled', True)
     assert not member.apply(late)
 
 
--- a/tests/dispatch/test_forwarding.py
+++ b/tests/dispatch/test_forwarding.py
@@ -7,9 +7,11 @@
 from nutmegstep.coordinators import CoordinatorChoice, DelegationTerms
 from nutmegstep.dispatch.control_events import TargetChecked, VmsCounted
 from nutmegstep.dispatch.effects import (
+    CancelDelegation,
     DeclineDelegation,
     Delegate,
     DeliverRefusal,
+    DeliverReply,
     SendRequest,
 )
 from nutmegstep.dispatch.events import (
@@ -65,7 +67,9 @@
         addresses = [one.address for one in stranded.effects_of(Delegate)]
         assert addresses == list(_SUBSTITUTES[:asked])
         assert not stranded.effects_of(DeliverRefusal)
-        failed = DelegationFailed(request.request_id, 'no_contact', False)
+        failed = DelegationFailed(
+            *stranded.ids_of(request), 'no_contact', False
+        )
         stranded.apply(failed)
     refusal = stranded.effects_of(DeliverRefusal)[0].refusal
     assert refusal.reason is Reason.NO_TARGET
@@ -82,7 +86,7 @@
     stranded.now += 1
     stranded.apply(RequestDue(request.request_id))
     assert not stranded.effects_of(DeliverRefusal)
-    stranded.apply(DelegationFailed(request.request_id, 'reset', True))
+    stranded.apply(DelegationFailed(*stranded.ids_of(request), 'reset', True))
     assert len(stranded.effects_of(Delegate)) == 1
     assert not stranded.effects_of(SendRequest)
     refusal = stranded.effects_of(DeliverRefusal)[0].refusal
@@ -147,7 +151,7 @@
         send = stranded.effects_of(SendRequest)[-1]
         stranded.apply(SendFailed(send.send_id, SendFailureKind.CONNECT))
     answer = reply(status=503, signature='')
-    stranded.apply(DelegationAnswered(request.request_id, answer))
+    stranded.apply(DelegationAnswered(*stranded.ids_of(request), answer))
     stranded.effects.clear()
     stranded.request('/order/x')
     assert stranded.effects_of(DeliverRefusal)
@@ -172,3 +176,29 @@
     stranded.apply(TargetChecked('orders-north', is_listening=True))
     stranded.request()
     assert not stranded.effects_of(Delegate)
+
+
+def test_end_of_a_cancelled_delegation_is_not_that_of_its_successor(
+    stranded: Dispatcher,
+) -> None:
+    """Guards against a VM without links that loses all its sound substitutes, one
+    after the other, when the first one has no power.
+    """
+    request = stranded.request()
+    cancelled = stranded.ids_of(request)
+    stranded.now += 0.06
+    stranded.apply(RequestDue(request.request_id))
+    assert (
+        stranded.effects_of(CancelDelegation)[0].delegation_id == cancelled[1]
+    )
+    for reason in ('cancelled', 'not_written'):
+        failed = DelegationFailed(*cancelled, reason, reason == 'cancelled')
+        assert not stranded.apply(failed)
+    assert not stranded.apply(DelegationAnswered(*cancelled, reply()))
+    stranded.effects.clear()
+    stranded.request()
+    asked = [one.address for one in stranded.effects_of(Delegate)]
+    assert asked == [_SUBSTITUTES[1]]
+    answered = DelegationAnswered(*stranded.ids_of(request), reply())
+    stranded.apply(answered)
+    assert len(stranded.effects_of(DeliverReply)) == 1
--- a/tests/dispatch/test_promises.py
+++ b/tests/dispatch/test_promises.py
@@ -118,7 +118,9 @@
     request = dispatcher.request(path)
     assert dispatcher.effects_of(Delegate)
     passed_on = reply(b'why', status=status)
-    dispatcher.apply(DelegationAnswered(request.request_id, passed_on, ''))
+    dispatcher.apply(
+        DelegationAnswered(*dispatcher.ids_of(request), passed_on, '')
+    )
     assert _only_refusal(dispatcher).verdict is Verdict.MAY_HAVE_RUN
     assert not dispatcher.state.open_by_id
 
@@ -131,6 +133,8 @@
     _lose_links(dispatcher)
     request = dispatcher.request('/order/1')
     refused = reply(b'{}', status=status, signature='')
-    dispatcher.apply(DelegationAnswered(request.request_id, refused, ''))
+    dispatcher.apply(
+        DelegationAnswered(*dispatcher.ids_of(request), refused, '')
+    )
     delivered = dispatcher.effects_of(DeliverReply)
     assert [one.reply for one in delivered] == [refused]
--- a/tests/dispatch/test_request_limits.py
+++ b/tests/dispatch/test_request_limits.py
@@ -58,7 +58,7 @@
     for answer in (_LIMITED, reply()):
         request = dispatcher.request('/fetch/x')
         answered = DelegationAnswered(
-            request.request_id, answer, 'orders-north'
+            *dispatcher.ids_of(request), answer, 'orders-north'
         )
         dispatcher.apply(answered)
     assert [one.name for one in _limit_decisions(dispatcher)] == [
--- a/tests/dispatch/test_target_notices.py
+++ b/tests/dispatch/test_target_notices.py
@@ -113,7 +113,7 @@
     dispatcher.apply(VmsCounted(65, 22, choice))
     request = dispatcher.request('/fetch/x')
     dispatcher.apply(
-        DelegationAnswered(request.request_id, _LEAVING, 'orders-west')
+        DelegationAnswered(*dispatcher.ids_of(request), _LEAVING, 'orders-west')
     )
     assert _is_draining(dispatcher, 'orders-west')
 
--- a/tests/dispatch/test_unsigned_replies.py
+++ b/tests/dispatch/test_unsigned_replies.py
@@ -106,7 +106,7 @@
     request = member.request(path)
     assert member.effects_of(Delegate)
     unsigned = reply(b'merged', signature='')
-    member.apply(DelegationAnswered(request.request_id, unsigned))
+    member.apply(DelegationAnswered(*member.ids_of(request), unsigned))
     assert not member.effects_of(DeliverReply)
     assert member.effects_of(SendRequest)
 
@@ -115,5 +115,5 @@
     """The coordinator itself refuses, so no target has signed it."""
     request = member.request('/fetch/1')
     refused = reply(b'why', status=503, signature='')
-    member.apply(DelegationAnswered(request.request_id, refused))
+    member.apply(DelegationAnswered(*member.ids_of(request), refused))
     assert member.effects_of(DeliverReply)[0].reply == refused
