--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -2,6 +2,7 @@
 
 import enum
 from dataclasses import dataclass
+from typing import Final
 
 from nutmegstep.coordinators import DelegationTerms
 from nutmegstep.dispatch.control_events import ControlEvent
@@ -22,6 +23,9 @@
     'TargetReply',
 ]
 
+_PROMISES: Final = frozenset((408, 421, 429, 503))
+"""Statuses that promise a caller that its request has not run and never will."""
+
 HeaderItems = tuple[tuple[bytes, bytes], ...]
 """Names and values of HTTP headers."""
 
@@ -173,9 +177,19 @@
     def may_be_passed_on(self) -> bool:
         """Whether the reply may become the answer to the caller.
 
-        Without a signature nothing shows that it comes from the target.
+        Without a signature nothing shows that it comes from the target. A status
+        that promises the caller that its request has not run would be untrue.
         """
-        return bool(self.signature) and self.was_executed
+        return (
+            bool(self.signature)
+            and self.was_executed
+            and not self.promises_not_run
+        )
+
+    @property
+    def promises_not_run(self) -> bool:
+        """Whether callers take the status for a promise that nothing has run."""
+        return self.status in _PROMISES
 
     @property
     def has_success_status(self) -> bool:
@@ -230,6 +244,7 @@
     """A coordinator confirmed that it has read a delegated query."""
 
     request_id: int
+    delegation_id: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -240,6 +255,8 @@
     ----------
     request_id : int
         Request of the caller.
+    delegation_id : int
+        Delegation of the request that has ended.
     reply : TargetReply
         Answer of the coordinator.
     target_id : str
@@ -248,6 +265,7 @@
     """
 
     request_id: int
+    delegation_id: int
     reply: TargetReply
     target_id: str = ''
 
@@ -260,6 +278,8 @@
     ----------
     request_id : int
         Request of the caller.
+    delegation_id : int
+        Delegation of the request that has ended.
     reason : str
         What happened, for the log.
     may_have_run : bool
@@ -267,6 +287,7 @@
     """
 
     request_id: int
+    delegation_id: int
     reason: str
     may_have_run: bool
 
