--- a/nutmegstep/platform_api/connection.py
+++ b/nutmegstep/platform_api/connection.py
@@ -19,6 +19,12 @@
 """Idle time before the first keep-alive probe and between two probes."""
 _MAX_LOST_PROBES: Final = 2
 """Number of unanswered probes after which the connection is closed."""
+_MAX_REPLY_BYTES: Final = 16 * 1024 * 1024
+"""Longest body of a response, of the platform or of a relay. The platform sends
+listings in pages, and relays compress them."""
+_PART_BYTES: Final = 256
+"""Bytes that each received part counts beside its content, for its object and for
+the work of parsing it."""
 _USER_TIMEOUT_MS: Final = 2000
 """Time after which a connection with unacknowledged bytes is closed."""
 
@@ -158,11 +164,15 @@
 
     async def _read_reply(self) -> HttpReply:
         reply = HttpReply()
+        size = 0
         event = await self._next_event()
         for number in count(1):
             if isinstance(event, h11.EndOfMessage):
                 break
             _record_event(reply, event)
+            size += _size_of(event)
+            if size > _MAX_REPLY_BYTES:
+                raise h11.RemoteProtocolError('response is too long')
             if not number % EVENTS_PER_TURN:
                 await asyncio.sleep(0)
             event = await self._next_event()
@@ -194,6 +204,12 @@
     set_user_timeout(connected, _USER_TIMEOUT_MS)
 
 
+def _size_of(event: h11.Event) -> int:
+    if isinstance(event, h11.Data):
+        return len(event.data) + _PART_BYTES
+    return _PART_BYTES
+
+
 def _record_event(reply: HttpReply, event: h11.Event) -> None:
     if isinstance(event, h11.Response):
         reply.status = event.status_code
