Serve what is announced when no other version runs; watch orders for fewer calls

Change: the old version of an order is fixed when targets are first known; the watch is repeated after 10 s.

--- a/nutmegstep/dispatch/rollout_state.py
+++ b/nutmegstep/dispatch/rollout_state.py
@@ -1,7 +1,7 @@
 """Roll-outs as one VM knows them, and which versions a send may go to."""
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -43,6 +43,9 @@
         The order as the store holds it.
     ordered_at : float
         Monotonic time in seconds of the order, as far as known.
+    old_version : str
+        Version that runs beside the new one; empty until targets are known.
+        If only targets of the new version were known at first, it is that one.
     credit : float
         First sends that may go to the new version during the trial.
     phase : Phase
@@ -76,6 +79,7 @@
     order: RolloutOrder
     ordered_at: float
     credit: float
+    old_version: str = ''
     phase: Phase = Phase.TRIAL
     phase_at: float = -math.inf
     directed_at: float = -math.inf
@@ -201,9 +205,11 @@
         rollout = self.by_service.get(target.service)
         if rollout is None:
             return target.version == self.running_version(targets)
-        phase = rollout.phase_in_force(now)
-        is_moved = phase in {Phase.MOVED, Phase.COMPLETED}
-        return rollout.is_new(target) is is_moved
+        if not rollout.old_version:
+            rollout.old_version = self._old_version(rollout.order, targets)
+        if rollout.phase_in_force(now) in {Phase.MOVED, Phase.COMPLETED}:
+            return rollout.is_new(target)
+        return target.version == rollout.old_version
 
     def candidate_groups(
         self, service: str, targets: _Targets, is_first: bool, now: float
@@ -264,13 +270,9 @@
         self._running_by_service[service] = (targets, known)
         return known
 
-    def unfinished(self) -> Mapping[str, Rollout]:
-        """Return the roll-outs whose end the store does not hold."""
-        return {
-            service: one
-            for service, one in self.by_service.items()
-            if not one.phase.is_final or _is_unwritten(one)
-        }
+    def _old_version(self, order: RolloutOrder, targets: _Targets) -> str:
+        others = tuple(one for one in targets if one.version != order.version)
+        return self.running_version(others) if others else order.version
 
     def _tried_targets(
         self, rollout: Rollout, targets: Iterable[TargetRecord], now: float
@@ -290,11 +292,6 @@
         )
 
 
-def _is_unwritten(rollout: Rollout) -> bool:
-    outcome = rollout.order.outcome
-    return outcome is None or outcome.value != rollout.phase.value
-
-
 def _usual_first(
     versions: list[str],
 ) -> Callable[[TargetRecord], tuple[int, int, str]]:
--- a/nutmegstep/gateway/rollout_store.py
+++ b/nutmegstep/gateway/rollout_store.py
@@ -32,10 +32,10 @@
 _LOG: Final = logging.getLogger(__name__)
 _MAX_WAIT: Final = timedelta(seconds=20)
 """Longest wait of the watch. Each call to the store is charged for."""
-_MAX_LAG: Final = timedelta(seconds=4)
+_MAX_LAG: Final = timedelta(seconds=10)
 """Time for which the watch may stay open after another watch has returned a newer
-revision. With a shorter time each change of a target, which is frequent, would
-cost a call; the watch itself returns an order at once."""
+revision. Each repeated watch costs a call, and targets change often. The watch
+itself returns an order at once; a VM that has missed one uses the old version."""
 _BATCH_PAUSE: Final = timedelta(milliseconds=100)
 
 
--- a/tests/rollouts/test_fleet.py
+++ b/tests/rollouts/test_fleet.py
@@ -3,7 +3,14 @@
 import pytest
 
 from nutmegstep.rollouts import Outcome
-from tests.rollouts.fleet import DURATION, SERVICE, Behaviour, Fleet
+from tests.rollouts.fleet import (
+    DURATION,
+    SERVICE,
+    START,
+    Behaviour,
+    Fleet,
+    targets_of,
+)
 
 _SLACK = 50
 _SHARE = 0.1
@@ -69,3 +76,27 @@
     fleet.is_lost = lambda sender, receiver: bool(sent.append(sender))
     fleet.time.run_until(fleet.time.now + 5)
     assert not sent
+
+
+def test_only_announced_version_is_used_whatever_the_order() -> None:
+    """Guards against a VM that starts when the old targets have gone, and refuses
+    all requests until the order is complete.
+    """
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    for state in fleet.states.values():
+        rollouts = state.rollouts
+        rollouts.put(fleet.order, START, 1)
+        targets = tuple(targets_of('v2').values())
+        assert all(rollouts.is_open(one, targets, START) for one in targets)
+
+
+def test_third_version_gets_nothing() -> None:
+    """Guards against targets of a version that no order has named, beside one."""
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    rollouts = fleet.states['vm-000'].rollouts
+    rollouts.put(fleet.order, START, 1)
+    targets = tuple({**targets_of('v1'), **targets_of('v3')}.values())
+    allowed = {
+        one.version for one in targets if rollouts.is_open(one, targets, START)
+    }
+    assert allowed == {'v1'}
