--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -3,9 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from datetime import timedelta
-from typing import Any
 
-import orjson
 import pytest
 from prometheus_client import CollectorRegistry, Counter
 from returns.pipeline import is_successful
@@ -22,40 +20,16 @@
 from nutmegstep.platform.store import ObjectStore
 from nutmegstep.platform_api.transport import HttpTransport
 from nutmegstep.rollouts import Outcome, RolloutOrder
-from nutmegstep.web import HttpResponse
-from tests.platform.standin import StoreStandIn
+from tests.platform.status_store import StatusStore
 
 _SPEC = {'service': 'orders', 'target_revision': 'v2', 'duration_s': 12}
 _STATUS = {'state': 'reverted', 'target_revision': 'v2'}
 
 
-class _StandIn(StoreStandIn):
-    """Store whose objects also have a status, written under a condition."""
-
-    def _replace(
-        self, kind: str, name: str, document: dict[str, object]
-    ) -> HttpResponse:
-        name, _, part = name.partition('/')
-        known: dict[str, Any] = self._objects[kind][name]
-        meta: Any = document['meta']
-        assert part == 'status'
-        if meta['rev'] != known['meta']['rev']:
-            return HttpResponse(409, orjson.dumps(known))
-        self.revision += 1
-        written = {
-            **known,
-            'meta': {**known['meta'], 'rev': self.revision},
-            'status': document['status'],
-        }
-        self._objects[kind][name] = written
-        self._note(kind, written, is_deleted=False)
-        return HttpResponse(200, orjson.dumps(written))
-
-
 class _Pair:
     """A stand-in of the store, its client, and the events of its orders."""
 
-    def __init__(self, stand_in: StoreStandIn, store: ObjectStore) -> None:
+    def __init__(self, stand_in: StatusStore, store: ObjectStore) -> None:
         self.stand_in = stand_in
         self.store = store
         self.events: list[Event] = []
@@ -82,7 +56,7 @@
 @pytest.fixture
 async def pair() -> AsyncIterator[_Pair]:
     """Return a store with one order."""
-    stand_in = _StandIn()
+    stand_in = StatusStore()
     host, _, port = (await stand_in.start()).partition(':')
     counter = Counter(
         'calls',
--- a/tests/rollouts/fleet.py
+++ b/tests/rollouts/fleet.py
@@ -47,6 +47,8 @@
 _LIMITS: Final = replace(LIMITS, exposure=ExposureLimits(0.1, 50))
 _LATENCY: Final = 0.05
 _OLD_BAD_SHARE: Final = 0.04
+_DARK_TIMEOUT_SHARE: Final = 0.5
+"""Share of the sends to dark targets that are written before nothing answers."""
 
 
 def targets_of(version: str, cold_until: float = 0) -> dict[str, TargetRecord]:
@@ -105,6 +107,8 @@
         )
         self.frozen: set[str] = set()
         self.lost_answers = 0
+        self.dark_target = ''
+        self.dark_domain = ''
         self.is_store_away = False
         self.order = RolloutOrder(SERVICE, 'v2', DURATION, 1)
         self.writes: list[tuple[str, Outcome, bool]] = []
@@ -240,6 +244,14 @@
 
     def _send(self, name: str, effect: SendRequest) -> None:
         target = effect.target
+        if self.dark_target == target.target_id or (
+            self.dark_domain == target.failure_domain
+        ):
+            failed = SendFailed(effect.send_id, SendFailureKind.CONNECT)
+            if self.random.random() < _DARK_TIMEOUT_SHARE:
+                failed = replace(failed, kind=SendFailureKind.TIMEOUT)
+            self.time.later(0.5, partial(self.apply, name, failed))
+            return
         self.sent_by_version[target.version] += 1
         is_bad = self.random.random() < _OLD_BAD_SHARE
         is_slow = is_bad
--- a/tests/rollouts/test_faults.py
+++ b/tests/rollouts/test_faults.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from nutmegstep.dispatch.control_events import ProcessResumed, StoreRefreshed
-from nutmegstep.dispatch.rollout_events import RolloutsListed
+from nutmegstep.dispatch.rollout_events import RolloutRemoved, RolloutsListed
 from nutmegstep.rollouts import Outcome, Phase
 from nutmegstep.rollouts.candidates import choose_candidates
 from tests.rollouts.fleet import SERVICE, START, Behaviour, Fleet
@@ -109,3 +109,58 @@
         fleet.apply(name, RolloutsListed((fleet.order,)))
     fleet.time.run_until(fleet.time.now + 3)
     assert fleet.order.outcome is Outcome.COMPLETED
+
+
+def test_operator_takes_a_version_back_by_hand() -> None:
+    """Guards against a decider that overrules the operators."""
+    fleet, _ = _fleet()
+    fleet.time.later(9, fleet.publish)
+    fleet.run(8.6)
+    fleet.order = replace(
+        fleet.order,
+        outcome=Outcome.REVERTED,
+        revision=fleet.order.revision + 1,
+    )
+    fleet.time.run_until(START + 9.3)
+    sent = fleet.sent_by_version['v2']
+    fleet.time.run_until(START + 15)
+    assert fleet.order.outcome is Outcome.REVERTED
+    assert fleet.sent_by_version['v2'] == sent
+
+
+def test_deleted_order_ends_a_roll_out() -> None:
+    """Guards against requests to a version that is no longer ordered."""
+    fleet, _ = _fleet()
+    fleet.run(8.8)
+    for name in fleet.states:
+        fleet.apply(name, RolloutRemoved(SERVICE))
+    sent = fleet.sent_by_version['v2']
+    fleet.time.run_until(START + 11)
+    assert fleet.sent_by_version['v2'] == sent
+
+
+def test_new_target_that_crashes_is_not_blamed_on_the_version() -> None:
+    """Guards against a crash, or a target in the dark, that takes a good version
+    back.
+    """
+    fleet, _ = _fleet()
+    fleet.dark_target = f'{SERVICE}-south-v2'
+    fleet.run()
+    assert fleet.order.outcome is Outcome.COMPLETED
+
+
+def test_failure_domain_in_the_dark_is_not_blamed_on_the_version() -> None:
+    """Guards against a cut that takes a good version back."""
+    fleet, _ = _fleet()
+    fleet.dark_domain = 'west'
+    fleet.run()
+    assert fleet.order.outcome is Outcome.COMPLETED
+
+
+def test_killed_vms_delay_no_roll_out_beyond_its_deadline() -> None:
+    """Guards against a roll-out that waits for VMs that have gone."""
+    fleet, candidates = _fleet()
+    others = [name for name in fleet.states if name not in candidates]
+    fleet.time.later(5, lambda: fleet.frozen.update(others[-20:]))
+    fleet.run()
+    assert fleet.order.outcome is Outcome.COMPLETED
