Move nothing to a version without targets or answers

Cause: a roll-out whose new targets had not started, or had all gone, was moved all the same, and every request refused. Change: the trial ends only with half of the old slots announced by the new version and five good answers, if the service has traffic; after the move old targets do while no new one is announced; the old version's share of bad answers stays as it is when nothing more comes from it.

--- a/nutmegstep/dispatch/rollout_decider.py
+++ b/nutmegstep/dispatch/rollout_decider.py
@@ -215,7 +215,25 @@
         and now < heard_at + _CONFIRMED_SECONDS
         for report, heard_at in heard.values()
     )
-    return RollCall(len(state.domain_by_vm), len(heard), moved)
+    return RollCall(
+        len(state.domain_by_vm), len(heard), moved, _is_staffed(state, rollout)
+    )
+
+
+def _is_staffed(state: DispatchState, rollout: Rollout) -> bool:
+    """Return whether the new version has at least half of the old one's slots.
+
+    More of its targets may still be starting; half of the slots carry the usual
+    traffic.
+    """
+    serving = [
+        target
+        for target in state.registry.of_service(rollout.order.service)
+        if not target.is_draining
+    ]
+    new = sum(one.slots for one in serving if rollout.is_new(one))
+    old = sum(one.slots for one in serving if not rollout.is_new(one))
+    return new > 0 and new * 2 >= old
 
 
 def _report_of(
--- a/nutmegstep/dispatch/rollout_state.py
+++ b/nutmegstep/dispatch/rollout_state.py
@@ -118,7 +118,10 @@
         if not rollout.old_version:
             rollout.old_version = self._old_version(rollout.order, targets)
         if rollout.phase_in_force(now) in {Phase.MOVED, Phase.COMPLETED}:
-            return rollout.is_new(target)
+            # Old targets do for a service whose new ones have all gone.
+            return rollout.is_new(target) or not any(
+                rollout.is_new(one) and not one.is_draining for one in targets
+            )
         return target.version == rollout.old_version
 
     def candidate_groups(
--- a/nutmegstep/rollouts/decision.py
+++ b/nutmegstep/rollouts/decision.py
@@ -37,11 +37,14 @@
     moved : int
         VMs among them that send everything to the new version and wait for no
         answer of an old target.
+    is_staffed : bool
+        Whether the new version has enough targets for all of the traffic.
     """
 
     known: int
     heard: int
     moved: int
+    is_staffed: bool = True
 
 
 def next_phase(
@@ -94,10 +97,11 @@
         ordered_seconds * _TRIAL_SHARE, ordered_seconds - _MOVE_SECONDS
     )
     # Without reports of most VMs, nothing is known about the version.
-    if age < ends_at or roll_call.heard * 2 <= roll_call.known:
+    is_known = roll_call.heard * 2 > roll_call.known
+    if age < ends_at or not is_known or not roll_call.is_staffed:
         return Phase.TRIAL
-    if evidence.verdict is Verdict.GOOD or not evidence.leans_bad:
-        return Phase.RAMP
+    if not evidence.leans_bad:
+        return Phase.TRIAL if evidence.is_scarce else Phase.RAMP
     is_over = age >= ends_at + _OPEN_SECONDS
     return Phase.REVERTED if is_over else Phase.TRIAL
 
--- a/nutmegstep/rollouts/evidence.py
+++ b/nutmegstep/rollouts/evidence.py
@@ -33,6 +33,10 @@
 """Seconds after which answers of the old version count half."""
 _LEANS_AT: Final = 3.0
 """Evidence with which an undecided test leans to a bad version."""
+_MIN_GOOD: Final = 5
+"""Good answers without which nothing is moved, if the service has traffic."""
+_MIN_TRAFFIC: Final = 20
+"""Answers of both versions from which a service counts as one with traffic."""
 _ALL_ROUTES: Final = ''
 
 
@@ -70,6 +74,12 @@
         """Number of answers of the new version."""
         return self.good + self.bad
 
+    @property
+    def is_scarce(self) -> bool:
+        """Whether hardly any answer is good although the service has traffic."""
+        answers = self.answers + self._old_good + self._old_bad
+        return answers >= _MIN_TRAFFIC and self.good < _MIN_GOOD
+
     @property
     def old_share(self) -> float:
         """Share of bad answers of the old version, from above 0 to 0.6."""
@@ -77,7 +87,13 @@
         return min(_MAX_OLD_SHARE, (self._old_bad + _PRIOR_BAD) / answers)
 
     def add_old(self, good: int, bad: int, now: float) -> None:
-        """Add answers of the old version."""
+        """Add answers of the old version.
+
+        Without any, what is known stays as it is: after the move nothing else
+        tells what is usual.
+        """
+        if not good and not bad:
+            return
         factor = 0.5 ** (max(0, now - self._old_at) / _OLD_HALF_LIFE)
         self._old_good = self._old_good * factor + good
         self._old_bad = self._old_bad * factor + bad
--- a/tests/rollouts/test_evidence.py
+++ b/tests/rollouts/test_evidence.py
@@ -112,3 +112,15 @@
     assert phase is Phase.COMPLETED
     phase = next_phase(Phase.MOVED, 3, 9, 12, Evidence(), silent)
     assert phase is Phase.MOVED
+
+
+def test_nothing_is_moved_to_a_version_without_targets() -> None:
+    """Guards against a move to targets that have not started, or answer nothing."""
+    evidence = Evidence()
+    unstaffed = RollCall(70, 70, 0, is_staffed=False)
+    phase = next_phase(Phase.TRIAL, 11, 11, 12, evidence, unstaffed)
+    assert phase is Phase.TRIAL
+    evidence.add_old(100, 2, 1)
+    assert next_phase(Phase.TRIAL, 11, 11, 12, evidence, _VMS) is Phase.TRIAL
+    evidence.add_new('a', 'x', 5, 0)
+    assert next_phase(Phase.TRIAL, 11, 11, 12, evidence, _VMS) is Phase.RAMP
--- a/tests/rollouts/test_fleet.py
+++ b/tests/rollouts/test_fleet.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from nutmegstep.rollouts import Outcome
+from nutmegstep.dispatch.control_events import TargetsListed
+from nutmegstep.rollouts import Outcome, Phase
 from tests.rollouts.fleet import (
     DURATION,
     SERVICE,
@@ -100,3 +101,26 @@
         one.version for one in targets if rollouts.is_open(one, targets, START)
     }
     assert allowed == {'v1'}
+
+
+def test_old_targets_do_when_all_new_ones_have_gone() -> None:
+    """Guards against an outage after the move, when the new targets crash."""
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    fleet.run(9)
+    old = targets_of('v1')
+    for name in fleet.states:
+        assert fleet.rollout_of(name).phase is Phase.MOVED
+        fleet.apply(name, TargetsListed(old))
+    sent = fleet.sent_by_version['v1']
+    fleet.time.run_until(fleet.time.now + 1)
+    assert fleet.sent_by_version['v1'] > sent + 20
+
+
+def test_new_targets_that_never_start_get_no_traffic() -> None:
+    """Guards against a move to a version without targets."""
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    for name in fleet.states:
+        fleet.apply(name, TargetsListed(targets_of('v1')))
+    fleet.run()
+    assert fleet.order.outcome is Outcome.ACTIVE
+    assert fleet.sent_by_version['v1'] > 500
