--- a/tests/rollouts/test_fleet.py
+++ b/tests/rollouts/test_fleet.py
@@ -2,8 +2,16 @@
 
 import pytest
 
-from nutmegstep.rollouts import Outcome
-from tests.rollouts.fleet import DURATION, SERVICE, Behaviour, Fleet
+from nutmegstep.dispatch.control_events import TargetsListed
+from nutmegstep.rollouts import Outcome, Phase
+from tests.rollouts.fleet import (
+    DURATION,
+    SERVICE,
+    START,
+    Behaviour,
+    Fleet,
+    targets_of,
+)
 
 _SLACK = 50
 _SHARE = 0.1
@@ -69,3 +77,50 @@
     fleet.is_lost = lambda sender, receiver: bool(sent.append(sender))
     fleet.time.run_until(fleet.time.now + 5)
     assert not sent
+
+
+def test_only_announced_version_is_used_whatever_the_order() -> None:
+    """Guards against a VM that starts when the old targets have gone, and refuses
+    all requests until the order is complete.
+    """
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    for state in fleet.states.values():
+        rollouts = state.rollouts
+        rollouts.put(fleet.order, START, 1)
+        targets = tuple(targets_of('v2').values())
+        assert all(rollouts.is_open(one, targets, START) for one in targets)
+
+
+def test_third_version_gets_nothing() -> None:
+    """Guards against targets of a version that no order has named, beside one."""
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    rollouts = fleet.states['vm-000'].rollouts
+    rollouts.put(fleet.order, START, 1)
+    targets = tuple({**targets_of('v1'), **targets_of('v3')}.values())
+    allowed = {
+        one.version for one in targets if rollouts.is_open(one, targets, START)
+    }
+    assert allowed == {'v1'}
+
+
+def test_old_targets_do_when_all_new_ones_have_gone() -> None:
+    """Guards against an outage after the move, when the new targets crash."""
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    fleet.run(9)
+    old = targets_of('v1')
+    for name in fleet.states:
+        assert fleet.rollout_of(name).phase is Phase.MOVED
+        fleet.apply(name, TargetsListed(old))
+    sent = fleet.sent_by_version['v1']
+    fleet.time.run_until(fleet.time.now + 1)
+    assert fleet.sent_by_version['v1'] > sent + 20
+
+
+def test_new_targets_that_never_start_get_no_traffic() -> None:
+    """Guards against a move to a version without targets."""
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    for name in fleet.states:
+        fleet.apply(name, TargetsListed(targets_of('v1')))
+    fleet.run()
+    assert fleet.order.outcome is Outcome.ACTIVE
+    assert fleet.sent_by_version['v1'] > 500
