--- a/nutmegstep/dispatch/coordinator_health.py
+++ b/nutmegstep/dispatch/coordinator_health.py
@@ -36,7 +36,14 @@
         self._blocked_until.pop(address, None)
 
     def record_failure(self, address: str, now: float) -> None:
-        """Block a coordinator, longer after each failure in a row."""
+        """Block a coordinator, longer after each failure in a row.
+
+        A failure while it is blocked is that of a request which it had got before,
+        and shows nothing new. Counted, a few requests that were lost together would
+        block a coordinator for much longer than it is away.
+        """
+        if now < self._blocked_until.get(address, 0):
+            return
         failures = self._failures.get(address, 0)
         self._failures[address] = min(failures + 1, _BACKOFF_STEPS)
         self._blocked_until[address] = now + _MIN_BACKOFF * 2**failures
