Serve what other VMs pass on until the callers' port is closed

Cause: a VM that has got SIGTERM declined what other VMs passed to it for the whole grace period, though it served its own callers. A request that it could not finish in time is declined instead of refused, as its sender may know a VM that goes on. Result: test_vm_that_stops_serves_what_is_passed_on passes (before, such a request was declined from SIGTERM on); tests/platform/test_stop.py and tests/dispatch/test_stopping.py pass.

--- a/nutmegstep/dispatch/arrivals.py
+++ b/nutmegstep/dispatch/arrivals.py
@@ -8,7 +8,12 @@
 from nutmegstep.dispatch.crash_control import is_refused, refuse_crashing
 from nutmegstep.dispatch.declining import decline_if_unsuitable
 from nutmegstep.dispatch.delegation import delegate
-from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
+from nutmegstep.dispatch.effects import (
+    Decision,
+    DeclineDelegation,
+    DeliverRefusal,
+    Effect,
+)
 from nutmegstep.dispatch.events import RequestArrived, RoutedRequest
 from nutmegstep.dispatch.forwarding import refuse_without_contact
 from nutmegstep.dispatch.requests import OpenRequest, Part
@@ -71,7 +76,7 @@
     if is_refused(state, open_request, now):
         return refuse_crashing(state, open_request)
     if not has_time_left(state, open_request, now):
-        return refuse_stopping(state, open_request)
+        return _turn_away_stopping(state, open_request)
     delegation = delegate(state, open_request, now)
     if delegation:
         return delegation
@@ -80,6 +85,17 @@
     return start_sends(state, open_request, now)
 
 
+def _turn_away_stopping(
+    state: DispatchState, open_request: OpenRequest
+) -> list[Effect]:
+    request = open_request.request
+    if request.delegated is None:
+        return refuse_stopping(state, open_request)
+    # Its sender may know a VM that goes on.
+    state.open_by_id.pop(request.request_id)
+    return [DeclineDelegation(request.request_id, 'stopping')]
+
+
 def _open(
     state: DispatchState,
     configuration: Configuration,
--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -50,6 +50,7 @@
         process.limits(),
     )
     caller_server.id_header = adapter.id_header
+    process.caller_server = caller_server
     ready_server = await serve_http(
         process.answer_ready, *settings.ready_address
     )
--- a/nutmegstep/gateway/process_parts.py
+++ b/nutmegstep/gateway/process_parts.py
@@ -92,6 +92,7 @@
             self.metrics.store_calls,
         )
         self.is_draining = False
+        self.caller_server: HttpServer | None = None
 
     def build_store_sync(self) -> StoreSync:
         """Return the part that watches the store; it refreshes after pauses."""
@@ -118,9 +119,16 @@
         return HttpResponse(200 if is_ready else 503, b'{}')
 
     async def answer_delegated(self, request: HttpRequest) -> HttpResponse:
-        """Answer a query that a neighbour delegated to this VM."""
+        """Answer a query that a neighbour delegated to this VM.
+
+        A VM that stops serves its own callers until their port is closed. What
+        others pass to it may come from one that reaches no target, so it is
+        served for as long.
+        """
+        server = self.caller_server
+        is_closed = server is not None and not server.sockets
         return await self.gateway.handle_delegated(
-            request, is_stopping=self.is_draining
+            request, is_stopping=self.is_draining and is_closed
         )
 
     async def answer_metrics(self, request: HttpRequest) -> HttpResponse:
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -2,8 +2,17 @@
 
 import asyncio
 import signal
+import socket
+from contextlib import suppress
 
-from tests.platform.deployment import HOST, Deployment, ask, read_reply
+from tests.platform.deployment import (
+    HOST,
+    Deployment,
+    GatewayProcess,
+    Reply,
+    ask,
+    read_reply,
+)
 
 
 async def test_planned_stop_loses_no_request(deployment: Deployment) -> None:
@@ -30,6 +39,44 @@
         assert await gateway.process.wait() == 0
 
 
+def _is_listening(gateway: GatewayProcess) -> bool:
+    with socket.socket() as tried:
+        return tried.connect_ex(('127.0.0.1', gateway.port)) == 0
+
+
+async def _pass_on(gateway: GatewayProcess, path: str) -> Reply:
+    """Send a request in the way of another VM."""
+    settings = gateway.settings_file.read_text()
+    port = int(settings.partition('PEERS_ADDRESS=127.0.0.1:')[2].split()[0])
+    terms = ('Nutmegstep-Config-Version: 1', 'Nutmegstep-Partial-Answer-Ms: 90')
+    return await ask(port, path, 'GET', b'', terms)
+
+
+async def test_vm_that_stops_serves_what_is_passed_on(
+    deployment: Deployment,
+) -> None:
+    """Guards against VMs without links to the targets that fail their callers as
+    the others, which serve their own, are stopped one after the other.
+    """
+    gateway = await deployment.start_gateway(GRACE='6')
+    await gateway.wait_ready()
+    gateway.signal(signal.SIGTERM)
+    await asyncio.sleep(0.5)
+    kept = await asyncio.open_connection('127.0.0.1', gateway.port)
+    for _ in range(4):
+        reply = await _pass_on(gateway, '/fetch/1')
+        assert (reply.status, reply.body) == (200, b'r' * 16)
+        await asyncio.sleep(0.5)
+    while _is_listening(gateway):
+        await asyncio.sleep(0.1)
+    with suppress(OSError):
+        reply = await _pass_on(gateway, '/fetch/1')
+        assert reply.headers['nutmegstep-declined'] == 'stopping'
+    kept[1].close()
+    async with asyncio.timeout(4):
+        assert await gateway.process.wait() == 0
+
+
 async def _ask_after(seconds: float, port: int, path: str) -> int:
     """Return the status of an answer, or 0 if there was none."""
     await asyncio.sleep(seconds)
