Ask blocked substitutes before a request is refused

Change: while contact is lost, the substitute whose block ends first is asked as a last resort, unless it has failed within the last 0.1 s.

--- a/nutmegstep/dispatch/coordinator_health.py
+++ b/nutmegstep/dispatch/coordinator_health.py
@@ -10,6 +10,9 @@
 """Seconds for which a coordinator is blocked after a first failure."""
 _BACKOFF_STEPS: Final = 4
 """Maximum number of times that the blocked time is doubled."""
+_PAUSE: Final = 0.1
+"""Seconds after a failure in which even the last resort is not asked again; the
+time in which a process or a link that was lost for a moment may be back."""
 
 
 @dataclass(slots=True)
@@ -18,6 +21,7 @@
 
     _failures: dict[str, int] = field(default_factory=dict)
     _blocked_until: dict[str, float] = field(default_factory=dict)
+    _failed_at: dict[str, float] = field(default_factory=dict)
 
     def first_usable(self, addresses: Iterable[str], now: float) -> str | None:
         """Return the first address that is not blocked, or None."""
@@ -30,10 +34,28 @@
             None,
         )
 
+    def last_resort(self, addresses: Iterable[str], now: float) -> str | None:
+        """Return the address whose block ends first, or None.
+
+        It is for requests that fail if no other VM is asked. An address that has
+        just failed is left out.
+        """
+        rested = (
+            address
+            for address in addresses
+            if now >= self._failed_at.get(address, 0) + _PAUSE
+        )
+        return min(
+            rested,
+            key=lambda address: self._blocked_until.get(address, 0),
+            default=None,
+        )
+
     def record_success(self, address: str) -> None:
         """Unblock a coordinator that has answered."""
         self._failures.pop(address, None)
         self._blocked_until.pop(address, None)
+        self._failed_at.pop(address, None)
 
     def record_failure(self, address: str, now: float) -> None:
         """Block a coordinator, longer after each failure in a row.
@@ -42,6 +64,7 @@
         and shows nothing new. Counted, a few requests that were lost together would
         block a coordinator for much longer than it is away.
         """
+        self._failed_at[address] = now
         if now < self._blocked_until.get(address, 0):
             return
         failures = self._failures.get(address, 0)
--- a/nutmegstep/dispatch/forwarding.py
+++ b/nutmegstep/dispatch/forwarding.py
@@ -49,9 +49,12 @@
         return []
     if open_request.substitutes_asked >= _MAX_SUBSTITUTES:
         return []
-    address = state.coordinator_health.first_usable(
-        state.coordinators.substitutes, now
-    )
+    substitutes = state.coordinators.substitutes
+    health = state.coordinator_health
+    address = health.first_usable(substitutes, now)
+    if address is None and state.has_lost_targets:
+        # A VM that failed may be back, and without it the request is refused.
+        address = health.last_resort(substitutes, now)
     if address is None:
         return []
     open_request.substitutes_asked += 1
--- a/tests/dispatch/test_coordinator_health.py
+++ b/tests/dispatch/test_coordinator_health.py
@@ -32,3 +32,18 @@
         assert not _is_usable(health, now + seconds - 0.01)
         now += seconds + 0.01
         assert _is_usable(health, now)
+
+
+def test_last_resort_is_the_one_whose_block_ends_first() -> None:
+    """Guards against a VM without links that refuses all requests for seconds, as
+    each substitute has failed once, though most of them are back.
+    """
+    health = CoordinatorHealth()
+    second = '10.0.0.8:7740'
+    for at in (100.0, 100.6, 101.8):
+        health.record_failure(_ADDRESS, at)
+    health.record_failure(second, 101.9)
+    both = (_ADDRESS, second)
+    assert health.first_usable(both, 102) is None
+    assert health.last_resort(both, 101.95) == _ADDRESS
+    assert health.last_resort(both, 102.05) == second
--- a/tests/dispatch/test_forwarding.py
+++ b/tests/dispatch/test_forwarding.py
@@ -202,3 +202,18 @@
     answered = DelegationAnswered(*stranded.ids_of(request), reply())
     stranded.apply(answered)
     assert len(stranded.effects_of(DeliverReply)) == 1
+
+
+def test_blocked_substitutes_are_asked_before_a_request_is_refused(
+    stranded: Dispatcher,
+) -> None:
+    """Guards against requests that are refused without asking any VM, as all
+    substitutes have failed before.
+    """
+    for address in _SUBSTITUTES:
+        stranded.state.coordinator_health.record_failure(address, stranded.now)
+    stranded.request()
+    assert not stranded.effects_of(Delegate)
+    stranded.now += 0.2
+    stranded.request()
+    assert len(stranded.effects_of(Delegate)) == 1
