--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from contextlib import ExitStack
+from types import MappingProxyType
 
 import pytest
 
@@ -43,17 +44,22 @@
 _IDLE_CROWD = 700
 _TRIES = 20
 
-_BODIES = (whole_body, body_in_pieces, large_chunks, tiny_chunks)
-
-
-async def _start(deployment: Deployment) -> GatewayProcess:
-    limits = {
+_CALM_CALLERS = 6
+"""As many as the targets have slots for."""
+_LIMITS = MappingProxyType(
+    {
         'header_bytes': 8192,
         'body_bytes': BODY_BYTES,
         'header_timeout_ms': 10_000,
         'idle_timeout_ms': 15_000,
-    }
-    document = {**configuration(), 'limits': limits}
+    },
+)
+
+_BODIES = (whole_body, body_in_pieces, large_chunks, tiny_chunks)
+
+
+async def _start(deployment: Deployment) -> GatewayProcess:
+    document = {**configuration(), 'limits': dict(_LIMITS)}
     deployment.store.put('config', 'main', document)
     gateway = await deployment.start_gateway(
         MEMORY_MB=str(_MEMORY_MB), MAX_DESCRIPTORS=str(_MAX_DESCRIPTORS)
@@ -154,3 +160,19 @@
         gateway, gateway.port, '', nothing, _IDLE_CROWD, _IDLE_CROWD
     )
     _check(gateway, usage, is_answered)
+
+
+async def test_legal_bodies_are_served_in_calm(deployment: Deployment) -> None:
+    """Guards against defaults that refuse callers inside the limits: bodies of the
+    legal size, one alone and many at once.
+    """
+    document = {**configuration(), 'limits': dict(_LIMITS)}
+    deployment.store.put('config', 'main', document)
+    gateway = await deployment.start_gateway()
+    await gateway.wait_ready()
+    body = b'x' * BODY_BYTES
+    for count in (1, _CALM_CALLERS):
+        replies = await asyncio.gather(
+            *(ask(gateway.port, '/fetch/1', 'POST', body) for _ in range(count))
+        )
+        assert {one.status for one in replies} == {200}
