Press gateways with crowds of many headers and of pipelined requests

Cause: heads of 900 short headers take about 200 KB in objects, and requests one behind the other wait in the kernel; the first crowds had neither. Change: both as further crowds on both ports, same size and bounds.

--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -21,10 +21,12 @@
     'Usage',
     'body_in_pieces',
     'large_chunks',
+    'many_headers',
     'nothing',
     'open_crowd',
     'peak_bytes',
     'peers_port',
+    'pipelined',
     'query',
     'tiny_chunks',
     'usage_of',
@@ -36,6 +38,8 @@
 _PIECE: Final = 16 * 1024
 _CHUNK: Final = 64 * 1024
 _TINY_CHUNK_BYTES: Final = 6
+_HEADERS: Final = 900
+_REQUESTS: Final = 1000
 _SEND_SECONDS: Final = 8.0
 """Time that the crowd has to send; a caller that is not read keeps its rest."""
 _SAMPLE_SECONDS: Final = 0.05
@@ -89,6 +93,18 @@
     yield b'1\r\nx\r\n' * (BODY_BYTES // _TINY_CHUNK_BYTES)
 
 
+def many_headers(path: str) -> Iterator[bytes]:
+    """Send a head of many short headers, and a body without its last byte."""
+    lines = ''.join(f'{number}:b\r\n' for number in range(_HEADERS))
+    head = _head(path, f'Content-Length: {_CHUNK}')[:-2] + lines.encode()
+    yield head + b'\r\n' + b'x' * (_CHUNK - 1)
+
+
+def pipelined(path: str) -> Iterator[bytes]:
+    """Send requests one behind the other; no answer is read."""
+    yield _head(path, 'Content-Length: 0') * _REQUESTS
+
+
 def nothing(path: str) -> Iterator[bytes]:
     """Send nothing."""
     yield b''
--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -16,10 +16,12 @@
     Usage,
     body_in_pieces,
     large_chunks,
+    many_headers,
     nothing,
     open_crowd,
     peak_bytes,
     peers_port,
+    pipelined,
     query,
     tiny_chunks,
     usage_of,
@@ -55,7 +57,14 @@
     },
 )
 
-_BODIES = (whole_body, body_in_pieces, large_chunks, tiny_chunks)
+_BODIES = (
+    whole_body,
+    body_in_pieces,
+    large_chunks,
+    tiny_chunks,
+    many_headers,
+    pipelined,
+)
 
 
 async def _start(deployment: Deployment) -> GatewayProcess:
