--- a/tests/soak/core.py
+++ b/tests/soak/core.py
@@ -7,9 +7,11 @@
 import asyncio
 import sys
 import tempfile
+from contextlib import ExitStack
 from pathlib import Path
 from random import Random
 
+from tests.platform.crowd import many_headers, open_crowd
 from tests.platform.deployment import (
     DOMAINS,
     SHARDS,
@@ -26,6 +28,10 @@
 _CALLERS = 8
 _RECOVERY_SECONDS = 12.0
 _SERVED_AFTER = 0.9
+_STALLING = 40
+"""Callers that stop in a body, together, at one VM after the other."""
+_MEMORY_MB = 90
+"""Memory in the settings of the VMs; the account of callers is 27 MB."""
 _PATHS = ('/sweep/1', '/fetch/1', '/order/1')
 
 
@@ -59,7 +65,9 @@
     for domain in (*DOMAINS[:1] * (vms - 1), *DOMAINS):
         link = PlatformLink(deployment.store_address)
         store_links.append(link)
-        await deployment.start_gateway(domain, await link.start())
+        await deployment.start_gateway(
+            domain, await link.start(), MEMORY_MB=str(_MEMORY_MB)
+        )
     for gateway in deployment.gateways:
         await gateway.wait_ready()
     stop = asyncio.Event()
@@ -67,8 +75,14 @@
         asyncio.ensure_future(_call(deployment, findings, random, stop))
         for _ in range(_CALLERS)
     ]
+    faults_end = asyncio.Event()
+    stalling = asyncio.ensure_future(
+        _stall(deployment, Random(seed), faults_end)
+    )
     injector = FaultInjector(deployment, store_links, target_links, random)
     await injector.run(seconds)
+    faults_end.set()
+    await stalling
     loop = asyncio.get_running_loop()
     await asyncio.sleep(_RECOVERY_SECONDS)
     recovered = loop.time()
@@ -104,6 +118,21 @@
     return link
 
 
+async def _stall(
+    deployment: Deployment, random: Random, stop: asyncio.Event
+) -> None:
+    # Their requests never run: a target that runs one breaks a promise.
+    while not stop.is_set():
+        gateway = random.choice(deployment.gateways)
+        with ExitStack() as opened:
+            crowd = await open_crowd(
+                gateway.port, '/fetch/1', many_headers, _STALLING, _STALLING
+            )
+            for one in crowd:
+                opened.enter_context(one)
+            await asyncio.sleep(random.uniform(0, 1))
+
+
 async def _call(
     deployment: Deployment,
     findings: Findings,
