Print the steps of roll-outs, and count no words that waited during a pause

Cause: a decider that woke could complete on reports that had waited in its socket; short orders were always late; the steps of a roll-out could be read in raw logs only, and their lines could be omitted under load. Change: reports, and words but final ones, count after the next read of the store only; ramp and move take a tenth of the time ordered at most; command rollouts; decisions of roll-outs use the reserved part of the log's burst.

--- a/nutmegstep/cli/core.py
+++ b/nutmegstep/cli/core.py
@@ -15,6 +15,7 @@
     gateway,
     publish,
     restore,
+    rollouts,
     serve,
     status,
     undrain,
@@ -37,6 +38,7 @@
     explain,
     forget,
     gateway,
+    rollouts,
     experiment,
 )
 
--- a/nutmegstep/dispatch/rollout_control.py
+++ b/nutmegstep/dispatch/rollout_control.py
@@ -94,9 +94,13 @@
 def record_report(
     state: DispatchState, event: RolloutReported, now: float
 ) -> list[Effect]:
-    """Add the report of a VM to the evidence; decide if that is urgent."""
+    """Add the report of a VM to the evidence; decide if that is urgent.
+
+    Reports that arrived while this VM was paused may be old, so none counts until
+    the store has been read again.
+    """
     rollout = _find(state, event.report.service, event.report.version)
-    if rollout is None or rollout.phase.is_final:
+    if rollout is None or rollout.phase.is_final or now < state.refresh_until:
         return []
     add_report(rollout, event.sender, event.report, now)
     if rollout.phase is Phase.MOVED and is_acting(state, rollout, now):
@@ -109,11 +113,12 @@
 ) -> list[Effect]:
     """Put the phase in force that a decider has stated.
 
-    Words that arrived while this VM was paused may be old, so none counts until the
-    store has been read again.
+    Words that arrived while this VM was paused may be old, so none but a final one
+    counts until the store has been read again.
     """
     rollout = _find(state, event.service, event.version)
-    if rollout is None or now < state.refresh_until:
+    is_old = now < state.refresh_until and not event.phase.is_final
+    if rollout is None or is_old:
         return []
     candidates = choose_candidates(
         event.service, event.version, state.domain_by_vm
--- a/nutmegstep/gateway/decisions.py
+++ b/nutmegstep/gateway/decisions.py
@@ -27,6 +27,11 @@
         'store_restored',
         'target_leaving',
         'target_paused',
+        'rollout_decided',
+        'rollout_held',
+        'rollout_phase',
+        'rollout_removed',
+        'rollout_stored',
         'targets_lost',
         'targets_regained',
         'vms_counted',
@@ -62,7 +67,7 @@
 
         The last tenth of the burst is reserved for refusals, changes of the
         configuration in force, withdrawals of failure domains, limits of
-        targets, changes of the number of VMs, restorations of the store, and
+        targets, roll-outs, changes of the number of VMs, restorations of the store, and
         loss and return of the links to the targets.
         """
         self._refill()
--- a/nutmegstep/rollouts/decision.py
+++ b/nutmegstep/rollouts/decision.py
@@ -18,6 +18,8 @@
 _MOVED_SECONDS: Final = 1.0
 """Time for which the old targets are kept after the move: a version that is bad
 under load shows it then, and can still be taken back."""
+_MAX_STEP_SHARE: Final = 0.1
+"""Longest time of each of both as a share of the time ordered."""
 _OPEN_SECONDS: Final = 1.5
 """Time for which the move waits for evidence that leans to a bad version."""
 _WITHOUT_SILENT_SECONDS: Final = 2.0
@@ -78,13 +80,17 @@
         return Phase.REVERTED
     if phase is Phase.TRIAL:
         return _after_trial(age, ordered_seconds, evidence, roll_call)
+    following = phase
+    longest = ordered_seconds * _MAX_STEP_SHARE
     if phase is Phase.RAMP:
-        return Phase.MOVED if phase_seconds >= _RAMP_SECONDS else phase
-    is_late = age >= ordered_seconds - _WITHOUT_SILENT_SECONDS
-    has_moved = phase_seconds >= _MOVED_SECONDS and _has_moved(
-        roll_call, is_late
-    )
-    return Phase.COMPLETED if has_moved else phase
+        is_over = phase_seconds >= min(_RAMP_SECONDS, longest)
+        following = Phase.MOVED if is_over else phase
+    else:
+        is_tested = phase_seconds >= min(_MOVED_SECONDS, longest)
+        is_late = age >= ordered_seconds - _WITHOUT_SILENT_SECONDS
+        has_moved = is_tested and _has_moved(roll_call, is_late)
+        following = Phase.COMPLETED if has_moved else phase
+    return following
 
 
 def _after_trial(
--- a/tests/rollouts/test_evidence.py
+++ b/tests/rollouts/test_evidence.py
@@ -124,3 +124,17 @@
     assert next_phase(Phase.TRIAL, 11, 11, 12, evidence, _VMS) is Phase.TRIAL
     evidence.add_new('a', 'x', 5, 0)
     assert next_phase(Phase.TRIAL, 11, 11, 12, evidence, _VMS) is Phase.RAMP
+
+
+@pytest.mark.parametrize('seconds', [3, 6, 12, 60])
+def test_phases_fit_into_the_time_ordered(seconds: float) -> None:
+    """Guards against short orders that are always late."""
+    phase, now, phase_at = Phase.TRIAL, float(0), float(0)
+    while not phase.is_final:
+        now += _TICK
+        following = next_phase(
+            phase, now - phase_at, now, seconds, Evidence(), _VMS
+        )
+        if following is not phase:
+            phase, phase_at = following, now
+    assert now <= seconds
--- a/tests/rollouts/test_faults.py
+++ b/tests/rollouts/test_faults.py
@@ -3,7 +3,12 @@
 from dataclasses import replace
 
 from nutmegstep.dispatch.control_events import ProcessResumed, StoreRefreshed
-from nutmegstep.dispatch.rollout_events import RolloutRemoved, RolloutsListed
+from nutmegstep.dispatch.rollout_events import (
+    RolloutDirected,
+    RolloutRemoved,
+    RolloutReported,
+    RolloutsListed,
+)
 from nutmegstep.rollouts import Outcome, Phase
 from nutmegstep.rollouts.candidates import choose_candidates
 from tests.rollouts.fleet import SERVICE, START, Behaviour, Fleet
@@ -164,3 +169,33 @@
     fleet.time.later(5, lambda: fleet.frozen.update(others[-20:]))
     fleet.run()
     assert fleet.order.outcome is Outcome.COMPLETED
+
+
+def test_words_that_waited_during_a_pause_lead_nowhere_but_back() -> None:
+    """Guards against a VM that wakes and goes forward on old messages."""
+    fleet, candidates = _fleet()
+    fleet.run(5)
+    lonely = fleet.senders[0]
+    fleet.frozen.update(set(fleet.states) - {lonely})
+    fleet.time.run_until(START + 8)
+    fleet.apply(lonely, ProcessResumed())
+    for phase in (Phase.MOVED, Phase.REVERTED):
+        word = RolloutDirected(candidates[0], SERVICE, 'v2', phase, 8)
+        before = fleet.rollout_of(lonely).phase_in_force(fleet.time.now)
+        assert before is None
+        fleet.apply(lonely, word)
+    after = fleet.rollout_of(lonely).phase_in_force(fleet.time.now)
+    assert after is Phase.REVERTED
+
+
+def test_reports_that_waited_during_a_pause_do_not_count() -> None:
+    """Guards against a decider that wakes and completes on old reports."""
+    fleet, candidates = _fleet()
+    fleet.run(5)
+    first = candidates[0]
+    report, _ = fleet.rollout_of(first).report_by_vm[fleet.senders[0]]
+    fleet.apply(first, ProcessResumed())
+    later = replace(report, old_good=report.old_good + 100)
+    fleet.apply(first, RolloutReported(fleet.senders[0], later))
+    known, _ = fleet.rollout_of(first).report_by_vm[fleet.senders[0]]
+    assert known == report
