Keep the limits of client accounts over all VMs

Cause: Limits of accounts were read by nobody, so an account could run any number of requests. Change: Each VM lends its share of all limits, in three slices, to one owner at a time; owners hand out tokens that live for at most a second. Requests beyond the limit are refused with 429 and the time at which a token returns. Settings for the tolerance of the bound.

--- a/nutmegstep/accounts/__init__.py
+++ b/nutmegstep/accounts/__init__.py
@@ -1,5 +1,6 @@
 """Client accounts: the keys that identify them, their ranks and limits."""
 
+from nutmegstep.accounts.bounds import AccountBound, LimitTolerance
 from nutmegstep.accounts.core import (
     AccountDirectory,
     ClientAccount,
@@ -8,8 +9,10 @@
 )
 
 __all__ = [
+    'AccountBound',
     'AccountDirectory',
     'ClientAccount',
+    'LimitTolerance',
     'build_directory',
     'key_digest',
 ]
--- a/nutmegstep/dispatch/arrivals.py
+++ b/nutmegstep/dispatch/arrivals.py
@@ -5,21 +5,17 @@
 from typing import Final
 
 from nutmegstep.configuration import Route, match_route
-from nutmegstep.dispatch.crash_control import is_refused, refuse_crashing
+from nutmegstep.dispatch.account_limits import serve_within_limit
 from nutmegstep.dispatch.declining import decline_if_unsuitable
-from nutmegstep.dispatch.delegation import delegate
 from nutmegstep.dispatch.effects import Decision, DeliverRefusal, Effect
 from nutmegstep.dispatch.events import RequestArrived, RoutedRequest
-from nutmegstep.dispatch.forwarding import refuse_without_contact
 from nutmegstep.dispatch.identification import (
     Identified,
     identify,
     refuse_unidentified,
 )
 from nutmegstep.dispatch.requests import OpenRequest, Part
-from nutmegstep.dispatch.starting import start_sends
 from nutmegstep.dispatch.state import DispatchState
-from nutmegstep.dispatch.stopping import has_time_left, refuse_stopping
 from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
 __all__ = ['handle_arrival']
@@ -71,22 +67,7 @@
         return refuse_unidentified(state, request, now)
     open_request = _open(state, identified, route)
     state.open_by_id[request.request_id] = open_request
-    return _serve(state, open_request, now)
-
-
-def _serve(
-    state: DispatchState, open_request: OpenRequest, now: float
-) -> list[Effect]:
-    if is_refused(state, open_request, now):
-        return refuse_crashing(state, open_request)
-    if not has_time_left(state, open_request, now):
-        return refuse_stopping(state, open_request)
-    delegation = delegate(state, open_request, now)
-    if delegation:
-        return delegation
-    if state.has_lost_targets and state.coordinators.substitutes:
-        return refuse_without_contact(state, open_request)
-    return start_sends(state, open_request, now)
+    return serve_within_limit(state, open_request, now)
 
 
 def _open(
--- a/nutmegstep/dispatch/completion.py
+++ b/nutmegstep/dispatch/completion.py
@@ -33,7 +33,7 @@
 from nutmegstep.dispatch.merging import merge_records
 from nutmegstep.dispatch.requests import OpenRequest, Part
 from nutmegstep.dispatch.state import DispatchState
-from nutmegstep.verdict import Reason, Refusal, refuse
+from nutmegstep.verdict import Reason, Refusal, Verdict, refuse
 
 __all__ = [
     'answer_if_due',
@@ -121,6 +121,8 @@
         Values to be logged beside the reason and the route.
     """
     request = open_request.request
+    if refusal.verdict is Verdict.NOT_RUN:
+        state.account_limits.return_token(open_request)
     logged = {
         'reason': refusal.reason.value,
         'route': open_request.route.name,
--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -4,7 +4,20 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from nutmegstep.dispatch import contact, control, crash_control, delegation
+from nutmegstep.dispatch import (
+    account_owners,
+    contact,
+    control,
+    crash_control,
+    delegation,
+)
+from nutmegstep.dispatch.account_events import (
+    ShareLent,
+    SharePolled,
+    TokensAsked,
+    TokensGranted,
+)
+from nutmegstep.dispatch.account_limits import check_waiting, handle_grant
 from nutmegstep.dispatch.arrivals import handle_arrival
 from nutmegstep.dispatch.completion import answer_if_due, close_request
 from nutmegstep.dispatch.control_events import (
@@ -99,6 +112,8 @@
     open_request = state.open_by_id.get(event.request_id)
     if open_request is None:
         return []
+    if open_request.awaits_token_until is not None:
+        return check_waiting(state, open_request, now)
     if open_request.delegation is not None:
         return delegation.check_delegation(
             state, open_request, open_request.delegation, now
@@ -116,6 +131,7 @@
     return [
         *control.expire_targets(state, event, now),
         *contact.probe_links(state, event, now),
+        *account_owners.poll(state, now),
     ]
 
 
@@ -144,6 +160,10 @@
         TargetsSuspected: control.record_reports,
         HousekeepingDue: _handle_housekeeping,
         TargetChecked: contact.check_contact,
+        SharePolled: account_owners.handle_poll,
+        ShareLent: account_owners.handle_loan,
+        TokensAsked: account_owners.handle_ask,
+        TokensGranted: handle_grant,
         CrashesListed: crash_control.record_listed,
         CrashStored: crash_control.record_stored,
         CrashDeleted: crash_control.record_deleted,
--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from nutmegstep.coordinators import DelegationTerms
+from nutmegstep.dispatch.account_events import AccountEvent
 from nutmegstep.dispatch.control_events import ControlEvent
 
 __all__ = [
@@ -281,4 +282,5 @@
     | DelegationAnswered
     | DelegationFailed
     | ControlEvent
+    | AccountEvent
 )
--- a/nutmegstep/dispatch/requests.py
+++ b/nutmegstep/dispatch/requests.py
@@ -120,6 +120,12 @@
         reaches no target.
     account : ClientAccount or None
         Account of the caller; None for a caller without one.
+    token_expires_at : float or None
+        Monotonic time in seconds until which the token of its account may be
+        used; None without one.
+    awaits_token_until : float or None
+        Monotonic time in seconds until which it waits for a token; None if it does
+        not.
     """
 
     request: RoutedRequest
@@ -135,6 +141,8 @@
     delegation: Delegation | None = None
     substitutes_asked: int = 0
     account: ClientAccount | None = None
+    token_expires_at: float | None = None
+    awaits_token_until: float | None = None
     _content: str = ''
 
     @property
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -7,6 +7,7 @@
 
 from nutmegstep.configuration import Configuration, Route, ServiceSpec
 from nutmegstep.discovery import TargetRecord, TargetRegistry
+from nutmegstep.dispatch.account_state import AccountLimits
 from nutmegstep.dispatch.budget import RepeatBudget, token_savers
 from nutmegstep.dispatch.coordinator_health import CoordinatorHealth
 from nutmegstep.dispatch.crashes import CrashRecords
@@ -103,6 +104,8 @@
         Targets that closed a connection without a response.
     crashes : CrashRecords
         Content that was in flight on crashed targets.
+    account_limits : AccountLimits
+        Shares and tokens of the limits of client accounts.
     split_credits_by_route : dict
         Round-robin credit of each service, by the name of the route.
     next_send_id : int
@@ -146,6 +149,7 @@
         )
         self.losses = Losses()
         self.crashes = CrashRecords()
+        self.account_limits = AccountLimits()
         self.split_credits_by_route: dict[str, dict[str, float]] = {}
         self.next_send_id = 1
         self._budget_by_service: dict[str, RepeatBudget] = {}
--- a/nutmegstep/gateway/process_parts.py
+++ b/nutmegstep/gateway/process_parts.py
@@ -9,10 +9,12 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
+from nutmegstep.accounts import LimitTolerance
 from nutmegstep.clock import SystemClock
 from nutmegstep.dispatch import ColdLimits, DispatchLimits, DispatchState
 from nutmegstep.dispatch.budget import BudgetLimits
 from nutmegstep.dispatch.control_events import HousekeepingDue
+from nutmegstep.gateway import account_messages
 from nutmegstep.gateway.adapter import PlatformAdapter
 from nutmegstep.gateway.core import Gateway
 from nutmegstep.gateway.metrics import GatewayMetrics
@@ -43,7 +45,9 @@
 """Time between two reads of the settings when no SIGHUP arrives."""
 _MAX_CALLER_CONNECTIONS: Final = 2000
 """Most connections of callers; half the file descriptors of a small VM."""
-_READ_BY_KIND: Final[Mapping[str, ReadMessage]] = MappingProxyType({})
+_READ_BY_KIND: Final[Mapping[str, ReadMessage]] = MappingProxyType(
+    {**account_messages.READ_BY_KIND}
+)
 """Decoders of the messages between VMs, by kind."""
 
 
@@ -65,6 +69,8 @@
             self.clock.monotonic(),
             settings.vm_name,
         )
+        self.state.account_limits.is_first_start = settings.is_first_start
+        self.state.account_limits.tolerance = _limit_tolerance(settings)
         self.gateway = Gateway(
             self.state,
             self.clock,
@@ -193,6 +199,7 @@
             return
         self.settings = settings
         self.state.replace_limits(_dispatch_limits(settings))
+        self.state.account_limits.tolerance = _limit_tolerance(settings)
         _LOG.info('settings reloaded')
 
 
@@ -207,6 +214,12 @@
     return Tracing(build_tracer(LogSpanExporter(), settings.trace_ratio))
 
 
+def _limit_tolerance(settings: GatewaySettings) -> LimitTolerance:
+    return LimitTolerance(
+        settings.limit_window, settings.limit_overshoot, settings.limit_slack
+    )
+
+
 def _dispatch_limits(settings: GatewaySettings) -> DispatchLimits:
     return DispatchLimits(
         BudgetLimits(
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -89,6 +89,11 @@
     cold_overshoot, cold_slack : float
         Limit on the load of a cold target over all VMs, in requests per
         second: its declared rate times `cold_overshoot`, plus `cold_slack`.
+    limit_window : datetime.timedelta
+        Window of the bound on the requests of a client account.
+    limit_overshoot, limit_slack : float
+        Tolerance of that bound over all VMs: in each window, (rate x window +
+        burst) x (1 + `limit_overshoot`) + `limit_slack` requests may run.
     trace_ratio : float
         Fraction of requests whose spans are recorded, from 0 to 1; with 0 no
         tracer is loaded.
@@ -182,6 +187,24 @@
         'requests per second to a cold target in addition',
         5,
     )
+    limit_window: timedelta = setting(
+        _read_seconds,
+        _POSITIVE_SECONDS,
+        'window of the bound on requests of an account, in seconds',
+        timedelta(seconds=5),
+    )
+    limit_overshoot: float = setting(
+        _read_number,
+        _NON_NEGATIVE_NUMBER,
+        'share of the limit of an account that may run in addition',
+        0.1,
+    )
+    limit_slack: float = setting(
+        _read_number,
+        _NON_NEGATIVE_NUMBER,
+        'requests of an account per window in addition, over all VMs',
+        20,
+    )
     trace_ratio: float = setting(
         read_ratio,
         'a number from 0 to 1',
--- a/nutmegstep/verdict/core.py
+++ b/nutmegstep/verdict/core.py
@@ -30,6 +30,8 @@
     NO_TARGET = 'no_target'
     NO_CONFIGURATION = 'no_configuration'
     OVERLOADED = 'overloaded'
+    OVER_LIMIT = 'over_limit'
+    LIMIT_UNKNOWN = 'limit_unknown'
     DRAINING = 'draining'
     DOMAIN_WITHDRAWN = 'domain_withdrawn'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
@@ -87,6 +89,7 @@
         Reason.KEY_REUSED: 409,
         Reason.TOO_LARGE: 413,
         Reason.OVERLOADED: 429,
+        Reason.OVER_LIMIT: 429,
         Reason.DEADLINE_EXCEEDED: 504,
     }
 )
