Own the slices of limits before traffic starts

Change: The silence of earlier candidates counts from a VM's first turn. At a first start a VM lends after 3 s and two reads that agree.

--- a/nutmegstep/dispatch/account_limits.py
+++ b/nutmegstep/dispatch/account_limits.py
@@ -24,11 +24,11 @@
 
 __all__ = ['check_waiting', 'handle_grant', 'serve_within_limit']
 
-_ANSWER_SECONDS: Final = 0.02
+_ANSWER_SECONDS: Final = 0.03
 """Time in which an owner answers; after it another one is asked."""
 _SILENT_SECONDS: Final = 0.5
 """Time for which an owner is not asked that did not answer or owns nothing."""
-_MAX_WAIT_SECONDS: Final = 0.08
+_MAX_WAIT_SECONDS: Final = 0.1
 """Longest time for which a request waits for a token: one answer of each owner and
 a margin."""
 _MIN_RETRY_SECONDS: Final = 0.05
--- a/nutmegstep/dispatch/account_owners.py
+++ b/nutmegstep/dispatch/account_owners.py
@@ -124,6 +124,8 @@
     limits = state.account_limits
     candidacy = limits.candidacies[number]
     interval = poll_interval(state.vm_count)
+    # The silence of the VMs before this one counts from its first turn.
+    candidacy.earlier_heard_at = min(candidacy.earlier_heard_at, now)
     if not _is_due(candidacy.rank, candidacy.earlier_heard_at, interval, now):
         return _leave(state, number, now)
     if now < candidacy.polled_at + interval * (1 - _POLL_TOLERANCE):
--- a/nutmegstep/dispatch/account_state.py
+++ b/nutmegstep/dispatch/account_state.py
@@ -16,9 +16,10 @@
 _JOIN_SECONDS: Final = 60.0
 """Time after which all VMs have counted a new one; they read the registry at least
 every 50 s. Its share is a part of theirs until then."""
-_FIRST_START_SECONDS: Final = 8.0
-"""The same when all VMs start together; they read three times within 12 s."""
-_FIRST_START_READS: Final = 3
+_FIRST_START_SECONDS: Final = 3.0
+"""The same when all VMs start together and two reads have found the same ones. All
+entries are written before the first read."""
+_FIRST_START_READS: Final = 2
 _MAX_COUNT_AGE_SECONDS: Final = 600.0
 """Age of the number of VMs from which this VM may no longer be counted by the
 others: its entry in the registry expires after 16 minutes."""
@@ -80,7 +81,7 @@
     stock_by_account: dict[str, TokenStock] = field(default_factory=dict)
     _first_counted_at: float = math.inf
     _counted_at: float = -math.inf
-    _reads: int = 0
+    _equal_reads: int = 0
     _names: frozenset[str] = frozenset()
 
     def record_count(
@@ -89,14 +90,13 @@
         """Record the names of all VMs, as they were read from the registry."""
         if not names:
             return
-        if self._reads == 0:
+        if not self._names:
             self._first_counted_at = now
-            for candidacy in self.candidacies:
-                candidacy.earlier_heard_at = now
-        self._reads += 1
+        self._equal_reads += 1
         self._counted_at = now
         if names == self._names:
             return
+        self._equal_reads = 1
         self._names = names
         for number, candidacy in enumerate(self.candidacies):
             order = candidates(number, names | {own_name})
@@ -107,8 +107,9 @@
         if now > self._counted_at + _MAX_COUNT_AGE_SECONDS:
             return False
         passed = now - self._first_counted_at
-        if self.is_first_start and self._reads >= _FIRST_START_READS:
-            return passed >= _FIRST_START_SECONDS
+        if self.is_first_start and passed < _JOIN_SECONDS:
+            is_stable = self._equal_reads >= _FIRST_START_READS
+            return is_stable and passed >= _FIRST_START_SECONDS
         return passed >= _JOIN_SECONDS
 
     def stock_of(self, account: str) -> TokenStock:
--- a/tests/dispatch/test_account_limits.py
+++ b/tests/dispatch/test_account_limits.py
@@ -192,3 +192,19 @@
     fleet.run(20, rate * 0.4)
     assert fleet.refused_since(since) <= 1
     assert fleet.most_in_window() <= fleet.bound.most
+
+
+def test_one_vm_owns_each_slice_from_the_start() -> None:
+    """Guards against accounts that are refused at the start, as many VMs take a
+    part of each limit before the first of them is heard.
+    """
+    fleet = Fleet(ClientAccount('clinic', 0, 20, 20), size=12)
+    fleet.run(8)
+    owners = [
+        (name, number)
+        for name, vm in fleet.vms.items()
+        for number in vm.state.account_limits.owned_by_slice
+    ]
+    assert sorted(owners) == sorted(
+        (candidates(number, fleet.vms)[0], number) for number in range(3)
+    )
