--- a/nutmegstep/dispatch/core.py
+++ b/nutmegstep/dispatch/core.py
@@ -5,12 +5,20 @@
 from typing import Any, Final
 
 from nutmegstep.dispatch import (
+    account_owners,
     contact,
     control,
     crash_control,
     delegation,
     rollout_control,
 )
+from nutmegstep.dispatch.account_events import (
+    ShareLent,
+    SharePolled,
+    TokensAsked,
+    TokensGranted,
+)
+from nutmegstep.dispatch.account_limits import check_waiting, handle_grant
 from nutmegstep.dispatch.arrivals import handle_arrival
 from nutmegstep.dispatch.completion import answer_if_due, close_request
 from nutmegstep.dispatch.control_events import (
@@ -47,13 +55,6 @@
 )
 from nutmegstep.dispatch.identification import record_read
 from nutmegstep.dispatch.outcomes import handle_failure, handle_reply
-from nutmegstep.dispatch.rollout_events import (
-    RolloutDirected,
-    RolloutRemoved,
-    RolloutReported,
-    RolloutsListed,
-    RolloutStored,
-)
 from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.dispatch.stopping import schedule_stop
 from nutmegstep.dispatch.trials import hedge_due_parts, release_parts
@@ -112,6 +113,8 @@
     open_request = state.open_by_id.get(event.request_id)
     if open_request is None:
         return []
+    if open_request.awaits_token_until is not None:
+        return check_waiting(state, open_request, now)
     if open_request.delegation is not None:
         return delegation.check_delegation(
             state, open_request, open_request.delegation, now
@@ -130,6 +133,7 @@
         *control.expire_targets(state, event, now),
         *contact.probe_links(state, event, now),
         *rollout_control.advance_rollouts(state, now),
+        *account_owners.poll(state, now),
     ]
 
 
@@ -158,13 +162,13 @@
         TargetsSuspected: control.record_reports,
         HousekeepingDue: _handle_housekeeping,
         TargetChecked: contact.check_contact,
+        SharePolled: account_owners.handle_poll,
+        ShareLent: account_owners.handle_loan,
+        TokensAsked: account_owners.handle_ask,
+        TokensGranted: handle_grant,
         CrashesListed: crash_control.record_listed,
         CrashStored: crash_control.record_stored,
         CrashDeleted: crash_control.record_deleted,
-        RolloutsListed: rollout_control.list_orders,
-        RolloutStored: rollout_control.store_order,
-        RolloutRemoved: rollout_control.remove_order,
-        RolloutReported: rollout_control.record_report,
-        RolloutDirected: rollout_control.apply_directive,
+        **rollout_control.HANDLER_BY_EVENT,
     },
 )
--- a/nutmegstep/dispatch/events.py
+++ b/nutmegstep/dispatch/events.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from nutmegstep.coordinators import DelegationTerms
+from nutmegstep.dispatch.account_events import AccountEvent
 from nutmegstep.dispatch.control_events import ControlEvent
 
 __all__ = [
@@ -302,4 +303,5 @@
     | DelegationAnswered
     | DelegationFailed
     | ControlEvent
+    | AccountEvent
 )
--- a/nutmegstep/dispatch/rollout_control.py
+++ b/nutmegstep/dispatch/rollout_control.py
@@ -1,6 +1,7 @@
 """Handles orders of roll-outs, and what VMs tell each other about them."""
 
 from dataclasses import replace
+from types import MappingProxyType
 from typing import Final
 
 from nutmegstep.dispatch.effects import Decision, Effect
@@ -24,6 +25,7 @@
 from nutmegstep.rollouts.candidates import choose_candidates
 
 __all__ = [
+    'HANDLER_BY_EVENT',
     'advance_rollouts',
     'apply_directive',
     'list_orders',
@@ -193,3 +195,14 @@
     if rollout is None or rollout.order.version != version:
         return None
     return rollout
+
+
+HANDLER_BY_EVENT: Final = MappingProxyType(
+    {
+        RolloutsListed: list_orders,
+        RolloutStored: store_order,
+        RolloutRemoved: remove_order,
+        RolloutReported: record_report,
+        RolloutDirected: apply_directive,
+    }
+)
--- a/nutmegstep/gateway/process_parts.py
+++ b/nutmegstep/gateway/process_parts.py
@@ -10,11 +10,13 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
+from nutmegstep.accounts import LimitTolerance
 from nutmegstep.clock import SystemClock
 from nutmegstep.dispatch import ColdLimits, DispatchLimits, DispatchState
 from nutmegstep.dispatch.budget import BudgetLimits
 from nutmegstep.dispatch.control_events import HousekeepingDue
 from nutmegstep.dispatch.effects import SendMessage, WriteRollout
+from nutmegstep.gateway import account_messages
 from nutmegstep.gateway.adapter import PlatformAdapter
 from nutmegstep.gateway.core import Gateway
 from nutmegstep.gateway.metrics import GatewayMetrics
@@ -61,7 +63,11 @@
 _OPERATOR_LIMITS: Final = HttpLimits(connections=16, sockets=32)
 """Limits of the ports for the load balancer's probes and for metrics."""
 _READ_BY_KIND: Final[Mapping[str, ReadMessage]] = MappingProxyType(
-    {KIND_REPORT: read_report, KIND_DIRECTIVE: read_directive}
+    {
+        KIND_REPORT: read_report,
+        KIND_DIRECTIVE: read_directive,
+        **account_messages.READ_BY_KIND,
+    }
 )
 """Decoders of the messages between VMs, by kind."""
 
@@ -84,6 +90,8 @@
             self.clock.monotonic(),
             settings.vm_name,
         )
+        self.state.account_limits.is_first_start = settings.is_first_start
+        self.state.account_limits.tolerance = _limit_tolerance(settings)
         self.gateway = Gateway(
             self.state,
             self.clock,
@@ -263,6 +271,7 @@
             return
         self.settings = settings
         self.state.replace_limits(_dispatch_limits(settings))
+        self.state.account_limits.tolerance = _limit_tolerance(settings)
         _LOG.info('settings reloaded')
 
 
@@ -277,6 +286,12 @@
     return Tracing(build_tracer(LogSpanExporter(), settings.trace_ratio))
 
 
+def _limit_tolerance(settings: GatewaySettings) -> LimitTolerance:
+    return LimitTolerance(
+        settings.limit_window, settings.limit_overshoot, settings.limit_slack
+    )
+
+
 def _dispatch_limits(settings: GatewaySettings) -> DispatchLimits:
     return DispatchLimits(
         BudgetLimits(
