--- a/nutmegstep/dispatch/rollout_control.py
+++ b/nutmegstep/dispatch/rollout_control.py
@@ -1,8 +1,9 @@
 """Handles orders of roll-outs, and what VMs tell each other about them."""
 
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from types import MappingProxyType
-from typing import Final
+from typing import Any, Final
 
 from nutmegstep.dispatch.effects import Decision, Effect
 from nutmegstep.dispatch.rollout_decider import (
@@ -197,7 +198,9 @@
     return rollout
 
 
-HANDLER_BY_EVENT: Final = MappingProxyType(
+HANDLER_BY_EVENT: Final[
+    Mapping[type, Callable[[DispatchState, Any, float], list[Effect]]]
+] = MappingProxyType(
     {
         RolloutsListed: list_orders,
         RolloutStored: store_order,
