Stop within the grace period that is in force

Cause: the stop used the grace period of the start. Change: the stop uses the settings that were read last. The line "settings reloaded" names the changed settings that wait for a restart. Result: test_grace_that_was_lowered_is_kept_to failed before, passes.

--- a/nutmegstep/gateway/process.py
+++ b/nutmegstep/gateway/process.py
@@ -69,17 +69,19 @@
     await stop_requested.wait()
     _LOG.info('stop requested')
     process.is_draining = True
+    # The grace period may have changed since the start.
+    grace = process.settings.grace
     process.gateway.dispatch(
         StopScheduled(
             process.clock.monotonic()
-            + settings.grace.total_seconds()
+            + grace.total_seconds()
             - ANSWER_BEFORE_END_S
         )
     )
     answered = await drain(
         caller_server,
         lambda: process.gateway.open_requests,
-        settings.grace,
+        grace,
     )
     for task in tasks:
         task.cancel()
--- a/nutmegstep/gateway/process_parts.py
+++ b/nutmegstep/gateway/process_parts.py
@@ -4,7 +4,7 @@
 import logging
 import secrets
 from collections.abc import Callable, Mapping
-from dataclasses import replace
+from dataclasses import fields, replace
 from random import Random
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
@@ -43,6 +43,17 @@
 """Time between two reads of the settings when no SIGHUP arrives."""
 _MAX_CALLER_CONNECTIONS: Final = 2000
 """Most connections of callers; half the file descriptors of a small VM."""
+_RELOADED_SETTINGS: Final = frozenset(
+    (
+        'grace',
+        'repeat_ratio',
+        'repeat_slack',
+        'repeat_window',
+        'cold_overshoot',
+        'cold_slack',
+    )
+)
+"""Settings whose changes are used without a restart."""
 _READ_BY_KIND: Final[Mapping[str, ReadMessage]] = MappingProxyType({})
 """Decoders of the messages between VMs, by kind."""
 
@@ -199,9 +210,20 @@
             return
         if settings == self.settings:
             return
+        waiting = _names_waiting(self.settings, settings)
         self.settings = settings
         self.state.replace_limits(_dispatch_limits(settings))
-        _LOG.info('settings reloaded')
+        _LOG.info('settings reloaded', extra={'after_restart': waiting})
+
+
+def _names_waiting(old: GatewaySettings, new: GatewaySettings) -> list[str]:
+    """Return the names of changed settings that are used after a restart only."""
+    return [
+        one.name
+        for one in fields(old)
+        if one.name not in _RELOADED_SETTINGS
+        and getattr(old, one.name) != getattr(new, one.name)
+    ]
 
 
 def _build_tracing(settings: GatewaySettings) -> 'Tracing | None':
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -109,3 +109,28 @@
     assert set(statuses) <= {502, 503, 504}
     async with asyncio.timeout(4):
         assert await gateway.process.wait() == 0
+
+
+async def test_grace_that_was_lowered_is_kept_to(
+    deployment: Deployment,
+) -> None:
+    """Guards against orders that are cut at the end of a grace period which a
+    reload has lowered.
+    """
+    gateway = await deployment.start_gateway(GRACE='20', TRACE_RATIO='0')
+    await gateway.wait_ready()
+    lowered = gateway.settings_file.read_text()
+    lowered = lowered.replace('_GRACE=20', '_GRACE=4').replace(
+        'RATIO=0', 'RATIO=1'
+    )
+    gateway.settings_file.write_text(lowered)
+    gateway.signal(signal.SIGHUP)
+    async with asyncio.timeout(5):
+        while 'settings reloaded' not in gateway.log_file.read_text():
+            await asyncio.sleep(0.1)
+    kept = await asyncio.open_connection('127.0.0.1', gateway.port)
+    gateway.signal(signal.SIGTERM)
+    async with asyncio.timeout(6):
+        assert await gateway.process.wait() == 0
+    kept[1].close()
+    assert '"after_restart": ["trace_ratio"]' in gateway.log_file.read_text()
