--- a/nutmegstep/gateway/process_parts.py
+++ b/nutmegstep/gateway/process_parts.py
@@ -8,12 +8,10 @@
 from functools import partial
 from random import Random
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
-from nutmegstep.accounts import LimitTolerance
 from nutmegstep.clock import SystemClock
-from nutmegstep.dispatch import ColdLimits, DispatchLimits, DispatchState
-from nutmegstep.dispatch.budget import BudgetLimits
+from nutmegstep.dispatch import DispatchState
 from nutmegstep.dispatch.control_events import HousekeepingDue
 from nutmegstep.dispatch.effects import SendMessage, WriteRollout
 from nutmegstep.gateway import account_messages
@@ -27,6 +25,12 @@
     PeerAccount,
     share_out,
 )
+from nutmegstep.gateway.process_settings import (
+    build_tracing,
+    dispatch_limits,
+    limit_tolerance,
+    names_waiting,
+)
 from nutmegstep.gateway.rollout_store import (
     RolloutWriter,
     read_directive,
@@ -35,7 +39,6 @@
 from nutmegstep.gateway.store_sync import StoreSync, StoreSyncParts
 from nutmegstep.gateway.suspect_reports import SuspectReportExchange
 from nutmegstep.gateway.vm_messages import ReadMessage, VmMessages
-from nutmegstep.rollouts import ExposureLimits
 from nutmegstep.rollouts.messages import KIND_DIRECTIVE, KIND_REPORT
 from nutmegstep.settings import GatewaySettings, SettingsError
 from nutmegstep.web import (
@@ -47,9 +50,6 @@
 )
 from nutmegstep.web.exposition import expose_metrics
 
-if TYPE_CHECKING:
-    from nutmegstep.gateway.tracing import Tracing
-
 __all__ = ['GatewayProcess', 'ReadSettings']
 
 ReadSettings = Callable[[], GatewaySettings]
@@ -85,19 +85,19 @@
         self.metrics = GatewayMetrics()
         self.state = DispatchState(
             settings.failure_domain,
-            _dispatch_limits(settings),
+            dispatch_limits(settings),
             self.random,
             self.clock.monotonic(),
             settings.vm_name,
         )
         self.state.account_limits.is_first_start = settings.is_first_start
-        self.state.account_limits.tolerance = _limit_tolerance(settings)
+        self.state.account_limits.tolerance = limit_tolerance(settings)
         self.gateway = Gateway(
             self.state,
             self.clock,
             adapter.codec,
             self.metrics,
-            _build_tracing(settings),
+            build_tracing(settings),
         )
         self.report_exchange = SuspectReportExchange(
             self.gateway.dispatch,
@@ -269,39 +269,8 @@
             return
         if settings == self.settings:
             return
+        waiting = names_waiting(self.settings, settings)
         self.settings = settings
-        self.state.replace_limits(_dispatch_limits(settings))
-        self.state.account_limits.tolerance = _limit_tolerance(settings)
-        _LOG.info('settings reloaded')
-
-
-def _build_tracing(settings: GatewaySettings) -> 'Tracing | None':
-    if not settings.trace_ratio:
-        return None
-    # Imported here: a process without traces starts faster and takes less
-    # memory without the telemetry packages.
-    from nutmegstep.gateway.tracing import Tracing
-    from nutmegstep.telemetry.spans import LogSpanExporter, build_tracer
-
-    return Tracing(build_tracer(LogSpanExporter(), settings.trace_ratio))
-
-
-def _limit_tolerance(settings: GatewaySettings) -> LimitTolerance:
-    return LimitTolerance(
-        settings.limit_window, settings.limit_overshoot, settings.limit_slack
-    )
-
-
-def _dispatch_limits(settings: GatewaySettings) -> DispatchLimits:
-    return DispatchLimits(
-        BudgetLimits(
-            settings.repeat_ratio,
-            settings.repeat_slack,
-            settings.repeat_window,
-        ),
-        ColdLimits(settings.cold_overshoot, settings.cold_slack),
-        settings.paces_returns,
-        ExposureLimits(settings.exposure_share, settings.exposure_slack)
-        if settings.exposure_share
-        else None,
-    )
+        self.state.replace_limits(dispatch_limits(settings))
+        self.state.account_limits.tolerance = limit_tolerance(settings)
+        _LOG.info('settings reloaded', extra={'after_restart': waiting})
