Accept settings of any VM, and charge nothing after a connection is lost

Cause: fewer than 400 descriptors, or a fraction of a MB, ended the start; a size that is set after the connection was lost would stay in the account. Change: memory is a number above 0, descriptors any whole number, of which at least half are for sockets; a closed holding isn't resized.

--- a/nutmegstep/gateway/peer_limits.py
+++ b/nutmegstep/gateway/peer_limits.py
@@ -63,17 +63,18 @@
     neighbour_sockets: int
 
 
-def share_out(memory_mb: int, max_descriptors: int) -> PeerLimits:
+def share_out(memory_mb: float, max_descriptors: int) -> PeerLimits:
     """Return the limits of a VM.
 
     Parameters
     ----------
-    memory_mb : int
+    memory_mb : float
         Memory of the VM in MB.
     max_descriptors : int
         Most open descriptors of the VM.
     """
-    sockets = max_descriptors - _FILE_DESCRIPTORS
+    # A VM with few descriptors has fewer for files.
+    sockets = max(max_descriptors - _FILE_DESCRIPTORS, max_descriptors // 2)
     return PeerLimits(
         int(memory_mb * _BYTES_PER_MB * _MEMORY_SHARE),
         min(_MAX_CALLERS, int(sockets * _CALLERS_SHARE)),
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -25,8 +25,6 @@
 _BOOLEANS: Final = frozenset(('true', 'false'))
 _NON_NEGATIVE_NUMBER: Final = 'a number of at least 0'
 _POSITIVE_NUMBER: Final = 'a number above 0'
-_MIN_DESCRIPTORS: Final = 400
-"""Fewest descriptors with which callers, targets and files have some each."""
 
 
 def _read_number(text: str) -> float:
@@ -49,13 +47,6 @@
     return number
 
 
-def _read_descriptors(text: str) -> int:
-    count = read_count(text)
-    if count < _MIN_DESCRIPTORS:
-        raise ValueError(text)
-    return count
-
-
 def _read_seconds(text: str) -> timedelta:
     return timedelta(seconds=_read_positive_number(text))
 
@@ -86,7 +77,7 @@
         Processor time that this VM may use, in seconds per second.
     cpu_speed : float
         Speed of its processor, as a multiple of a reference core.
-    memory_mb : int
+    memory_mb : float
         Memory of this VM in MB; a process that takes more is killed.
     max_descriptors : int
         Most open descriptors of this VM.
@@ -154,15 +145,15 @@
         'speed of its processor, as a multiple of a reference core',
         1,
     )
-    memory_mb: int = setting(
-        read_count,
-        'a number of MB of at least 1',
+    memory_mb: float = setting(
+        _read_positive_number,
+        _POSITIVE_NUMBER,
         'memory of this VM, in MB',
         200,
     )
     max_descriptors: int = setting(
-        _read_descriptors,
-        f'a number of at least {_MIN_DESCRIPTORS}',
+        read_count,
+        'a whole number of at least 1',
         'open descriptors that this VM may have',
         4100,
     )
--- a/nutmegstep/web/account.py
+++ b/nutmegstep/web/account.py
@@ -126,6 +126,9 @@
             False if there is no room, because this holding is the first that
             has to give up, or no other may. Its size is then unchanged.
         """
+        if holding not in self._holdings:
+            # An answer may end just after its connection was lost.
+            return True
         added = size - holding.size
         if self.held + added > self.capacity and added > 0:
             if not self._make_room(holding, size, now):
--- a/tests/web/test_account.py
+++ b/tests/web/test_account.py
@@ -170,3 +170,14 @@
     fresh = [peers.connect(_SMALL * 10) for _ in range(10)]
     assert not peers.account.resize(stalled, _LARGE * 5, peers.now)
     assert not set(fresh) & set(peers.given_up)
+
+
+def test_closed_holding_takes_nothing_any_more() -> None:
+    """Guards against an account that fills with answers which ended just after
+    their connections were lost.
+    """
+    peers = _Peers()
+    lost = peers.connect(_LARGE)
+    peers.account.close(lost)
+    assert peers.account.resize(lost, _LARGE, peers.now)
+    assert not peers.account.held
