Leave the verdict on a lone target to the decider

Cause: with hedges in the fleet tests, a VM that had answers of the new target in its own failure domain only took the slow target for a bad version and held back again and again, so that a good roll-out was never complete. Change: a VM holds back alone on answers of two targets, or of the only one announced.

--- a/nutmegstep/dispatch/rollout_outcomes.py
+++ b/nutmegstep/dispatch/rollout_outcomes.py
@@ -82,6 +82,19 @@
     return now - send.sent_at >= median * _SLOW_MEDIANS
 
 
+def _is_found_bad(state: DispatchState, rollout: Rollout) -> bool:
+    """Return whether this VM alone has found a version bad.
+
+    A VM sends most requests to the targets of its own failure domain. It cannot tell
+    trouble of the only one that it knows from a bad version; the decider can.
+    """
+    if rollout.seen.verdict is not Verdict.BAD:
+        return False
+    targets = state.registry.of_service(rollout.order.service)
+    announced = sum(map(rollout.is_new, targets))
+    return rollout.seen.targets > 1 or announced == 1
+
+
 def _record(
     state: DispatchState,
     rollout: Rollout,
@@ -102,7 +115,7 @@
     counts[0] += good
     counts[1] += bad
     rollout.seen.add_new(target_id, route, good, bad)
-    if now < rollout.held_until or rollout.seen.verdict is not Verdict.BAD:
+    if now < rollout.held_until or not _is_found_bad(state, rollout):
         return []
     rollout.held_until = now + _HOLD_SECONDS
     inputs = {
--- a/nutmegstep/rollouts/evidence.py
+++ b/nutmegstep/rollouts/evidence.py
@@ -74,6 +74,11 @@
         """Number of answers of the new version."""
         return self.good + self.bad
 
+    @property
+    def targets(self) -> int:
+        """Number of targets of the new version that have answered."""
+        return len(self._sums[_ALL_ROUTES])
+
     @property
     def is_scarce(self) -> bool:
         """Whether hardly any answer is good although the service has traffic."""
--- a/tests/rollouts/fleet.py
+++ b/tests/rollouts/fleet.py
@@ -21,6 +21,7 @@
     Decision,
     SendMessage,
     SendRequest,
+    WakeAt,
     WriteRollout,
 )
 from nutmegstep.dispatch.events import (
@@ -112,7 +113,8 @@
         self.is_store_away = False
         self.order = RolloutOrder(SERVICE, 'v2', DURATION, 1)
         self.writes: list[tuple[str, Outcome, bool]] = []
-        self.sent_by_version = {'v1': 0, 'v2': 0}
+        self.sent_by_version = {'': 0, 'v1': 0, 'v2': 0}
+        self.path = '/fetch/x'
         self.bad_answers = 0
         self.old_sends_after_end = 0
         self.decisions: list[tuple[str, Decision]] = []
@@ -123,6 +125,7 @@
             SendRequest: self._send,
             CancelSend: self._cancel,
             Decision: self._log,
+            WakeAt: self._wake,
         }
 
     def run(self, seconds: float = DURATION) -> None:
@@ -214,6 +217,11 @@
         failed = SendFailed(effect.send_id, SendFailureKind.CANCELLED)
         self.time.later(0, partial(self.apply, name, failed))
 
+    def _wake(self, name: str, effect: WakeAt) -> None:
+        due = RequestDue(effect.request_id)
+        delay = effect.instant - self.time.now
+        self.time.later(delay, partial(self.apply, name, due))
+
     def _log(self, name: str, effect: Decision) -> None:
         self.decisions.append((name, effect))
 
@@ -224,8 +232,6 @@
         self._next_request += 1
         name = self.random.choice(self.senders)
         self.apply(name, RequestArrived(self._request()))
-        number = self._next_request
-        self.time.later(1, lambda: self.apply(name, RequestDue(number)))
         self._request_later()
 
     def _request(self) -> RoutedRequest:
@@ -233,9 +239,9 @@
             self._next_request,
             f'caller-{self._next_request}',
             b'GET',
-            b'/fetch/x',
+            self.path.encode(),
             HOST,
-            '/fetch/x',
+            self.path,
             (),
             b'',
             2.0,
