Test roll-outs of one shard of a query

Cause: the fleet tests had requests to single targets only; hedges and partial answers cancel slow sends.

--- a/tests/rollouts/fleet.py
+++ b/tests/rollouts/fleet.py
@@ -52,8 +52,10 @@
 """Share of the sends to dark targets that are written before nothing answers."""
 
 
-def targets_of(version: str, cold_until: float = 0) -> dict[str, TargetRecord]:
-    """Return three targets of the service that run a version."""
+def targets_of(
+    version: str, cold_until: float = 0, service: str = SERVICE
+) -> dict[str, TargetRecord]:
+    """Return three targets of a service that run a version."""
     return {
         f'{name}-{version}': replace(
             one,
@@ -62,7 +64,7 @@
             cold_until=cold_until,
         )
         for name, one in records().items()
-        if one.service == SERVICE
+        if one.service == service
     }
 
 
@@ -92,7 +94,12 @@
     """VMs that serve one service while a version of it is rolled out."""
 
     def __init__(
-        self, vms: int, rate: float, behaviour: Behaviour, seed: int
+        self,
+        vms: int,
+        rate: float,
+        behaviour: Behaviour,
+        seed: int,
+        service: str = SERVICE,
     ) -> None:
         self.time = Timeline(START)
         self.random = Random(seed)
@@ -102,6 +109,7 @@
             f'vm-{number:03}': _DOMAINS[number % 3] for number in range(vms)
         }
         self.senders = list(domains)[:9]
+        self.order = RolloutOrder(service, 'v2', DURATION, 1)
         self.states = {name: self._start(name, domains) for name in domains}
         self.is_lost: Callable[[str, str], bool] = lambda sender, receiver: (
             False
@@ -111,7 +119,6 @@
         self.dark_target = ''
         self.dark_domain = ''
         self.is_store_away = False
-        self.order = RolloutOrder(SERVICE, 'v2', DURATION, 1)
         self.writes: list[tuple[str, Outcome, bool]] = []
         self.sent_by_version = {'': 0, 'v1': 0, 'v2': 0}
         self.path = '/fetch/x'
@@ -150,7 +157,7 @@
     def rollout_of(self, name: str) -> Rollout:
         """Return the roll-out as a VM knows it."""
         known = self.states[name].rollouts
-        return known.by_service[SERVICE]
+        return known.by_service[self.order.service]
 
     def apply(self, name: str, event: Event) -> None:
         """Apply an event to a VM, unless that is frozen."""
@@ -187,12 +194,19 @@
         state = DispatchState(
             domains[name], _LIMITS, Random(name), START, own_name=name
         )
-        known = {**targets_of('v1'), **targets_of('v2', START + 3)}
+        service = self.order.service
+        usual = {
+            target_id: one
+            for target_id, one in records().items()
+            if one.service != service
+        }
+        old = {**usual, **targets_of('v1', 0, service)}
+        both = {**old, **targets_of('v2', START + 3, service)}
         for event in (
             VmsCounted(len(domains), len(domains) // 3, domain_by_vm=domains),
             ConfigurationChanged(configuration()),
-            TargetsListed(targets_of('v1')),
-            TargetsListed(known),
+            TargetsListed(old),
+            TargetsListed(both),
         ):
             reduce_event(state, event, START)
         return state
--- a/tests/rollouts/test_fleet.py
+++ b/tests/rollouts/test_fleet.py
@@ -124,3 +124,27 @@
     fleet.run()
     assert fleet.order.outcome is Outcome.ACTIVE
     assert fleet.sent_by_version['v1'] > 500
+
+
+@pytest.mark.parametrize(
+    ('behaviour', 'outcome'),
+    [
+        (Behaviour(), Outcome.COMPLETED),
+        (Behaviour(0.5), Outcome.REVERTED),
+        (Behaviour(0.5, slow=True), Outcome.REVERTED),
+        (Behaviour(0.5, slow=True, since=5), Outcome.REVERTED),
+    ],
+    ids=['good', 'fails', 'slow', 'slow-later'],
+)
+def test_one_shard_of_a_query_is_rolled_out(
+    behaviour: Behaviour, outcome: Outcome
+) -> None:
+    """Guards against hedges and partial answers that hide a bad version."""
+    fleet = Fleet(70, 50, behaviour, 5, service='shard-0')
+    fleet.path = '/sweep/x'
+    fleet.run()
+    assert fleet.order.outcome is outcome
+    if outcome is Outcome.REVERTED:
+        of_shard = fleet.sent_by_version['v1'] + fleet.sent_by_version['v2']
+        bound = of_shard * _SHARE + _SLACK
+        assert fleet.sent_by_version['v2'] <= bound
