--- a/tests/rollouts/fleet.py
+++ b/tests/rollouts/fleet.py
@@ -21,6 +21,7 @@
     Decision,
     SendMessage,
     SendRequest,
+    WakeAt,
     WriteRollout,
 )
 from nutmegstep.dispatch.events import (
@@ -51,8 +52,10 @@
 """Share of the sends to dark targets that are written before nothing answers."""
 
 
-def targets_of(version: str, cold_until: float = 0) -> dict[str, TargetRecord]:
-    """Return three targets of the service that run a version."""
+def targets_of(
+    version: str, cold_until: float = 0, service: str = SERVICE
+) -> dict[str, TargetRecord]:
+    """Return three targets of a service that run a version."""
     return {
         f'{name}-{version}': replace(
             one,
@@ -61,7 +64,7 @@
             cold_until=cold_until,
         )
         for name, one in records().items()
-        if one.service == SERVICE
+        if one.service == service
     }
 
 
@@ -91,7 +94,12 @@
     """VMs that serve one service while a version of it is rolled out."""
 
     def __init__(
-        self, vms: int, rate: float, behaviour: Behaviour, seed: int
+        self,
+        vms: int,
+        rate: float,
+        behaviour: Behaviour,
+        seed: int,
+        service: str = SERVICE,
     ) -> None:
         self.time = Timeline(START)
         self.random = Random(seed)
@@ -101,6 +109,7 @@
             f'vm-{number:03}': _DOMAINS[number % 3] for number in range(vms)
         }
         self.senders = list(domains)[:9]
+        self.order = RolloutOrder(service, 'v2', DURATION, 1)
         self.states = {name: self._start(name, domains) for name in domains}
         self.is_lost: Callable[[str, str], bool] = lambda sender, receiver: (
             False
@@ -110,9 +119,9 @@
         self.dark_target = ''
         self.dark_domain = ''
         self.is_store_away = False
-        self.order = RolloutOrder(SERVICE, 'v2', DURATION, 1)
         self.writes: list[tuple[str, Outcome, bool]] = []
-        self.sent_by_version = {'v1': 0, 'v2': 0}
+        self.sent_by_version = {'': 0, 'v1': 0, 'v2': 0}
+        self.path = '/fetch/x'
         self.bad_answers = 0
         self.old_sends_after_end = 0
         self.decisions: list[tuple[str, Decision]] = []
@@ -123,6 +132,7 @@
             SendRequest: self._send,
             CancelSend: self._cancel,
             Decision: self._log,
+            WakeAt: self._wake,
         }
 
     def run(self, seconds: float = DURATION) -> None:
@@ -147,7 +157,7 @@
     def rollout_of(self, name: str) -> Rollout:
         """Return the roll-out as a VM knows it."""
         known = self.states[name].rollouts
-        return known.by_service[SERVICE]
+        return known.by_service[self.order.service]
 
     def apply(self, name: str, event: Event) -> None:
         """Apply an event to a VM, unless that is frozen."""
@@ -184,12 +194,19 @@
         state = DispatchState(
             domains[name], _LIMITS, Random(name), START, own_name=name
         )
-        known = {**targets_of('v1'), **targets_of('v2', START + 3)}
+        service = self.order.service
+        usual = {
+            target_id: one
+            for target_id, one in records().items()
+            if one.service != service
+        }
+        old = {**usual, **targets_of('v1', 0, service)}
+        both = {**old, **targets_of('v2', START + 3, service)}
         for event in (
             VmsCounted(len(domains), len(domains) // 3, domain_by_vm=domains),
             ConfigurationChanged(configuration()),
-            TargetsListed(targets_of('v1')),
-            TargetsListed(known),
+            TargetsListed(old),
+            TargetsListed(both),
         ):
             reduce_event(state, event, START)
         return state
@@ -214,6 +231,11 @@
         failed = SendFailed(effect.send_id, SendFailureKind.CANCELLED)
         self.time.later(0, partial(self.apply, name, failed))
 
+    def _wake(self, name: str, effect: WakeAt) -> None:
+        due = RequestDue(effect.request_id)
+        delay = effect.instant - self.time.now
+        self.time.later(delay, partial(self.apply, name, due))
+
     def _log(self, name: str, effect: Decision) -> None:
         self.decisions.append((name, effect))
 
@@ -224,8 +246,6 @@
         self._next_request += 1
         name = self.random.choice(self.senders)
         self.apply(name, RequestArrived(self._request()))
-        number = self._next_request
-        self.time.later(1, lambda: self.apply(name, RequestDue(number)))
         self._request_later()
 
     def _request(self) -> RoutedRequest:
@@ -233,9 +253,9 @@
             self._next_request,
             f'caller-{self._next_request}',
             b'GET',
-            b'/fetch/x',
+            self.path.encode(),
             HOST,
-            '/fetch/x',
+            self.path,
             (),
             b'',
             2.0,
