Lend shares of limits soon after a restart

Cause: A VM that was started again lent no share for 60 s, so a fleet that was killed at once would have refused all limited accounts for a minute. Change: The first write of the registry entry tells whether the VM had one. If so, the others count it, and it waits only until its earlier loans are over.

--- a/nutmegstep/dispatch/account_state.py
+++ b/nutmegstep/dispatch/account_state.py
@@ -7,7 +7,7 @@
 from nutmegstep.accounts import LimitTolerance
 from nutmegstep.accounts.bounds import SLICES
 from nutmegstep.accounts.buckets import OwnedSlice
-from nutmegstep.accounts.lending import LentShare, candidates
+from nutmegstep.accounts.lending import LentShare, candidates, loan_seconds
 from nutmegstep.accounts.stock import TokenStock
 from nutmegstep.dispatch.requests import OpenRequest
 
@@ -20,6 +20,7 @@
 """The same when all VMs start together and two reads have found the same ones. All
 entries are written before the first read."""
 _FIRST_START_READS: Final = 2
+_MARGIN_SECONDS: Final = 0.5
 _MAX_COUNT_AGE_SECONDS: Final = 600.0
 """Age of the number of VMs from which this VM may no longer be counted by the
 others: its entry in the registry expires after 16 minutes."""
@@ -81,15 +82,28 @@
     stock_by_account: dict[str, TokenStock] = field(default_factory=dict)
     _first_counted_at: float = math.inf
     _counted_at: float = -math.inf
+    _join_seconds: float = _JOIN_SECONDS
     _equal_reads: int = 0
     _names: frozenset[str] = frozenset()
 
     def record_count(
-        self, own_name: str, names: frozenset[str], now: float
+        self,
+        own_name: str,
+        names: frozenset[str],
+        now: float,
+        *,
+        is_counted: bool,
     ) -> None:
-        """Record the names of all VMs, as they were read from the registry."""
+        """Record the names of all VMs, as they were read from the registry.
+
+        A VM that the others counted before it was started waits only until the
+        loans of its process before are over.
+        """
         if not names:
             return
+        self._join_seconds = _JOIN_SECONDS
+        if is_counted:
+            self._join_seconds = loan_seconds(len(names)) + _MARGIN_SECONDS
         if not self._names:
             self._first_counted_at = now
         self._equal_reads += 1
@@ -107,10 +121,10 @@
         if now > self._counted_at + _MAX_COUNT_AGE_SECONDS:
             return False
         passed = now - self._first_counted_at
-        if self.is_first_start and passed < _JOIN_SECONDS:
+        if self.is_first_start and passed < self._join_seconds:
             is_stable = self._equal_reads >= _FIRST_START_READS
             return is_stable and passed >= _FIRST_START_SECONDS
-        return passed >= _JOIN_SECONDS
+        return passed >= self._join_seconds
 
     def stock_of(self, account: str) -> TokenStock:
         """Return the tokens of an account at this VM."""
--- a/nutmegstep/dispatch/control.py
+++ b/nutmegstep/dispatch/control.py
@@ -190,7 +190,10 @@
     """Replace the numbers of VMs that share the targets, and the coordinators."""
     state.domain_by_vm = event.domain_by_vm
     state.account_limits.record_count(
-        state.own_name, frozenset(event.domain_by_vm), now
+        state.own_name,
+        frozenset(event.domain_by_vm),
+        now,
+        is_counted=event.is_counted,
     )
     known = (state.vm_count, state.vms_in_domain, state.coordinators)
     if (event.count, event.in_domain, event.coordinators) == known:
--- a/nutmegstep/dispatch/control_events.py
+++ b/nutmegstep/dispatch/control_events.py
@@ -121,12 +121,15 @@
         Coordinators of queries.
     domain_by_vm : Mapping
         Failure domains of the VMs by name, this one included.
+    is_counted : bool
+        Whether the others have counted this VM since before it was started.
     """
 
     count: int
     in_domain: int
     coordinators: CoordinatorChoice = CoordinatorChoice()
     domain_by_vm: Mapping[str, str] = field(default_factory=dict)
+    is_counted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/gateway/adapter.py
+++ b/nutmegstep/gateway/adapter.py
@@ -28,7 +28,7 @@
         self,
         name: str,
         entry: VmEntry,
-    ) -> Result[None, PlatformFailure]:
+    ) -> Result[bool, PlatformFailure]:
         """Create or renew the registry entry of a VM.
 
         `entry.revision` is written as part of the entry, so that each renewal
--- a/nutmegstep/gateway/vm_registration.py
+++ b/nutmegstep/gateway/vm_registration.py
@@ -116,6 +116,7 @@
         self._callbacks = callbacks
         self._is_first_start = is_first_start
         self._registry = VmRegistry(name, entry.failure_domain)
+        self._had_entry: bool | None = None
 
     async def run(
         self, availability: StoreAvailability, random: Random
@@ -157,6 +158,9 @@
             self._entry, revision=random.getrandbits(_REVISION_BITS)
         )
         written = await self._store.put_vm(self._name, entry)
+        if self._had_entry is None:
+            # After a failure, an entry may be that of this process.
+            self._had_entry = bool(written.value_or(False))
         if not is_successful(written):
             fields = {'detail': written.failure().detail}
             _LOG.warning('entry of this VM not written', extra=fields)
@@ -175,6 +179,7 @@
                 name: entry.failure_domain
                 for name, entry in entry_by_name.items()
             },
+            is_counted=bool(self._had_entry),
         )
 
     async def _read(self) -> bool:
--- a/nutmegstep/platform/store.py
+++ b/nutmegstep/platform/store.py
@@ -131,11 +131,11 @@
         self,
         name: str,
         entry: VmEntry,
-    ) -> Result[None, PlatformFailure]:
+    ) -> Result[bool, PlatformFailure]:
         """Create or renew the registry entry of a VM.
 
         `entry.revision` is written as part of the entry, so that each renewal
-        differs from the previous one.
+        differs from the previous one. The result is whether there was an entry.
         """
         spec = {
             'failure_domain': entry.failure_domain,
@@ -151,8 +151,10 @@
         writes = [('create', create), ('replace', update)]
         if self._has_entry:
             writes.reverse()
+        had_entry = self._has_entry
         called = await self._call(*writes[0], is_write=True)
         if _conflicts(called):
+            had_entry = not had_entry
             called = await self._call(*writes[1], is_write=True)
         if _conflicts(called):
             detail = f'entry of {name} created or deleted between two writes'
@@ -160,7 +162,7 @@
                 PlatformFailure(PlatformFailureKind.UNAVAILABLE, detail),
             )
         self._has_entry = is_successful(called)
-        return called.map(lambda _: None)
+        return called.map(lambda _: had_entry)
 
     async def delete_vm(self, name: str) -> Result[None, PlatformFailure]:
         """Delete the registry entry of a VM that no longer renews it."""
--- a/tests/dispatch/account_fleet.py
+++ b/tests/dispatch/account_fleet.py
@@ -74,6 +74,7 @@
     messages: int = 0
     group_by_vm: dict[str, int] = field(default_factory=dict)
     is_store_up: bool = True
+    first_lives: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         """Start all VMs."""
@@ -94,6 +95,10 @@
     def start(self, name: str, *, is_first: bool | None = None) -> None:
         """Start a VM, or start it again."""
         known = self.vms.get(name)
+        if known is None:
+            self.first_lives.add(name)
+        else:
+            self.first_lives.discard(name)
         number = int(name.removeprefix('vm-'))
         domain = DOMAINS[number % len(DOMAINS)]
         state = DispatchState(domain, LIMITS, self.random, self.now, name)
@@ -214,7 +219,13 @@
     def _count(self, name: str) -> None:
         if self.is_store_up:
             domains = {one: vm.state.own_domain for one, vm in self.vms.items()}
-            self._apply(name, VmsCounted(len(domains), 1, domain_by_vm=domains))
+            counted = VmsCounted(
+                len(domains),
+                1,
+                domain_by_vm=domains,
+                is_counted=name not in self.first_lives,
+            )
+            self._apply(name, counted)
         self._schedule(_COUNT * (1 + self.random.random()), name, _Count())
 
     def _apply(self, name: str, event: Event) -> None:
--- a/tests/dispatch/test_account_limits.py
+++ b/tests/dispatch/test_account_limits.py
@@ -99,6 +99,22 @@
     assert fleet.refused_since(since) <= 1
 
 
+def test_fleet_that_was_killed_serves_soon_and_within_the_limit() -> None:
+    """Guards against a limit that counts anew after a restart of all VMs, and
+    against a minute of refusals.
+    """
+    fleet = _started(ClientAccount('clinic', 0, 20, 20))
+    fleet.run(5, 100)
+    for name in tuple(fleet.vms):
+        fleet.kill(name)
+        fleet.start(name, is_first=False)
+    fleet.run(8, 100)
+    since = fleet.now
+    fleet.run(10, 8)
+    assert fleet.refused_since(since) <= 2
+    assert fleet.most_in_window() <= fleet.bound.most
+
+
 def test_limit_that_is_lowered_binds_at_once() -> None:
     """Guards against stored tokens of a limit that no longer holds."""
     fleet = _started(ClientAccount('clinic', 0, 100, 100))
