Look at no listing unless targets are paced

Cause: begin_relisted went through all targets at each listing, also when off. Change: it returns at once.

--- a/nutmegstep/dispatch/pacing.py
+++ b/nutmegstep/dispatch/pacing.py
@@ -43,6 +43,8 @@
 
 def begin_relisted(state: DispatchState, now: float) -> list[Effect]:
     """Pace the targets that a complete list shows to have been restarted."""
+    if not state.limits.paces_returns:
+        return []
     return [
         effect
         for target in state.registry.by_id.values()
