--- a/nutmegstep/settings/fields.py
+++ b/nutmegstep/settings/fields.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import MISSING, field
+from datetime import timedelta
 from ipaddress import ip_address
 from typing import Any, Final
 
@@ -9,17 +10,22 @@
     'LEVELS',
     'PORT_MAX',
     'read_address',
+    'read_boolean',
     'read_count',
     'read_ip',
     'read_level',
     'read_name',
+    'read_number',
     'read_port',
+    'read_positive_number',
     'read_ratio',
+    'read_seconds',
     'read_seeds',
     'setting',
 ]
 
 PORT_MAX: Final = 65535
+_BOOLEANS: Final = frozenset(('true', 'false'))
 LEVELS: Final = ('debug', 'info', 'warning', 'error')
 
 
@@ -80,6 +86,34 @@
     return text
 
 
+def read_number(text: str) -> float:
+    """Return a finite number of at least 0."""
+    number = float(text)
+    if not 0 <= number < float('inf'):
+        raise ValueError(text)
+    return number
+
+
+def read_boolean(text: str) -> bool:
+    """Return whether a text is ``true``; it must be that or ``false``."""
+    if text not in _BOOLEANS:
+        raise ValueError(text)
+    return text == 'true'
+
+
+def read_positive_number(text: str) -> float:
+    """Return a finite number above 0."""
+    number = read_number(text)
+    if not number:
+        raise ValueError(text)
+    return number
+
+
+def read_seconds(text: str) -> timedelta:
+    """Return a positive number of seconds as a time."""
+    return timedelta(seconds=read_positive_number(text))
+
+
 def setting(
     read: Callable[[str], Any],
     expected: str,
--- a/nutmegstep/settings/gateway.py
+++ b/nutmegstep/settings/gateway.py
@@ -10,11 +10,15 @@
 from nutmegstep.settings.fields import (
     LEVELS,
     read_address,
+    read_boolean,
     read_count,
     read_level,
     read_name,
+    read_number,
     read_port,
+    read_positive_number,
     read_ratio,
+    read_seconds,
     setting,
 )
 
@@ -22,35 +26,10 @@
 
 _ADDRESS: Final = 'an IP number and a port, as in 127.0.0.1:8080'
 _POSITIVE_SECONDS: Final = 'a number of seconds above 0'
-_BOOLEANS: Final = frozenset(('true', 'false'))
 _NON_NEGATIVE_NUMBER: Final = 'a number of at least 0'
 _POSITIVE_NUMBER: Final = 'a number above 0'
 
 
-def _read_number(text: str) -> float:
-    number = float(text)
-    if not 0 <= number < float('inf'):
-        raise ValueError(text)
-    return number
-
-
-def _read_boolean(text: str) -> bool:
-    if text not in _BOOLEANS:
-        raise ValueError(text)
-    return text == 'true'
-
-
-def _read_positive_number(text: str) -> float:
-    number = _read_number(text)
-    if not number:
-        raise ValueError(text)
-    return number
-
-
-def _read_seconds(text: str) -> timedelta:
-    return timedelta(seconds=_read_positive_number(text))
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewaySettings:
     """Settings of one gateway process.
@@ -140,25 +119,25 @@
         'where other VMs of the failure domain fetch store contents',
     )
     is_first_start: bool = setting(
-        _read_boolean,
+        read_boolean,
         'true or false',
         'whether all VMs start for the first time',
         default=False,
     )
     cpu_share: float = setting(
-        _read_positive_number,
+        read_positive_number,
         _POSITIVE_NUMBER,
         'processor time that this VM may use, in seconds per second',
         1,
     )
     cpu_speed: float = setting(
-        _read_positive_number,
+        read_positive_number,
         _POSITIVE_NUMBER,
         'speed of its processor, as a multiple of a reference core',
         1,
     )
     memory_mb: float = setting(
-        _read_positive_number,
+        read_positive_number,
         _POSITIVE_NUMBER,
         'memory of this VM, in MB',
         200,
@@ -176,43 +155,43 @@
         0,
     )
     grace: timedelta = setting(
-        _read_seconds,
+        read_seconds,
         _POSITIVE_SECONDS,
         'time from SIGTERM until the process is killed, in seconds',
         timedelta(seconds=6),
     )
     repeat_ratio: float = setting(
-        _read_number,
+        read_number,
         _NON_NEGATIVE_NUMBER,
         'extra sends per request, over all VMs',
         0.2,
     )
     repeat_slack: float = setting(
-        _read_number,
+        read_number,
         _NON_NEGATIVE_NUMBER,
         'extra sends per window in addition, over all VMs',
         50,
     )
     repeat_window: timedelta = setting(
-        _read_seconds,
+        read_seconds,
         _POSITIVE_SECONDS,
         'window of the bound on extra sends, in seconds',
         timedelta(seconds=10),
     )
     cold_overshoot: float = setting(
-        _read_number,
+        read_number,
         _NON_NEGATIVE_NUMBER,
         'factor on the declared rate of a cold target',
         1,
     )
     cold_slack: float = setting(
-        _read_number,
+        read_number,
         _NON_NEGATIVE_NUMBER,
         'requests per second to a cold target in addition',
         5,
     )
     paces_returns: bool = setting(
-        _read_boolean,
+        read_boolean,
         'true or false',
         'whether targets that return get their load at the pace of their answers',
         default=False,
@@ -224,25 +203,25 @@
         0,
     )
     exposure_slack: float = setting(
-        _read_number,
+        read_number,
         _NON_NEGATIVE_NUMBER,
         'requests that a bad version may get in addition',
         0,
     )
     limit_window: timedelta = setting(
-        _read_seconds,
+        read_seconds,
         _POSITIVE_SECONDS,
         'window of the bound on requests of an account, in seconds',
         timedelta(seconds=5),
     )
     limit_overshoot: float = setting(
-        _read_number,
+        read_number,
         _NON_NEGATIVE_NUMBER,
         'share of the limit of an account that may run in addition',
         0.1,
     )
     limit_slack: float = setting(
-        _read_number,
+        read_number,
         _NON_NEGATIVE_NUMBER,
         'requests of an account per window in addition, over all VMs',
         20,
