--- a/nutmegstep/gateway/core.py
+++ b/nutmegstep/gateway/core.py
@@ -121,7 +121,7 @@
             Delegate: self._delegations.send,
             CancelDelegation: self._cancel_delegation,
             DeclineDelegation: self._decline_delegation,
-            CancelSend: self._cancel,
+            CancelSend: lambda effect: self.pool.cancel(effect.send_id),
             DropTarget: lambda effect: self.pool.drop_target(effect.target_id),
             ReturnSends: lambda effect: self.pool.return_sends(
                 effect.target_id
@@ -237,9 +237,6 @@
             self._tracing.start_send(effect)
         self.pool.send(effect)
 
-    def _cancel(self, effect: CancelSend) -> None:
-        self.pool.cancel(effect.send_id)
-
     def _cancel_delegation(self, effect: CancelDelegation) -> None:
         self._delegations.cancel(effect.delegation_id)
 
--- a/nutmegstep/platform/store.py
+++ b/nutmegstep/platform/store.py
@@ -1,10 +1,10 @@
 """Client of the operators' object store."""
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from datetime import timedelta
 from functools import partial
-from typing import Any, Final, TypeVar
+from typing import Any, Final
 from urllib.parse import quote, urlencode
 
 import orjson
@@ -22,6 +22,12 @@
     read_page,
     read_vm_entry,
 )
+from nutmegstep.platform.store_replies import (
+    check_status,
+    decode_reply,
+    era_of_reply,
+    is_success,
+)
 from nutmegstep.platform_api.connection import HttpCall, HttpReply
 from nutmegstep.platform_api.records import (
     PlatformFailure,
@@ -45,23 +51,13 @@
 """Kind of the orders of roll-outs, which are read with their status."""
 
 _LOG: Final = logging.getLogger(__name__)
-_ERA_HEADER: Final = 'store-era'
-"""Response header with the number of times that the store has been restored
-from a copy."""
 _MILLISECOND: Final = timedelta(milliseconds=1)
 _NO_WAIT: Final = timedelta(0)
-_STATUS_OK: Final = 200
-_STATUS_MULTIPLE_CHOICES: Final = 300
 _STATUS_NOT_FOUND: Final = 404
 _STATUS_CONFLICT: Final = 409
 _STATUS_GONE: Final = 410
-_EXPECTED_ERROR_STATUSES: Final = frozenset(
-    (_STATUS_NOT_FOUND, _STATUS_CONFLICT, _STATUS_GONE)
-)
 _JSON: Final = (('Content-Type', 'application/json'),)
 
-_Decoded = TypeVar('_Decoded')
-
 
 class ObjectStore:
     """Reads and writes objects, which have a kind and a name.
@@ -123,10 +119,10 @@
         if not is_successful(called):
             return Failure(called.failure())
         reply = called.unwrap()
-        is_same_era = _era_of(reply) == era_of(revision)
+        is_same_era = era_of_reply(reply) == era_of(revision)
         if reply.status == _STATUS_GONE or not is_same_era:
             return Success(HistoryGone())
-        return _decode(
+        return decode_reply(
             partial(read_changes, read_object=partial(_document_of, kind)),
             reply,
         )
@@ -248,7 +244,7 @@
         query: Mapping[str, object],
     ) -> Result[Page, PlatformFailure]:
         called = await self._call('list', HttpCall('GET', _path(kind, query)))
-        return called.bind(partial(_decode, read_page))
+        return called.bind(partial(decode_reply, read_page))
 
     async def _call(
         self,
@@ -264,8 +260,8 @@
             poll=poll,
         )
         if is_successful(called):
-            self._log_new_era(_era_of(called.unwrap()))
-        checked = called.bind(lambda reply: _check_status(http, reply))
+            self._log_new_era(era_of_reply(called.unwrap()))
+        checked = called.bind(lambda reply: check_status(http, reply))
         outcome = 'ok'
         if not is_successful(checked):
             outcome = checked.failure().kind.value
@@ -290,11 +286,7 @@
         document = decode_leniently(reply.body)
     except ValueError:
         document = None
-    return StatusWrite(document, not _is_success(reply))
-
-
-def _is_success(reply: HttpReply) -> bool:
-    return _STATUS_OK <= reply.status < _STATUS_MULTIPLE_CHOICES
+    return StatusWrite(document, not is_success(reply))
 
 
 def _conflicts(called: Result[HttpReply, PlatformFailure]) -> bool:
@@ -303,37 +295,6 @@
     return is_successful(called) and called.unwrap().status in missed
 
 
-def _era_of(reply: HttpReply) -> int:
-    text = reply.header_by_name.get(_ERA_HEADER, '')
-    return int(text) if text.isdecimal() else 0
-
-
-def _check_status(
-    http: HttpCall,
-    reply: HttpReply,
-) -> Result[HttpReply, PlatformFailure]:
-    # 404, 409 and 410 are results that the calling method handles.
-    if _is_success(reply):
-        return Success(reply)
-    if reply.status in _EXPECTED_ERROR_STATUSES:
-        return Success(reply)
-    detail = f'{http.method} {http.path}: status {reply.status}'
-    return Failure(PlatformFailure(PlatformFailureKind.UNAVAILABLE, detail))
-
-
-def _decode(
-    read: Callable[[Any, int], _Decoded],
-    reply: HttpReply,
-) -> Result[_Decoded, PlatformFailure]:
-    try:
-        return Success(read(decode_leniently(reply.body), _era_of(reply)))
-    except (KeyError, TypeError, ValueError) as error:
-        detail = f'malformed reply: {error!r}'
-        return Failure(
-            PlatformFailure(PlatformFailureKind.INVALID_REPLY, detail),
-        )
-
-
 def _path(kind: str, query: Mapping[str, object]) -> str:
     suffix = f'?{urlencode(query)}' if query else ''
     return f'/v1/objects/{kind}{suffix}'
--- a/nutmegstep/platform/wire.py
+++ b/nutmegstep/platform/wire.py
@@ -2,7 +2,6 @@
 
 import re
 from collections.abc import Mapping
-from itertools import chain
 from typing import Final
 
 import orjson
@@ -16,6 +15,7 @@
 from nutmegstep.dispatch.events import HeaderItems, RoutedRequest, TargetReply
 from nutmegstep.gateway import RawReply, WireCodec
 from nutmegstep.gateway.codec import Delivery
+from nutmegstep.platform.hop_by_hop import hop_by_hop_names
 from nutmegstep.verdict import Reason, Refusal, Verdict, http_status
 from nutmegstep.web import HttpRequest, HttpResponse
 
@@ -47,21 +47,6 @@
 _PART_SIGNATURES: Final = 'X-Nutmegstep-Part-Stamps'
 _MISSING_PARTS: Final = 'X-Nutmegstep-Missing-Parts'
 
-_HOP_BY_HOP: Final = frozenset(
-    (
-        b'connection',
-        b'content-length',
-        b'expect',
-        b'keep-alive',
-        b'proxy-authenticate',
-        b'proxy-authorization',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-    ),
-)
 _REPLACED_HEADERS: Final = frozenset((_DEADLINE, _EXPECTED_TARGET))
 _HEADER_CHARSET: Final = 'latin-1'
 _MS_PER_SECOND: Final = 1000
@@ -81,7 +66,7 @@
     now: float,
 ) -> RoutedRequest:
     items = http_request.header_items
-    dropped = _hop_by_hop_names(items) | _REPLACED_HEADERS
+    dropped = hop_by_hop_names(items) | _REPLACED_HEADERS
     return RoutedRequest(
         request_id=request_id,
         attempt_id=http_request.headers.get(ATTEMPT_ID.decode(), ''),
@@ -206,7 +191,7 @@
 
 
 def _write_reply(reply: TargetReply) -> HttpResponse:
-    dropped = _hop_by_hop_names(reply.headers)
+    dropped = hop_by_hop_names(reply.headers)
     headers = tuple(
         (name.decode(_HEADER_CHARSET), text)
         for name, text in reply.headers
@@ -263,15 +248,6 @@
     return _STATUS_BAD_GATEWAY
 
 
-def _hop_by_hop_names(items: HeaderItems) -> frozenset[bytes]:
-    named = chain.from_iterable(
-        text.lower().split(b',')
-        for name, text in items
-        if name == b'connection'
-    )
-    return _HOP_BY_HOP.union(option.strip() for option in named)
-
-
 def _read_retry_after(raw: RawReply) -> tuple[float | None, str]:
     """Return the time that a target asks for, and what it stated if that is not
     a number of seconds.
--- a/nutmegstep/web/reader.py
+++ b/nutmegstep/web/reader.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from nutmegstep.web.head_size import head_size
 from nutmegstep.web.messages import (
     HttpLimits,
     HttpRequest,
@@ -24,8 +25,6 @@
 _STATUS_BAD_REQUEST: Final = 400
 _STATUS_TOO_LARGE: Final = 413
 _STATUS_HEAD_TOO_LARGE: Final = 431
-_HEADER_LINE_OVERHEAD: Final = 4
-"""Bytes of a header line besides name and value: colon, space, CR and LF."""
 HEADER_BYTES: Final = 256
 """Memory of a header of a request besides its text; 210 bytes as measured."""
 _CONTINUE: Final = 100
@@ -280,7 +279,7 @@
         self._head = head
         self.headers = dict(head.headers)
         # h11 checks the size only of heads that arrive in several reads.
-        size = _head_size(head)
+        size = head_size(head)
         self._head_memory = size * 2 + len(head.headers) * HEADER_BYTES
         if size > self._limits.head_bytes:
             raise InvalidRequestError(_STATUS_HEAD_TOO_LARGE)
@@ -298,11 +297,3 @@
 def _encode(text: str | bytes) -> bytes:
     # The inverse of the decoding in `RequestReader.request`.
     return text if isinstance(text, bytes) else text.encode('latin-1')
-
-
-def _head_size(head: h11.Request) -> int:
-    lines = (
-        len(name) + len(text) + _HEADER_LINE_OVERHEAD
-        for name, text in head.headers
-    )
-    return len(head.method) + len(head.target) + sum(lines)
