--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -166,6 +166,21 @@
     assert listed['vm-1'].address == '10.0.0.1:7740'
 
 
+async def test_entry_from_before_the_start_is_recognised(
+    pair: _StoreAndStandIn,
+) -> None:
+    """Guards against a new VM that uses a share of the limits of accounts before
+    the others leave it one.
+    """
+    entry = VmEntry('north', '10.0.0.1:7740', 1)
+    pair.stand_in.put(KIND_VMS, 'vm-1', {'address': '10.0.0.9:1'})
+    known = await pair.store.put_vm('vm-1', entry)
+    pair.stand_in.delete(KIND_VMS, 'vm-1')
+    new = await pair.store.put_vm('vm-2', entry)
+    assert known.unwrap()
+    assert not new.unwrap()
+
+
 async def test_deleted_entry_is_created_again(pair: _StoreAndStandIn) -> None:
     """Guards against a running VM that stays uncounted after another VM has
     deleted its entry.
