Apply changed limits to kept connections

Change: the limits are read again at the first bytes of each request; the parser is replaced if they have changed. Result: test_limits_change_on_kept_connections (a raised and a lowered limit) failed before, passes; tests/web passes (36).

--- a/nutmegstep/web/cycle.py
+++ b/nutmegstep/web/cycle.py
@@ -83,7 +83,7 @@
         self._server = server
         self._transport = transport
         self._over_limit = over_limit
-        self._reader = RequestReader(server.limits)
+        self._reader = RequestReader(lambda: server.limits)
         self._closes_after_body = False
         self._task: asyncio.Task[None] | None = None
         self._loop = asyncio.get_running_loop()
--- a/nutmegstep/web/reader.py
+++ b/nutmegstep/web/reader.py
@@ -1,6 +1,7 @@
 """Parsing of the requests and encoding of the responses of a connection."""
 
 import enum
+from collections.abc import Callable
 from typing import Final
 from urllib.parse import parse_qs, urlsplit
 
@@ -61,8 +62,8 @@
 
     Parameters
     ----------
-    limits : HttpLimits
-        Limits of the server.
+    read_limits : Callable
+        Returns the limits of the server. They may change between two requests.
 
     Attributes
     ----------
@@ -71,9 +72,10 @@
         empty until its head is complete.
     """
 
-    def __init__(self, limits: HttpLimits) -> None:
+    def __init__(self, read_limits: Callable[[], HttpLimits]) -> None:
         self.headers: dict[bytes, bytes] = {}
-        self._limits = limits
+        self._read_limits = read_limits
+        self._limits = read_limits()
         self._parser = self._new_parser()
         self._head: h11.Request | None = None
         self._received = ReceivedBytes()
@@ -93,6 +95,11 @@
         InvalidRequestError
             The stream violates HTTP/1.1.
         """
+        limits = self._read_limits()
+        if self._head is None and not self.has_data and limits != self._limits:
+            # A parser keeps the limits that it was made with.
+            self._limits = limits
+            self._parser = self._new_parser()
         try:
             self._received.feed(self._parser, data)
         except h11.RemoteProtocolError as error:
--- a/tests/web/test_core.py
+++ b/tests/web/test_core.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 import pytest
 
@@ -232,3 +233,30 @@
     finally:
         connection.connection_lost(None)
     assert transport.aborted
+
+
+@pytest.mark.parametrize(
+    ('limit', 'head', 'sent', 'status'),
+    [(65, 24 * 1024, 65, 200), (3, 1024, 4, 413)],
+)
+async def test_limits_change_on_kept_connections(
+    fixture: _Fixture, limit: int, head: int, sent: int, status: int
+) -> None:
+    """Guards against a kept connection that refuses bodies, or heads, which the
+    limits allow by now, or takes longer ones than they do.
+    """
+    reader, writer = await fixture.connect()
+    writer.write(_GET)
+    received = await reader.readuntil(b'""')
+    fixture.server.limits = replace(_LIMITS, body_bytes=limit, head_bytes=head)
+    padding = b'X: %b\r\n\r\n' % (b'x' * (head - 512))
+    body = b'b' * sent
+    start = b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n'
+    message = start % len(body) + padding + body
+    writer.write(message[:9000])
+    await asyncio.sleep(0.01)
+    writer.write(message[9000:])
+    writer.write_eof()
+    received += await reader.read()
+    writer.close()
+    assert _statuses(received) == [200, status]
