--- a/nutmegstep/web/head_size.py
+++ b/nutmegstep/web/heads.py
@@ -1,10 +1,12 @@
-"""Size of the head of a request."""
+"""Parsers of requests, and the size of the heads that they read."""
 
 from typing import Final
 
 import h11
 
-__all__ = ['head_size']
+from nutmegstep.web.messages import HttpLimits
+
+__all__ = ['head_size', 'new_parser']
 
 _HEADER_LINE_OVERHEAD: Final = 4
 """Bytes of a header line besides name and value: colon, space, CR and LF."""
@@ -17,3 +19,10 @@
         for name, text in head.headers
     )
     return len(head.method) + len(head.target) + sum(lines)
+
+
+def new_parser(limits: HttpLimits) -> h11.Connection:
+    """Return a parser of requests; it keeps these limits."""
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.head_bytes
+    )
--- a/nutmegstep/web/reader.py
+++ b/nutmegstep/web/reader.py
@@ -1,12 +1,13 @@
 """Parsing of the requests and encoding of the responses of a connection."""
 
 import enum
+from collections.abc import Callable
 from typing import Final
 from urllib.parse import parse_qs, urlsplit
 
 import h11
 
-from nutmegstep.web.head_size import head_size
+from nutmegstep.web.heads import head_size, new_parser
 from nutmegstep.web.messages import (
     HttpLimits,
     HttpRequest,
@@ -67,8 +68,8 @@
 
     Parameters
     ----------
-    limits : HttpLimits
-        Limits of the server.
+    read_limits : Callable
+        Returns the limits of the server. They may change between two requests.
 
     Attributes
     ----------
@@ -77,10 +78,11 @@
         empty until its head is complete.
     """
 
-    def __init__(self, limits: HttpLimits) -> None:
+    def __init__(self, read_limits: Callable[[], HttpLimits]) -> None:
         self.headers: dict[bytes, bytes] = {}
-        self._limits = limits
-        self._parser = _new_parser(self._limits)
+        self._read_limits = read_limits
+        self._limits = read_limits()
+        self._parser = new_parser(self._limits)
         self._head: h11.Request | None = None
         self._received = ReceivedBytes()
         self._body = bytearray()
@@ -101,7 +103,7 @@
     def drop(self) -> None:
         """Forget what was received."""
         self._received = ReceivedBytes()
-        self._parser = _new_parser(self._limits)
+        self._parser = new_parser(self._limits)
         self._reset_request()
 
     def feed(self, data: bytes) -> None:
@@ -112,6 +114,11 @@
         InvalidRequestError
             The stream violates HTTP/1.1.
         """
+        limits = self._read_limits()
+        if self._head is None and not self.has_data and limits != self._limits:
+            # A parser keeps the limits that it was made with.
+            self._limits = limits
+            self._parser = new_parser(self._limits)
         if self._head is None:
             self._head_memory += len(data)
         try:
@@ -262,7 +269,7 @@
         unused, ended = self._parser.trailing_data
         if ended or self._parser.their_state is not h11.DONE:
             return False
-        self._parser = _new_parser(self._limits)
+        self._parser = new_parser(self._limits)
         if unused:
             self._parser.receive_data(unused)
         self._reset_request()
@@ -288,12 +295,6 @@
             raise InvalidRequestError(_STATUS_TOO_LARGE)
 
 
-def _new_parser(limits: HttpLimits) -> h11.Connection:
-    return h11.Connection(
-        h11.SERVER, max_incomplete_event_size=limits.head_bytes
-    )
-
-
 def _encode(text: str | bytes) -> bytes:
     # The inverse of the decoding in `RequestReader.request`.
     return text if isinstance(text, bytes) else text.encode('latin-1')
