Mend what the review of the limits of accounts found

Cause: a restarted VM whose first write to the registry was turned away took itself for a new one and lent nothing for a minute; one more VM within a minute of the first start made all others stop lending; shares that were counted too large minted more than the limit; an owner without a token was not asked for up to a minute; a VM that was cut off told a time at which its share would never have a token; questions of callers that had left, and late answers, kept owners from being asked; tokens of requests that a coordinator refused were lost. Change: only a write that may have taken effect hides an entry; a share that has counted is kept until the count is stale, which then counts anew; minted shares are at most one; an owner is asked again after a second; a share that never makes up a token owns nothing; unanswered questions are dropped and late answers end the silence. Open: waiting for a token ignores the route's objective, processor time of an owner grows with the fleet, shares of VMs that are lost for good.

--- a/nutmegstep/accounts/buckets.py
+++ b/nutmegstep/accounts/buckets.py
@@ -52,9 +52,17 @@
         self._owned_since = float(0)
         self._bucket_by_account: dict[str, _Bucket] = {}
 
-    def grant(self, bound: AccountBound, wanted: int, now: float) -> Grant:
-        """Hand out at most `wanted` tokens of an account."""
+    def grant(
+        self, bound: AccountBound, wanted: int, now: float
+    ) -> Grant | None:
+        """Hand out at most `wanted` tokens of an account.
+
+        None if the borrowed shares can never make up a token: another VM may own
+        more of the slice.
+        """
         bucket = self._refill(bound, now)
+        if bound.slice_depth * self.shares.total() < 1:
+            return None
         tokens = max(0, min(wanted, math.floor(bucket.tokens)))
         bucket.tokens -= tokens
         rate = bound.slice_rate * self.shares.total()
--- a/nutmegstep/accounts/lending.py
+++ b/nutmegstep/accounts/lending.py
@@ -129,10 +129,13 @@
     def settle(self, now: float) -> float:
         """Return the sum over time of the shares so far, in share x seconds."""
         start = self._settled_at
-        self._share_seconds += math.fsum(
+        lent = math.fsum(
             one.share * max(0, min(now, one.until) - start)
             for one in self._loan_by_vm.values()
         )
+        # Never above 1 share: a VM that counted fewer VMs than there are lends
+        # more.
+        self._share_seconds += min(lent, now - start)
         self._settled_at = now
         ended = [
             vm for vm, loan in self._loan_by_vm.items() if loan.until <= now
@@ -143,5 +146,4 @@
 
     def total(self) -> float:
         """Return the sum of the shares when they were settled last."""
-        # Never above 1: a VM that counted fewer VMs than there are lends more.
         return min(1, math.fsum(one.share for one in self._loan_by_vm.values()))
--- a/nutmegstep/accounts/stock.py
+++ b/nutmegstep/accounts/stock.py
@@ -12,6 +12,9 @@
 _ANSWERED_SECONDS: Final = 5.0
 """Time after which an answer is of no use: its tokens have expired."""
 _RATE_SECONDS: Final = 1.0
+_MAX_DRY_SECONDS: Final = 1.0
+"""Longest time for which an owner that has no token is not asked; callers are told
+the time that it stated."""
 _AHEAD_SHARE: Final = 0.5
 """Share of the requests expected within the lifetime of a token that are asked for
 ahead. Tokens that expire unused are lost to the account."""
@@ -34,6 +37,7 @@
         self._expiries: deque[float] = deque()
         self._questions: set[tuple[int, float]] = set()
         self._dry_until = [-math.inf for _ in range(SLICES)]
+        self._returns_at = [-math.inf for _ in range(SLICES)]
         self._is_exhausted = [False for _ in range(SLICES)]
         self._recent = float(0)
         self._recent_at = -math.inf
@@ -65,6 +69,14 @@
         self._questions.discard(question)
         return is_first
 
+    def forget_unanswered(self, asked_before: float) -> None:
+        """Drop questions that were asked before some time, without a mark."""
+        self.asked_at_by_slice = {
+            number: asked_at
+            for number, asked_at in self.asked_at_by_slice.items()
+            if asked_at >= asked_before
+        }
+
     def add(self, tokens: int, expires_at: float) -> None:
         """Store tokens that were handed out to this VM."""
         self._expiries.extend(repeat(expires_at, tokens))
@@ -82,7 +94,7 @@
         self._expiries.appendleft(expires_at)
 
     def mark_dry(
-        self, slice_number: int, until: float, *, is_exhausted: bool
+        self, slice_number: int, until: float, now: float, *, is_exhausted: bool
     ) -> None:
         """Ask the owner of a slice no more until some time.
 
@@ -90,14 +102,23 @@
         ----------
         slice_number : int
             The slice.
-        until : float
-            Monotonic time in seconds.
+        until, now : float
+            Monotonic times in seconds.
         is_exhausted : bool
-            Whether the owner said that it has no token; else it did not answer.
+            Whether the owner said that it has no token, and one at that time; else
+            it did not answer. It is asked again before that, as its share or the
+            limit may have grown.
         """
-        self._dry_until[slice_number] = until
+        asked_again_at = now + _MAX_DRY_SECONDS if is_exhausted else until
+        self._dry_until[slice_number] = min(until, asked_again_at)
+        self._returns_at[slice_number] = until
         self._is_exhausted[slice_number] = is_exhausted
 
+    def clear_silence(self, slice_number: int) -> None:
+        """Ask the owner of a slice again, as it has answered after all."""
+        if not self._is_exhausted[slice_number]:
+            self._dry_until[slice_number] = -math.inf
+
     def is_dry(self, slice_number: int, now: float) -> bool:
         """Return whether the owner of a slice has no token now."""
         return now < self._dry_until[slice_number]
@@ -115,7 +136,7 @@
             (
                 until
                 for until, is_exhausted in zip(
-                    self._dry_until, self._is_exhausted, strict=True
+                    self._returns_at, self._is_exhausted, strict=True
                 )
                 if is_exhausted
             ),
--- a/nutmegstep/dispatch/account_limits.py
+++ b/nutmegstep/dispatch/account_limits.py
@@ -2,8 +2,8 @@
 
 A request of an account with a limit needs a token. The VM uses one that it has, or
 asks the owners of the slices one after the other, which takes some milliseconds. If
-all owners say that they have none, the request is refused at once, and so are later
-ones until the first token returns, without a question.
+an owner says that it has none and no other one has any, the request is refused at
+once, and so are later ones until the owners are asked again.
 """
 
 import math
@@ -51,7 +51,8 @@
         return serve(state, open_request, now)
     stock = state.account_limits.stock_of(account.name)
     stock.record_request(now)
-    if not stock.waiting:
+    if not _waiting(state, stock):
+        stock.forget_unanswered(now - _ANSWER_SECONDS)
         expires_at = stock.take(now)
         if expires_at is None:
             expires_at = _take_owned(state, account, stock, now)
@@ -77,7 +78,9 @@
     for number, asked_at in tuple(stock.asked_at_by_slice.items()):
         if now >= asked_at + _ANSWER_SECONDS:
             stock.asked_at_by_slice.pop(number)
-            stock.mark_dry(number, now + _SILENT_SECONDS, is_exhausted=False)
+            stock.mark_dry(
+                number, now + _SILENT_SECONDS, now, is_exhausted=False
+            )
             inputs = _inputs(state, account, number, now - asked_at)
             effects.append(Decision('tokens_not_answered', '', inputs))
     if now >= open_request.awaits_token_until:
@@ -101,6 +104,7 @@
     if not stock.accept(number, event.asked_at):
         # A datagram may come twice.
         return []
+    stock.clear_silence(number)
     stock.add(event.tokens, event.asked_at + _lifetime(state, account))
     if not event.tokens:
         _record_dry(stock, event, now)
@@ -196,18 +200,22 @@
 ) -> float | None:
     """Take a token of a slice that this VM owns itself."""
     for number in state.account_limits.owned_by_slice:
+        if stock.is_dry(number, now):
+            continue
         grant = grant_tokens(state, account, number, 1, now)
         if grant is not None and grant.tokens:
             return now + _lifetime(state, account)
         if grant is not None:
-            stock.mark_dry(number, now + grant.wait, is_exhausted=True)
+            stock.mark_dry(number, now + grant.wait, now, is_exhausted=True)
     return None
 
 
 def _record_dry(stock: TokenStock, event: TokensGranted, now: float) -> None:
     is_exhausted = event.wait is not None
     wait = _SILENT_SECONDS if event.wait is None else event.wait
-    stock.mark_dry(event.slice_number, now + wait, is_exhausted=is_exhausted)
+    stock.mark_dry(
+        event.slice_number, now + wait, now, is_exhausted=is_exhausted
+    )
 
 
 def _refuse(
--- a/nutmegstep/dispatch/account_state.py
+++ b/nutmegstep/dispatch/account_state.py
@@ -13,9 +13,10 @@
 
 __all__ = ['AccountLimits', 'Candidacy']
 
-_JOIN_SECONDS: Final = 60.0
-"""Time after which all VMs have counted a new one; they read the registry at least
-every 50 s. Its share is a part of theirs until then."""
+_READ_SECONDS: Final = 50.0
+"""Longest time between two reads of the registry. A VM that has been added is
+counted by all others after it and after the loans of larger shares are over."""
+_MIN_JOIN_SECONDS: Final = 60.0
 _FIRST_START_SECONDS: Final = 3.0
 """The same when all VMs start together and two reads have found the same ones. All
 entries are written before the first read."""
@@ -82,8 +83,9 @@
     stock_by_account: dict[str, TokenStock] = field(default_factory=dict)
     _first_counted_at: float = math.inf
     _counted_at: float = -math.inf
-    _join_seconds: float = _JOIN_SECONDS
+    _join_seconds: float = _MIN_JOIN_SECONDS
     _equal_reads: int = 0
+    _has_share: bool = False
     _names: frozenset[str] = frozenset()
 
     def record_count(
@@ -101,11 +103,16 @@
         """
         if not names:
             return
-        self._join_seconds = _JOIN_SECONDS
-        if is_counted:
-            self._join_seconds = loan_seconds(len(names)) + _MARGIN_SECONDS
-        if not self._names:
+        is_stale = now > self._counted_at + _MAX_COUNT_AGE_SECONDS
+        if is_stale:
             self._first_counted_at = now
+            self._has_share = False
+        if not self._names or is_stale:
+            # After a long outage of the store the others may have forgotten this
+            # VM, and this one has forgotten them.
+            self._join_seconds = _join_seconds(
+                len(names), is_counted and not self._names
+            )
         self._equal_reads += 1
         self._counted_at = now
         if names == self._names:
@@ -120,11 +127,10 @@
         """Return whether all VMs leave this one a share of the limits."""
         if now > self._counted_at + _MAX_COUNT_AGE_SECONDS:
             return False
-        passed = now - self._first_counted_at
-        if self.is_first_start and passed < self._join_seconds:
-            is_stable = self._equal_reads >= _FIRST_START_READS
-            return is_stable and passed >= _FIRST_START_SECONDS
-        return passed >= self._join_seconds
+        # A share that has counted is kept: one that is counted anew with more VMs
+        # is only smaller.
+        self._has_share = self._has_share or self._is_joined(now)
+        return self._has_share
 
     def stock_of(self, account: str) -> TokenStock:
         """Return the tokens of an account at this VM."""
@@ -147,3 +153,18 @@
         ]
         for name in gone:
             self.stock_by_account.pop(name)
+
+    def _is_joined(self, now: float) -> bool:
+        passed = now - self._first_counted_at
+        if self.is_first_start and passed < self._join_seconds:
+            is_stable = self._equal_reads >= _FIRST_START_READS
+            return is_stable and passed >= _FIRST_START_SECONDS
+        return passed >= self._join_seconds
+
+
+def _join_seconds(vm_count: int, is_counted: bool) -> float:
+    """Return the time after the first read in which this VM lends nothing."""
+    loans = loan_seconds(vm_count) + _MARGIN_SECONDS
+    return (
+        loans if is_counted else max(_MIN_JOIN_SECONDS, _READ_SECONDS + loans)
+    )
--- a/nutmegstep/dispatch/delegation.py
+++ b/nutmegstep/dispatch/delegation.py
@@ -161,6 +161,8 @@
         )
     state.coordinator_health.record_success(delegation.address)
     record_substitute_answer(state, open_request, event.reply.status, now)
+    if event.reply.promises_not_run and not event.reply.signature:
+        state.account_limits.return_token(open_request)
     target = state.registry.by_id.get(event.target_id)
     notices: list[Effect] = []
     if target is not None:
--- a/nutmegstep/gateway/vm_registration.py
+++ b/nutmegstep/gateway/vm_registration.py
@@ -9,11 +9,13 @@
 from typing import Final
 
 from returns.pipeline import is_successful
+from returns.result import Result
 
 from nutmegstep.clock import Clock
 from nutmegstep.coordinators import choose_coordinators
 from nutmegstep.dispatch.control_events import VmsCounted
 from nutmegstep.gateway.adapter import Store
+from nutmegstep.platform_api.records import PlatformFailure
 from nutmegstep.relay import RelayChoice, choose_relays
 from nutmegstep.store_watch import StoreAvailability
 from nutmegstep.store_watch.vm_registry import (
@@ -159,8 +161,7 @@
         )
         written = await self._store.put_vm(self._name, entry)
         if self._had_entry is None:
-            # After a failure, an entry may be that of this process.
-            self._had_entry = bool(written.value_or(False))
+            self._had_entry = _read_had_entry(written)
         if not is_successful(written):
             fields = {'detail': written.failure().detail}
             _LOG.warning('entry of this VM not written', extra=fields)
@@ -201,3 +202,14 @@
             [entry.address for entry in neighbours.values()],
         )
         return True
+
+
+def _read_had_entry(written: Result[bool, PlatformFailure]) -> bool | None:
+    """Return whether there was an entry before the first write of this process.
+
+    A write that may have taken effect hides it for good; one that has done nothing
+    leaves it to the next write.
+    """
+    if is_successful(written):
+        return written.unwrap()
+    return False if written.failure().may_have_applied else None
--- a/tests/accounts/test_stock.py
+++ b/tests/accounts/test_stock.py
@@ -48,14 +48,67 @@
 def test_token_returns_when_the_first_owner_has_one() -> None:
     """Guards against a time to return that an owner which did not answer gave."""
     stock = TokenStock()
-    stock.mark_dry(0, 20, is_exhausted=True)
-    stock.mark_dry(1, 15, is_exhausted=True)
-    stock.mark_dry(2, 10.5, is_exhausted=False)
+    stock.mark_dry(0, 20, 10, is_exhausted=True)
+    stock.mark_dry(1, 15, 10, is_exhausted=True)
+    stock.mark_dry(2, 10.5, 10, is_exhausted=False)
     assert stock.is_exhausted(10)
     assert stock.returns_at() == 15
     assert not stock.is_exhausted(25)
 
 
+def test_owner_without_a_token_is_asked_again_before_it_has_one() -> None:
+    """Guards against refusals for a minute after a limit was raised, or after
+    a new owner stated the wait that its first few shares allow.
+    """
+    stock = TokenStock()
+    stock.mark_dry(0, 60, 0, is_exhausted=True)
+    assert stock.is_dry(0, 0.9)
+    assert not stock.is_dry(0, 1)
+    assert stock.returns_at() == 60
+
+
+def test_late_answer_ends_the_silence_of_an_owner() -> None:
+    """Guards against half a second of refusals at a VM whose owners all answer a
+    little late.
+    """
+    stock = TokenStock()
+    stock.mark_dry(0, 0.5, 0, is_exhausted=False)
+    stock.mark_dry(1, 0.5, 0, is_exhausted=True)
+    stock.clear_silence(0)
+    stock.clear_silence(1)
+    assert not stock.is_dry(0, 0.1)
+    assert stock.is_dry(1, 0.1)
+
+
+def test_questions_of_callers_that_left_are_dropped() -> None:
+    """Guards against owners that are never asked again, as the callers left before
+    an answer that was lost.
+    """
+    stock = TokenStock()
+    stock.record_question(0, 1)
+    stock.record_question(1, 2)
+    stock.forget_unanswered(1.5)
+    assert stock.asked_at_by_slice == {1: 2}
+    assert not stock.is_dry(0, 2)
+
+
+def test_shares_that_never_make_up_a_token_own_nothing() -> None:
+    """Guards against a VM that is cut off and tells callers a time at which its
+    share of a limit would have a token, which it never has.
+    """
+    owned = OwnedSlice(0)
+    owned.shares.borrow('vm-1', 1 / 66, until=100, now=0)
+    assert owned.grant(_bound(20, 20), 1, now=90) is None
+
+
+def test_shares_that_were_counted_too_large_mint_no_more_than_one() -> None:
+    """Guards against a sum over the limit while VMs count too few others."""
+    owned = OwnedSlice(0)
+    for number in range(5):
+        owned.shares.borrow(f'vm-{number}', 1, until=100, now=0)
+    assert owned.shares.settle(10) == pytest.approx(10)
+
+
 def test_new_owner_begins_with_an_empty_bucket() -> None:
     """Guards against a burst that each restart of an owner allows again."""
     owned = OwnedSlice(0)
--- a/tests/gateway/test_vm_registration.py
+++ b/tests/gateway/test_vm_registration.py
@@ -178,3 +178,57 @@
     await asyncio.sleep(0)
     task.cancel()
     assert {one.count for one in counts} == {22}
+
+
+class _BusyStore(_Store):
+    """Store that turns the first write away."""
+
+    def __init__(self, *, may_have_applied: bool) -> None:
+        super().__init__()
+        self.entries['vm-1'] = _OWN
+        self._may_have_applied = may_have_applied
+        self._is_first = True
+
+    async def put_vm(
+        self, name: str, entry: VmEntry
+    ) -> Result[bool, PlatformFailure]:
+        if self._is_first:
+            self._is_first = False
+            kind = PlatformFailureKind.UNAVAILABLE
+            failure = PlatformFailure(kind, 'busy', self._may_have_applied)
+            return Failure(failure)
+        return Success(name in self.entries)
+
+
+@pytest.mark.parametrize('may_have_applied', [False, True])
+async def test_write_that_did_nothing_hides_no_entry(
+    monkeypatch: pytest.MonkeyPatch, may_have_applied: bool
+) -> None:
+    """Guards against a restarted VM that takes itself for a new one, since the
+    store turned its first write away. It would lend no share of the limits of
+    accounts for a minute, and with it all others that were restarted.
+    """
+    monkeypatch.setattr(
+        'nutmegstep.gateway.vm_registration._RETRY_DELAY',
+        timedelta(milliseconds=5),
+    )
+    counts: list[VmsCounted] = []
+    counted = asyncio.Event()
+
+    def record(event: VmsCounted) -> None:
+        counts.append(event)
+        counted.set()
+
+    registrar = VmRegistrar(
+        _BusyStore(may_have_applied=may_have_applied),
+        SystemClock(),
+        'vm-1',
+        _OWN,
+        VmCallbacks(record, lambda choice: None, lambda addresses: None),
+        is_first_start=False,
+    )
+    availability = StoreAvailability(SystemClock(), lambda: None)
+    task = asyncio.create_task(registrar.run(availability, Random(1)))
+    await asyncio.wait_for(counted.wait(), 5)
+    task.cancel()
+    assert counts[0].is_counted is not may_have_applied
