Mend what the review of callers' bounds and of roll-outs found

The version of an order became the old one when the old targets were gone, and took over without an order in the same case; a VM served before it had read the orders; evidence counted twice when a report was overtaken or left rows out; a reload changed the exposure in part. Change: a closing connection counts no receive buffer, and only a smaller size is settled after giving up; a busy connection is answered and then closed; the parser's rest is charged. The running version stays known for 10 s; readiness waits for the orders; overtaken reports are left out and omitted rows kept; a reload leaves the exposure as it is.

--- a/nutmegstep/dispatch/arrivals.py
+++ b/nutmegstep/dispatch/arrivals.py
@@ -56,8 +56,7 @@
     if declined:
         return declined
     configuration = state.configuration
-    is_ready = configuration is not None and state.has_targets
-    if configuration is None or not is_ready or now < state.refresh_until:
+    if configuration is None or not state.is_ready or now < state.refresh_until:
         return _refuse_not_ready(request)
     route = match_route(configuration, request.host, request.path)
     if route is None:
--- a/nutmegstep/dispatch/rollout_control.py
+++ b/nutmegstep/dispatch/rollout_control.py
@@ -46,6 +46,7 @@
     state: DispatchState, event: RolloutsListed, now: float
 ) -> list[Effect]:
     """Replace all orders; forget those that are not listed."""
+    state.rollouts.is_listed = True
     listed = {one.service for one in event.orders}
     for service in tuple(state.rollouts.by_service):
         if service not in listed:
--- a/nutmegstep/dispatch/rollout_decider.py
+++ b/nutmegstep/dispatch/rollout_decider.py
@@ -75,13 +75,17 @@
 ) -> None:
     """Add what a report says beyond the previous one of the same process.
 
-    Reports hold all answers since the order, so a lost one costs nothing.
+    Reports hold all answers since the order, so a lost one costs nothing. One that
+    was overtaken by a newer one is left out, and rows that a long report omits keep
+    what earlier ones said.
     """
     known, _ = rollout.report_by_vm.get(sender, (None, 0))
-    rollout.report_by_vm[sender] = (report, now)
     rollout.ordered_at = min(rollout.ordered_at, now - report.age)
     if known is None or known.epoch != report.epoch:
         known = replace(report, old_good=0, old_bad=0, rows=())
+    elif report.age < known.age:
+        return
+    rollout.report_by_vm[sender] = (_merge_rows(known, report), now)
     rollout.pooled.add_old(
         max(0, report.old_good - known.old_good),
         max(0, report.old_bad - known.old_bad),
@@ -101,6 +105,14 @@
             )
 
 
+def _merge_rows(known: RolloutReport, report: RolloutReport) -> RolloutReport:
+    stated = {(row.target_id, row.route) for row in report.rows}
+    omitted = tuple(
+        row for row in known.rows if (row.target_id, row.route) not in stated
+    )
+    return replace(report, rows=(*report.rows, *omitted))
+
+
 def send_report(
     state: DispatchState, rollout: Rollout, now: float
 ) -> list[Effect]:
--- a/nutmegstep/dispatch/rollout_state.py
+++ b/nutmegstep/dispatch/rollout_state.py
@@ -19,6 +19,10 @@
 _RAMP_SHARE: Final = 0.3
 """Share of the first sends that go to the new version during the ramp."""
 
+_KEEP_SECONDS: Final = 10.0
+"""Time for which the running version of a service stays known while no target of it
+is announced. Targets of a service that crash together are back before."""
+
 _Targets = tuple[TargetRecord, ...]
 
 
@@ -38,15 +42,19 @@
         Bound on the requests to a bad version.
     by_service : dict
         Roll-outs by service.
+    is_listed : bool
+        Whether the orders have been read.
     """
 
     def __init__(self, random: Callable[[], float]) -> None:
         self.limits: ExposureLimits | None = None
         self.by_service: dict[str, Rollout] = {}
+        self.is_listed = False
         self._epoch: int | None = None
         self._random = random
         self._running_by_service: dict[str, tuple[_Targets, str]] = {}
         self._usual_by_service: dict[str, tuple[_Targets, _Targets]] = {}
+        self._missing_since_by_service: dict[str, float] = {}
 
     @property
     def epoch(self) -> int:
@@ -114,9 +122,9 @@
             return True
         rollout = self.by_service.get(target.service)
         if rollout is None:
-            return target.version == self.running_version(targets)
+            return target.version == self.running_version(targets, now)
         if not rollout.old_version:
-            rollout.old_version = self._old_version(rollout.order, targets)
+            rollout.old_version = self._old_version(rollout.order, targets, now)
         if rollout.phase_in_force(now) in {Phase.MOVED, Phase.COMPLETED}:
             # Old targets do for a service whose new ones have all gone.
             return rollout.is_new(target) or not any(
@@ -146,7 +154,7 @@
             return (targets,)
         rollout = self.by_service.get(service)
         if rollout is None:
-            return (self._usual_targets(service, targets),)
+            return (self._usual_targets(service, targets, now),)
         usual = tuple(one for one in targets if self.is_open(one, targets, now))
         if not is_first:
             return (usual,)
@@ -167,11 +175,12 @@
         if rollout.is_new(target):
             rollout.credit -= 1
 
-    def running_version(self, targets: _Targets) -> str:
+    def running_version(self, targets: _Targets, now: float) -> str:
         """Return the version of a service without an order.
 
-        It is the one that ran before others were announced, or else that of most
-        targets, of equally many the one that started first.
+        It is the one that ran before others were announced, also for some time
+        in which all its targets are gone. Without a known one it is that of the
+        target that started first.
         """
         if not targets:
             return ''
@@ -180,23 +189,45 @@
         if known_targets is targets:
             return known
         versions = [one.version for one in targets]
+        if known and known not in versions:
+            since = self._missing_since_by_service.setdefault(service, now)
+            if now < since + _KEEP_SECONDS:
+                return known
         if known not in versions:
             known = min(targets, key=_usual_first(versions)).version
+        self._missing_since_by_service.pop(service, None)
         self._running_by_service[service] = (targets, known)
         return known
 
-    def _usual_targets(self, service: str, targets: _Targets) -> _Targets:
+    def _usual_targets(
+        self, service: str, targets: _Targets, now: float
+    ) -> _Targets:
         known = self._usual_by_service.get(service)
         if known is not None and known[0] is targets:
             return known[1]
-        running = self.running_version(targets)
+        running = self.running_version(targets, now)
         usual = tuple(one for one in targets if one.version == running)
-        self._usual_by_service[service] = (targets, usual)
+        if usual:
+            # Without one, the running version may change although they do not.
+            self._usual_by_service[service] = (targets, usual)
         return usual
 
-    def _old_version(self, order: RolloutOrder, targets: _Targets) -> str:
+    def _old_version(
+        self, order: RolloutOrder, targets: _Targets, now: float
+    ) -> str:
+        """Return the version to which the order is an alternative.
+
+        It is the one that ran before, also if its targets have crashed. A VM that
+        starts when only the version of the order is announced takes that one, unless
+        the order was taken back.
+        """
+        _, known = self._running_by_service.get(order.service, ((), ''))
+        if known:
+            return known
         others = tuple(one for one in targets if one.version != order.version)
-        return self.running_version(others) if others else order.version
+        if others:
+            return self.running_version(others, now)
+        return '' if order.outcome is Outcome.REVERTED else order.version
 
     def _tried_targets(
         self, rollout: Rollout, targets: Iterable[TargetRecord], now: float
@@ -220,7 +251,7 @@
     versions: list[str],
 ) -> Callable[[TargetRecord], tuple[int, int, str]]:
     return lambda one: (
-        -versions.count(one.version),
         one.started_ms,
+        -versions.count(one.version),
         one.version,
     )
--- a/nutmegstep/dispatch/state.py
+++ b/nutmegstep/dispatch/state.py
@@ -164,8 +164,10 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether a configuration and a list of targets have been read."""
-        return self.configuration is not None and self.has_targets
+        """Whether all has been read without which a target may not be chosen."""
+        has_orders = self.rollouts.limits is None or self.rollouts.is_listed
+        has_targets = self.has_targets and has_orders
+        return self.configuration is not None and has_targets
 
     @property
     def has_lost_targets(self) -> bool:
--- a/nutmegstep/gateway/process_parts.py
+++ b/nutmegstep/gateway/process_parts.py
@@ -271,6 +271,10 @@
             return
         waiting = names_waiting(self.settings, settings)
         self.settings = settings
-        self.state.replace_limits(dispatch_limits(settings))
+        # The watch of orders is started with the process.
+        limits = replace(
+            dispatch_limits(settings), exposure=self.state.limits.exposure
+        )
+        self.state.replace_limits(limits)
         self.state.account_limits.tolerance = limit_tolerance(settings)
         _LOG.info('settings reloaded', extra={'after_restart': waiting})
--- a/nutmegstep/web/charges.py
+++ b/nutmegstep/web/charges.py
@@ -103,10 +103,12 @@
         return self.settle()
 
     def _on_give_up(self) -> None:
-        # A peer that has read its answer meanwhile has nothing to give up.
-        if self._size() > CONNECTION_BYTES:
+        # A peer that reads its answer has less than it is charged for.
+        if self._size() >= self._holding.size:
             self._give_up()
-        self.settle()
+        # Only a smaller size: making room for a larger one would begin anew.
+        if self._size() < self._holding.size:
+            self.settle()
 
     def _size(self) -> int:
         size = (
@@ -115,6 +117,7 @@
             + self._reader.held_bytes
             + self._transport.get_write_buffer_size()
         )
-        if self._transport.is_reading():
+        # A transport that is closing counts as one that is not read.
+        if self._transport.is_reading() or self._transport.is_closing():
             return size
         return size + RECEIVE_BUFFER_BYTES
--- a/nutmegstep/web/cycle.py
+++ b/nutmegstep/web/cycle.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import math
-from dataclasses import replace
 from typing import Final
 
 from nutmegstep.web.charges import ConnectionCharge
 from nutmegstep.web.faults import log_fault
-from nutmegstep.web.messages import HttpRequest, HttpResponse
+from nutmegstep.web.messages import (
+    HttpRequest,
+    HttpResponse,
+    with_retry_after,
+)
 from nutmegstep.web.phases import (
     INCOMPLETE,
     READING,
@@ -27,7 +30,6 @@
 _STATUS_INTERNAL_ERROR: Final = 500
 _STATUS_TIMEOUT: Final = 408
 _STATUS_UNAVAILABLE: Final = 503
-_RETRY_AFTER: Final = 'retry-after'
 _LINGER_S: Final = 2
 """Time after the last response for the peer to close the connection."""
 
@@ -115,8 +117,7 @@
     def time_out(self) -> None:
         """Handle the expiry of `deadline`.
 
-        An incomplete request gets status 408; otherwise the connection is
-        aborted.
+        An incomplete request gets status 408; any other connection is aborted.
         """
         if self.phase in INCOMPLETE and not self.write_paused:
             self._send_error(_STATUS_TIMEOUT)
@@ -127,13 +128,19 @@
         """Free what the connection holds, because the account is full.
 
         A request that has not been read completely is refused: it has not run.
+        One that is being handled is answered, after which the connection ends.
         Otherwise the connection is aborted.
         """
+        if self.phase is Phase.BUSY:
+            self._over_limit = True
+            self._transport.pause_reading()
+            return
         self._server.shared.on_closed(CloseReason.MEMORY)
         is_unread = self.phase in INCOMPLETE or self.phase is Phase.IDLE
         if is_unread and not self._transport.get_write_buffer_size():
             self._send_error(_STATUS_UNAVAILABLE)
         else:
+            self._reader.drop()
             self._transport.abort()
 
     def cancel(self) -> None:
@@ -254,17 +261,11 @@
         if self.phase is not Phase.SKIPPING:
             response = self._server.error_response(status, self._reader.headers)
             if status == _STATUS_UNAVAILABLE:
-                response = self._with_retry_after(response)
+                seconds = self._server.limits.retry_after_seconds
+                response = with_retry_after(response, seconds)
             self._write(response, close=True)
         self._linger()
 
-    def _with_retry_after(self, response: HttpResponse) -> HttpResponse:
-        if any(name.lower() == _RETRY_AFTER for name, _ in response.headers):
-            return response
-        seconds = f'{self._server.limits.retry_after_seconds:.3f}'
-        header = (_RETRY_AFTER, seconds)
-        return replace(response, headers=(*response.headers, header))
-
     def _write(self, response: HttpResponse, close: bool) -> None:
         try:
             encoded = self._reader.encode(response, close)
@@ -278,9 +279,8 @@
         log_fault(message, error, self._server.id_header, self._reader.headers)
 
     def _linger(self) -> None:
-        # Lingering close: closing a socket with unread bytes makes the kernel
-        # send a reset, and the peer may then lose a response that it has not
-        # read yet.
+        # Closing a socket with unread bytes makes the kernel send a reset, and
+        # the peer may then lose a response that it has not read yet.
         self._reader.drop()
         unsent = self._transport.get_write_buffer_size() > 0
         limits = self._server.limits
--- a/nutmegstep/web/heads.py
+++ b/nutmegstep/web/heads.py
@@ -6,7 +6,7 @@
 
 from nutmegstep.web.messages import HttpLimits
 
-__all__ = ['head_size', 'new_parser']
+__all__ = ['encode_text', 'head_size', 'new_parser']
 
 _HEADER_LINE_OVERHEAD: Final = 4
 """Bytes of a header line besides name and value: colon, space, CR and LF."""
@@ -26,3 +26,8 @@
     return h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.head_bytes
     )
+
+
+def encode_text(text: str | bytes) -> bytes:
+    """Encode a header; the inverse of the decoding in `RequestReader.request`."""
+    return text if isinstance(text, bytes) else text.encode('latin-1')
--- a/nutmegstep/web/messages.py
+++ b/nutmegstep/web/messages.py
@@ -1,7 +1,8 @@
 """Requests, responses, limits and callback types of the HTTP server."""
 
 from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Final
 
 __all__ = [
     'EncodedResponse',
@@ -12,8 +13,11 @@
     'HttpRequest',
     'HttpResponse',
     'RequestHead',
+    'with_retry_after',
 ]
 
+_RETRY_AFTER: Final = 'retry-after'
+
 
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
@@ -174,3 +178,11 @@
 """Builds the response to a request that is invalid, incomplete in time or over
 a limit, or whose handler failed. Its arguments are the status code and the
 headers of the request, which are empty if the head is not complete."""
+
+
+def with_retry_after(response: HttpResponse, seconds: float) -> HttpResponse:
+    """Return a response that says when to come back, unless it does already."""
+    if any(name.lower() == _RETRY_AFTER for name, _ in response.headers):
+        return response
+    header = (_RETRY_AFTER, f'{seconds:.3f}')
+    return replace(response, headers=(*response.headers, header))
--- a/nutmegstep/web/reader.py
+++ b/nutmegstep/web/reader.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from nutmegstep.web.heads import head_size, new_parser
+from nutmegstep.web.heads import encode_text, head_size, new_parser
 from nutmegstep.web.messages import (
     HttpLimits,
     HttpRequest,
@@ -98,7 +98,12 @@
     def held_bytes(self) -> int:
         """Memory that the current request and unparsed bytes take."""
         body = len(self._body)
-        return self._head_memory + self._received.held_bytes + body + body // 8
+        # Between the parts of a body the parser keeps lines that are not complete.
+        unparsed = (
+            0 if self._head is None else len(self._parser.trailing_data[0])
+        )
+        held = self._head_memory + self._received.held_bytes + unparsed
+        return held + body + body // 8
 
     def drop(self) -> None:
         """Forget what was received."""
@@ -220,7 +225,7 @@
             return b''
         length = str(len(response.body))
         headers = [
-            (name.encode(), _encode(text))
+            (name.encode(), encode_text(text))
             for name, text in (('Content-Length', length), *response.headers)
         ]
         if response.content_type:
@@ -293,8 +298,3 @@
         declared_length = int(self.headers.get(_CONTENT_LENGTH, b'0'))
         if declared_length > self._limits.body_bytes:
             raise InvalidRequestError(_STATUS_TOO_LARGE)
-
-
-def _encode(text: str | bytes) -> bytes:
-    # The inverse of the decoding in `RequestReader.request`.
-    return text if isinstance(text, bytes) else text.encode('latin-1')
--- a/tests/rollouts/fleet.py
+++ b/tests/rollouts/fleet.py
@@ -33,7 +33,7 @@
     SendFailureKind,
     TargetReplied,
 )
-from nutmegstep.dispatch.rollout_events import RolloutStored
+from nutmegstep.dispatch.rollout_events import RolloutsListed, RolloutStored
 from nutmegstep.dispatch.rollout_record import Rollout
 from nutmegstep.gateway.rollout_store import read_directive, read_report
 from nutmegstep.rollouts import ExposureLimits, Outcome, RolloutOrder
@@ -205,6 +205,7 @@
         for event in (
             VmsCounted(len(domains), len(domains) // 3, domain_by_vm=domains),
             ConfigurationChanged(configuration()),
+            RolloutsListed(()),
             TargetsListed(old),
             TargetsListed(both),
         ):
--- a/tests/rollouts/test_fleet.py
+++ b/tests/rollouts/test_fleet.py
@@ -148,3 +148,43 @@
         of_shard = fleet.sent_by_version['v1'] + fleet.sent_by_version['v2']
         bound = of_shard * _SHARE + _SLACK
         assert fleet.sent_by_version['v2'] <= bound
+
+
+def test_version_of_an_order_does_not_take_over_as_the_old_targets_crash() -> (
+    None
+):
+    """Guards against a version under trial that gets all traffic, also for good,
+    because the old targets were gone when the order was first looked at.
+    """
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    rollouts = fleet.states['vm-000'].rollouts
+    old, new = (tuple(targets_of(one).values()) for one in ('v1', 'v2'))
+    assert rollouts.running_version(old, START) == 'v1'
+    rollouts.put(fleet.order, START, 1)
+    assert not any(rollouts.is_open(one, new, START + 1) for one in new)
+    assert all(rollouts.is_open(one, old, START + 2) for one in old)
+
+
+def test_running_version_outlasts_a_crash_of_its_targets() -> None:
+    """Guards against a version that no order names and that takes over while all
+    targets of the running one are down for some seconds.
+    """
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    rollouts = fleet.states['vm-000'].rollouts
+    old, new = (tuple(targets_of(one).values()) for one in ('v1', 'v2'))
+    assert rollouts.running_version(old, START) == 'v1'
+    assert rollouts.running_version(new, START + 1) == 'v1'
+    assert rollouts.running_version(old, START + 5) == 'v1'
+    assert rollouts.running_version(new, START + 6) == 'v1'
+    assert rollouts.running_version(new, START + 17) == 'v2'
+
+
+def test_vm_serves_only_once_the_orders_are_read() -> None:
+    """Guards against a VM that starts and takes a version for the running one
+    before it knows of the order for it.
+    """
+    fleet = Fleet(7, 50, Behaviour(), seed=1)
+    state = fleet.states['vm-000']
+    assert state.is_ready
+    state.rollouts.is_listed = False
+    assert not state.is_ready
