Let restarted owners of limits poll at once, and lend for half as long

Change: a VM that the others counted before its start polls at once, with empty buckets; it lends after the loans of its process before are over. Polls come each half second, loans last 1.5 s, the next VM in the order polls after 2 s.

--- a/nutmegstep/accounts/lending.py
+++ b/nutmegstep/accounts/lending.py
@@ -21,8 +21,10 @@
     'poll_interval',
 ]
 
-_VMS_PER_POLL_SECOND: Final = 100
-_MIN_POLL_SECONDS: Final = 1.0
+_VMS_PER_POLL_SECOND: Final = 150
+_MIN_POLL_SECONDS: Final = 0.5
+"""Shares of an owner that was killed are with its successor after four polls; until
+then accounts have only the other slices."""
 _LENT_INTERVALS: Final = 3
 """Polls for which a share is lent; two of them may be lost."""
 _EARLY_SECONDS: Final = 0.1
--- a/nutmegstep/dispatch/account_owners.py
+++ b/nutmegstep/dispatch/account_owners.py
@@ -20,7 +20,7 @@
 """VMs that may own a slice. All of them are in the two other failure domains with
 a chance of 1 in 100."""
 _SILENT_POLLS: Final = 3
-_RANK_SECONDS: Final = 0.7
+_RANK_SECONDS: Final = 0.5
 """Time by which each further VM waits longer before it polls, so that the one
 before it is heard."""
 _POLL_TOLERANCE: Final = 0.1
@@ -38,7 +38,7 @@
     limits.retain(frozenset(accounts))
     if not any(one.is_limited for one in accounts.values()):
         return []
-    if not limits.has_counted_share(now):
+    if not limits.may_own(now):
         # A VM that the others do not know yet would follow itself only.
         return []
     effects: list[Effect] = []
@@ -138,7 +138,8 @@
         limits.owned_by_slice[number] = owned
         inputs = {'slice': number, 'rank': candidacy.rank}
         effects.append(Decision('limits_owned', '', inputs))
-    _borrow_own_share(state, owned, number, now)
+    if limits.has_counted_share(now):
+        _borrow_own_share(state, owned, number, now)
     others = tuple(
         name for name in state.domain_by_vm if name != state.own_name
     )
--- a/nutmegstep/dispatch/account_state.py
+++ b/nutmegstep/dispatch/account_state.py
@@ -21,7 +21,7 @@
 """The same when all VMs start together and two reads have found the same ones. All
 entries are written before the first read."""
 _FIRST_START_READS: Final = 2
-_MARGIN_SECONDS: Final = 0.5
+_MARGIN_SECONDS: Final = 0.2
 _MAX_COUNT_AGE_SECONDS: Final = 600.0
 """Age of the number of VMs from which this VM may no longer be counted by the
 others: its entry in the registry expires after 16 minutes."""
@@ -86,6 +86,7 @@
     _join_seconds: float = _MIN_JOIN_SECONDS
     _equal_reads: int = 0
     _has_share: bool = False
+    _is_counted: bool = False
     _names: frozenset[str] = frozenset()
 
     def record_count(
@@ -104,6 +105,7 @@
         if not names:
             return
         is_stale = now > self._counted_at + _MAX_COUNT_AGE_SECONDS
+        self._is_counted = is_counted and not (is_stale and self._names)
         if is_stale:
             self._first_counted_at = now
             self._has_share = False
@@ -123,6 +125,14 @@
             order = candidates(number, names | {own_name})
             candidacy.earlier = frozenset(order[: order.index(own_name)])
 
+    def may_own(self, now: float) -> bool:
+        """Return whether this VM may ask the others for their shares.
+
+        One that the others counted before it was started may at once: it begins
+        with empty buckets, and they lend to its name what they lent before.
+        """
+        return self._is_counted or self.has_counted_share(now)
+
     def has_counted_share(self, now: float) -> bool:
         """Return whether all VMs leave this one a share of the limits."""
         if now > self._counted_at + _MAX_COUNT_AGE_SECONDS:
