Derive the wait of a VM's share from one condition

Cause: record_count tested twice for the first read, which is_stale covers: before any read the count is infinitely old. Change: one branch, with the flag that has just been set; a comment in web/charges.py said the opposite of what is meant. Behaviour stays as it is. Result: test_account_state, test_account_limits and tests/web: 69 passed; mypy, format check and flake8 of both files clean.

--- a/nutmegstep/dispatch/account_state.py
+++ b/nutmegstep/dispatch/account_state.py
@@ -107,14 +107,11 @@
         is_stale = now > self._counted_at + _MAX_COUNT_AGE_SECONDS
         self._is_counted = is_counted and not (is_stale and self._names)
         if is_stale:
+            # The first read, or the first after a long outage of the store, in
+            # which the VMs may have forgotten each other.
             self._first_counted_at = now
             self._has_share = False
-        if not self._names or is_stale:
-            # After a long outage of the store the others may have forgotten this
-            # VM, and this one has forgotten them.
-            self._join_seconds = _join_seconds(
-                len(names), is_counted and not self._names
-            )
+            self._join_seconds = _join_seconds(len(names), self._is_counted)
         self._equal_reads += 1
         self._counted_at = now
         if names == self._names:
--- a/nutmegstep/web/charges.py
+++ b/nutmegstep/web/charges.py
@@ -117,7 +117,7 @@
             + self._reader.held_bytes
             + self._transport.get_write_buffer_size()
         )
-        # A transport that is closing counts as one that is not read.
+        # `is_reading` is False for a transport that is closing, too.
         if self._transport.is_reading() or self._transport.is_closing():
             return size
         return size + RECEIVE_BUFFER_BYTES
