Try requests again that were in flight on many crashed targets

Cause: three crash records that are not in a row refused content from a second after the first, unless it had run. In an outage of the service nothing can run, and content that is refused is never sent, so nothing could clear its records. Three crashes in a row did the same, and an outage whose targets end one after the other makes three in a row.

Evidence: content_refused lines of all seven VMs with crashes 1, all records with number 1, no later send.

Change: such content is restricted. The VMs take turns to send one request with it, every 4 s in the whole fleet and at the earliest 4 s after the latest crash; a run clears it everywhere, and only the crash of such a trial refuses it for 30 minutes. The turns need no messages. Attempts of a suspected query at one VM wait for each other.

Why it works: a refusal always leaves one request through that can end it, and the pause between two turns is longer than a crash needs to become known, so a request that does crash its targets costs one more.

--- a/nutmegstep/dispatch/content_crashes.py
+++ b/nutmegstep/dispatch/content_crashes.py
@@ -12,8 +12,17 @@
 CLEAR_SECONDS: Final = 1.0
 """Time in which a harmless request that is sent often runs on some target after
 many have crashed at once."""
+_TRIAL_SECONDS: Final = 4.0
+"""Time between the turns of two VMs to send a trial of restricted content."""
+_TURN_SECONDS: Final = 2.5
+"""Time in which a VM may send the trial of its turn; shorter than the time between
+turns by what the other VMs need to learn that its target has crashed."""
 _MAX_CRASHES: Final = 3
-"""Crashes in a row from which a request is refused."""
+"""Crashes in a row from which content is restricted. One more, in a trial, shows
+that the content is the cause."""
+_MAX_CONCURRENT_CRASHES: Final = 2
+"""Crashes, none of them known when the others happened, from which content is
+restricted."""
 _URGENT_SERVICES: Final = 3
 """Shards whose targets an unanswered request has lost before other VMs are told
 of it at once."""
@@ -58,6 +67,7 @@
 
     def __init__(self) -> None:
         self.by_record: dict[CrashRecord, Crash] = {}
+        self._next_trial_at = -math.inf
 
     @property
     def services(self) -> frozenset[str]:
@@ -87,26 +97,62 @@
         distinct = {one.generation or one.incarnation for one in known}
         return max(len(distinct), *(one.generation for one in known), 0)
 
-    def is_refused(self, now: float) -> bool:
-        """Return whether the content has crashed too many targets.
+    @property
+    def is_refused(self) -> bool:
+        """Whether a trial of the content has crashed its target as well."""
+        return self.count() > _MAX_CRASHES
+
+    def is_restricted(self, now: float) -> bool:
+        """Return whether the content may only be sent in trials.
 
         Crashes that were not in a row count as well if the content has not run
         for some time since: in a large fleet, many VMs send it before they
         learn of the first crash, and no target may be left for another send.
         """
-        if len(self.by_record) < _MAX_CRASHES and self.count() < _MAX_CRASHES:
+        crashes = self.count()
+        if crashes >= _MAX_CRASHES:
+            return crashes == _MAX_CRASHES
+        if len(self.by_record) - crashes + 1 < _MAX_CONCURRENT_CRASHES:
             return False
         first_seen_at = min(one.seen_at for one in self.by_record.values())
-        return self.count() >= _MAX_CRASHES or (
-            now >= first_seen_at + CLEAR_SECONDS
-        )
+        return now >= first_seen_at + CLEAR_SECONDS
+
+    def has_turn(self, now: float, position: int, senders: int) -> bool:
+        """Return whether a VM may send a trial of restricted content now.
+
+        The VMs take turns, the first one some seconds after the latest crash, as
+        the targets of an outage do not all crash at the same moment. Between two
+        turns none sends a trial, so that the next VM has learned of a crash in
+        the one before.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        position : int
+            Place of this VM in the order of the turns, from 0.
+        senders : int
+            Number of VMs that take turns.
+        """
+        latest_crash_at = max(one.seen_at for one in self.by_record.values())
+        begins = latest_crash_at + _TRIAL_SECONDS
+        if now < max(begins, self._next_trial_at):
+            return False
+        turn, in_turn = divmod(now - begins, _TRIAL_SECONDS)
+        is_own = turn % senders == position % senders
+        return is_own and in_turn < _TURN_SECONDS
+
+    def record_trial(self, now: float) -> None:
+        """Record that this VM has used its turn."""
+        self._next_trial_at = now + _TRIAL_SECONDS
 
     def add_loss(self, loss: Loss, now: float) -> None:
         """Add a crash that this VM has observed.
 
         It is not added if as many crashes in a row are known. If other shards
         have answered the request, only its crashes of the same shard are in a
-        row: it can be harmless there, and the others have another cause.
+        row: it can be harmless there, and the others have another cause. The one
+        that leads to a refusal is that of a trial.
         """
         answered = loss.open_request.answered
         lost = len(loss.open_request.lost_services)
@@ -116,6 +162,11 @@
                 known.publish_at = min(known.publish_at, now)
         service = loss.service if answered else None
         generation = self.count(loss.send_id, service) + 1
+        is_trial = loss.open_request.trial_generation is not None
+        if is_trial and (service is None or service in self.services):
+            generation = _MAX_CRASHES + 1
+        # An outage can end any number of targets one after the other.
+        generation = min(generation, _MAX_CRASHES + is_trial)
         if generation <= self.count():
             return
         crash = Crash(loss.at, loss.next_send_id)
--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -24,6 +24,9 @@
 from nutmegstep.verdict import Reason, refuse
 
 __all__ = [
+    'begin_trial',
+    'has_turn',
+    'is_barred',
     'is_being_checked',
     'is_refused',
     'is_suspected',
@@ -42,6 +45,12 @@
 
 _CHECK_SECONDS: Final = 0.05
 """Time in which most targets are known to listen or not."""
+_RESTRICTED_RETRY_SECONDS: Final = 1.5
+"""``Retry-After`` of restricted content; by then a VM has its turn to send a
+trial."""
+_RETRY_AFTER_SPREAD: Final = 0.5
+"""Share of ``Retry-After`` by which callers of restricted content return at
+different moments."""
 
 
 def record_loss(
@@ -104,13 +113,52 @@
     )
 
 
-def is_refused(
+def is_refused(state: DispatchState, open_request: OpenRequest) -> bool:
+    """Return whether a request has crashed too many targets in a row."""
+    return (
+        not state.crashes.is_empty
+        and state.crashes.find(open_request.content).is_refused
+    )
+
+
+def is_barred(
     state: DispatchState, open_request: OpenRequest, now: float
 ) -> bool:
-    """Return whether a request has crashed too many targets."""
-    return not state.crashes.is_empty and state.crashes.find(
-        open_request.content
-    ).is_refused(now)
+    """Return whether a request must not be sent, or sent again.
+
+    Restricted content is sent in trials only. A trial ends with the next crash.
+    """
+    if state.crashes.is_empty:
+        return False
+    crashes = state.crashes.find(open_request.content)
+    if crashes.is_refused:
+        return True
+    is_trial = open_request.trial_generation == crashes.count()
+    return crashes.is_restricted(now) and not is_trial
+
+
+def has_turn(
+    state: DispatchState, open_request: OpenRequest, now: float
+) -> bool:
+    """Return whether this VM may send a trial of a restricted request now."""
+    crashes = state.crashes.find(open_request.content)
+    return crashes.is_restricted(now) and crashes.has_turn(
+        now, state.position, state.vm_count
+    )
+
+
+def begin_trial(
+    state: DispatchState, open_request: OpenRequest, now: float
+) -> list[Effect]:
+    """Make a restricted request, which this VM has the turn to send, a trial."""
+    crashes = state.crashes.find(open_request.content)
+    crashes.record_trial(now)
+    open_request.trial_generation = crashes.count()
+    inputs = {
+        'content': open_request.content,
+        'crashes': open_request.trial_generation,
+    }
+    return [Decision('trial', open_request.request.attempt_id, inputs)]
 
 
 def refuse_crashing(
@@ -118,11 +166,20 @@
     open_request: OpenRequest,
 ) -> list[Effect]:
     """Refuse a request that has crashed too many targets."""
+    seconds = KEEP_SECONDS
+    detail = 'targets that ran this request have crashed'
+    if not is_refused(state, open_request):
+        spread = _RETRY_AFTER_SPREAD * state.random.random()
+        seconds = _RESTRICTED_RETRY_SECONDS * (1 + spread)
+        detail = (
+            'targets have crashed while this request was in flight; it is sent '
+            + 'again now and then'
+        )
     refusal = refuse(
         open_request.verdict,
         Reason.CRASHES_TARGETS,
-        'targets that ran this request have crashed',
-        retry_after=timedelta(seconds=KEEP_SECONDS),
+        detail,
+        retry_after=timedelta(seconds=seconds),
     )
     inputs = {
         'host': open_request.request.host,
@@ -152,7 +209,7 @@
         state.crashes.record_loss(loss, now)
     return [
         *log_evaluated(confirmed),
-        *_log_refused(state, now),
+        *_log_barred(state, now),
         *(PublishCrash(one) for one in state.crashes.take_unpublished(now)),
     ]
 
@@ -197,7 +254,7 @@
     state.crashes.replace_stored(
         event.records, now, state.next_send_id, state.phase_of('crashes')
     )
-    return _log_refused(state, now)
+    return _log_barred(state, now)
 
 
 def record_stored(
@@ -207,7 +264,7 @@
 ) -> list[Effect]:
     """Add a crash that a VM has published."""
     state.crashes.record_stored(event.record, now, state.next_send_id)
-    return _log_refused(state, now)
+    return _log_barred(state, now)
 
 
 def record_deleted(
@@ -220,15 +277,15 @@
     return []
 
 
-def _log_refused(state: DispatchState, now: float) -> list[Effect]:
+def _log_barred(state: DispatchState, now: float) -> list[Effect]:
     return [
         Decision(
-            'content_refused',
+            'content_refused' if is_for_good else 'content_restricted',
             '',
             {
                 'content': content,
                 'crashes': state.crashes.find(content).count(),
             },
         )
-        for content in state.crashes.take_refused(now)
+        for content, is_for_good in state.crashes.take_barred(now)
     ]
--- a/nutmegstep/dispatch/crashes.py
+++ b/nutmegstep/dispatch/crashes.py
@@ -6,6 +6,8 @@
 send such content to one target at a time, and refuse it if that one crashes too,
 and another one after it. Many targets that crash at once, as in a power cut,
 count as one: only a send that was made when a crash was known adds another.
+Content that was in flight on many of them is restricted: until it has run again,
+the VMs send it in trials only, one every few seconds in the whole fleet.
 """
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
@@ -49,7 +51,7 @@
 
     def __init__(self) -> None:
         self._crashes_by_content: dict[str, ContentCrashes] = {}
-        self._refused: set[str] = set()
+        self._barred: set[tuple[str, bool]] = set()
         self.awaits_copy = False
         self.deleted = DeletedRecords()
 
@@ -62,15 +64,21 @@
         """Return the crashes for which content is suspected."""
         return self._crashes_by_content.get(content, ContentCrashes())
 
-    def take_refused(self, now: float) -> list[str]:
-        """Return the content that is refused from now on."""
-        refused = {
-            content
+    def take_barred(self, now: float) -> list[tuple[str, bool]]:
+        """Return the content that is restricted or refused from now on.
+
+        Returns
+        -------
+        list of tuple of (str, bool)
+            Digest of the content, and whether it is refused.
+        """
+        barred = {
+            (content, known.is_refused)
             for content, known in self._crashes_by_content.items()
-            if known.is_refused(now)
+            if known.is_refused or known.is_restricted(now)
         }
-        added = refused - self._refused
-        self._refused = refused
+        added = barred - self._barred
+        self._barred = barred
         return sorted(added)
 
     def clear(
--- a/nutmegstep/dispatch/fleet.py
+++ b/nutmegstep/dispatch/fleet.py
@@ -71,6 +71,14 @@
             return max(1, self.coordinators.total)
         return max(1, self.vm_count - self.coordinators.total)
 
+    @property
+    def position(self) -> int:
+        """Place of this VM among all VMs, from 0; coordinators come first."""
+        choice = self.coordinators
+        if choice.is_coordinator:
+            return choice.rank
+        return choice.total + choice.rank
+
     def place_of(self, name: str) -> int:
         """Return the place of this VM on a ring of its peers.
 
--- a/nutmegstep/dispatch/sending.py
+++ b/nutmegstep/dispatch/sending.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from nutmegstep.discovery import TargetRecord
-from nutmegstep.dispatch.crash_control import is_refused
+from nutmegstep.dispatch.crash_control import is_barred
 from nutmegstep.dispatch.effects import Decision, Effect, SendRequest
 from nutmegstep.dispatch.requests import OpenRequest, Part, Send
 from nutmegstep.dispatch.selection import (
@@ -118,7 +118,7 @@
 ) -> Choice | None:
     if part.possible_runs >= open_request.route.attempts:
         return None
-    if is_refused(state, open_request, now):
+    if is_barred(state, open_request, now):
         return None
     return choose_target(state, part.service, now, part.tried_targets)
 
--- a/nutmegstep/dispatch/starting.py
+++ b/nutmegstep/dispatch/starting.py
@@ -7,7 +7,9 @@
 
 from nutmegstep.dispatch.completion import answer_if_due, refuse_open
 from nutmegstep.dispatch.crash_control import (
-    is_refused,
+    begin_trial,
+    has_turn,
+    is_barred,
     is_suspected,
     refuse_crashing,
 )
@@ -41,7 +43,8 @@
     It is refused if it has crashed too many targets, or if too few shards have
     a usable target for an answer.
     """
-    if is_refused(state, open_request, now):
+    is_trial = is_barred(state, open_request, now)
+    if is_trial and not has_turn(state, open_request, now):
         return refuse_crashing(state, open_request)
     lacking = _lacking_services(state, open_request, now)
     covered = len(open_request.parts) - len(lacking)
@@ -55,6 +58,7 @@
             forwarded = _forward_unreached(state, open_request, lacking, now)
         return forwarded or _refuse_uncovered(state, open_request, wait, now)
     return [
+        *(begin_trial(state, open_request, now) if is_trial else ()),
         *_send_parts(state, open_request, now),
         *answer_if_due(state, open_request, now),
     ]
--- a/nutmegstep/dispatch/trials.py
+++ b/nutmegstep/dispatch/trials.py
@@ -9,8 +9,8 @@
 from typing import Final
 
 from nutmegstep.dispatch.crash_control import (
+    is_barred,
     is_being_checked,
-    is_refused,
     is_suspected,
 )
 from nutmegstep.dispatch.effects import Effect
@@ -45,7 +45,7 @@
     held = open_request.held_parts
     if not held:
         return []
-    if is_refused(state, open_request, now):
+    if is_barred(state, open_request, now):
         for refused in held:
             refused.is_failed = True
         held.clear()
@@ -69,9 +69,19 @@
         return True
     if open_request.has_pending_sends or not open_request.can_be_answered:
         return False
+    if _is_tried(state, open_request.content):
+        return False
     return not is_being_checked(state, open_request, now)
 
 
+def _is_tried(state: DispatchState, content: str) -> bool:
+    """Return whether a target may be running another request of the content."""
+    return any(
+        send.open_request.content == content
+        for send in state.sends_by_id.values()
+    )
+
+
 def _choose_index(
     state: DispatchState, open_request: OpenRequest, now: float
 ) -> int:
--- a/tests/dispatch/test_crashing_fleet.py
+++ b/tests/dispatch/test_crashing_fleet.py
@@ -11,6 +11,7 @@
 _TRIALS = 3
 _LEARN_SECONDS = 0.05
 """Time from a crash until all VMs know of it."""
+_FREQUENT_PER_SECOND = 45
 _DOMAINS = ('north', 'south', 'west')
 
 
@@ -67,3 +68,24 @@
     assert fleet.crashed_at
     assert not fleet.refused_paths
     assert not fleet.waiting
+
+
+@pytest.mark.parametrize('crash_seconds', [0, 0.1, 0.5, 2])
+@pytest.mark.parametrize('path', ['/fetch/latest', '/sweep/latest'])
+@pytest.mark.parametrize('vms', [1, 7, 65])
+def test_outage_of_a_service_restricts_nobody_for_long(
+    vms: int, path: str, crash_seconds: float
+) -> None:
+    """Guards against refusing a frequent harmless request for half an hour, as it
+    was in flight on many targets when all of them crashed at once.
+    """
+    fleet = CrashingFleet(
+        vms, '/order/x', 0.02, other_paths=(path,), run_seconds=0.133
+    )
+    fleet.run(5, 0, _FREQUENT_PER_SECOND)
+    fleet.end_services(crash_seconds)
+    fleet.run(30, 0, _FREQUENT_PER_SECOND)
+    assert not fleet.is_any_suspected()
+    refused = len(fleet.refused_paths)
+    fleet.run(5, 0, _FREQUENT_PER_SECOND)
+    assert len(fleet.refused_paths) == refused
