Take no answer with a status that HTTP does not define

What callers saw: a target's answer with status 600 or 999 was passed on to them, signed and whole, and no other target was asked.

Cause: the parser accepts any three digits from 100 on, and nothing checked that the code belongs to a class of RFC 9110.

Change: such a response is a violation of the protocol for all three clients (targets and other VMs, the own interface, store and relays). The send ends as invalid, may have run, and is repeated only where that is allowed.

--- a/nutmegstep/platform_api/connection.py
+++ b/nutmegstep/platform_api/connection.py
@@ -10,6 +10,7 @@
 import h11
 
 from nutmegstep.web.sockets import set_user_timeout
+from nutmegstep.web.statuses import check_status
 from nutmegstep.web.turns import EVENTS_PER_TURN
 
 __all__ = ['HttpCall', 'HttpReply', 'PlatformConnection']
@@ -186,6 +187,7 @@
             event = self._http.next_event()
         if not isinstance(event, h11.Event):
             raise ConnectionResetError('connection is paused')
+        check_status(event)
         return event
 
 
--- a/nutmegstep/web/turns.py
+++ b/nutmegstep/web/turns.py
@@ -11,6 +11,8 @@
 
 import h11
 
+from nutmegstep.web.statuses import check_status
+
 __all__ = ['EVENTS_PER_TURN', 'ReceivedBytes', 'TurnQueue']
 
 EVENTS_PER_TURN: Final = 32
@@ -76,6 +78,7 @@
         while event is h11.NEED_DATA and self._waiting:
             parser.receive_data(self._take_piece())
             event = parser.next_event()
+        check_status(event)
         return event
 
     def _take_piece(self) -> bytes:
