Share the memory of responses among all connections

What operators saw elsewhere: a target that sends without end makes the machine that called it run out of memory. Here nine such targets made one VM take 133 to 174 MB, and 68 to 74 MB in the kernel, within 6 s (50 MB without load); both count towards its limit.

Cause: what each connection may hold was a constant (256 KB of body whatever the others take, a read of 256 KB that waits for the parser, 512 KB in the kernel), and a VM opens up to 30 connections to one target.

Connections read 64 KB at once into one shared buffer and drop what waits when they fail. The kernel's buffer is 64 KB.

The kinds of endless responses moved to tests/endless.py unchanged; the crowds' measure of bytes in the kernel can include targets.

--- a/nutmegstep/gateway/pooled_connection.py
+++ b/nutmegstep/gateway/pooled_connection.py
@@ -20,7 +20,7 @@
 """Value of the TCP_USER_TIMEOUT option: the kernel closes a connection whose
 sent bytes are not acknowledged for this time. Without it a connection stays
 open for minutes after a network partition."""
-_RECEIVE_BUFFER_BYTES: Final = 256 * 1024
+_RECEIVE_BUFFER_BYTES: Final = 64 * 1024
 """Size of the kernel's buffer for bytes that the VM has not read yet."""
 _STATUS_MISDIRECTED: Final = 421
 _MAX_INTERIM_RESPONSES: Final = 8
@@ -40,7 +40,7 @@
 have run then."""
 
 
-class PooledConnection(asyncio.Protocol):
+class PooledConnection(asyncio.BufferedProtocol):
     """Sends one request at a time and reads its response.
 
     Parameters
@@ -124,11 +124,22 @@
     def fail(self, kind: SendFailureKind) -> None:
         """Close the connection; a request in flight ends with `kind`."""
         exchange = self._end_exchange()
+        # Timers and callbacks can refer to the connection for some time.
+        self._received = ReceivedBytes()
         if self._transport is not None:
             self._transport.abort()
         if exchange is not None:
             exchange.on_outcome(kind)
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read."""
+        return self._memory.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Read response bytes that are in the buffer."""
+        received = memoryview(self._memory.read_buffer)[:nbytes]
+        self.data_received(received.tobytes())
+
     def data_received(self, data: bytes) -> None:
         """Read response bytes; close the connection if none are expected."""
         if self._exchange is None:
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -14,25 +14,11 @@
 from nutmegstep.gateway.exchange import SendOutcome
 from nutmegstep.gateway.pool import ConnectionPool
 from nutmegstep.platform.wire import CODEC
+from tests.endless import ENDLESS, flood
 from tests.gateway.sends import send_to
 
-_HEAD = b'HTTP/1.1 200 OK\r\n'
-_BLOCK = b'x' * 65536
-_HEADERS = b'a: b\r\n' * 1000
-_CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
-_ENDLESS = {
-    'header': (_HEAD + b'a: ', _BLOCK),
-    'headers': (_HEAD, _HEADERS),
-    'no head': (b'', _BLOCK),
-    'interim': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 100),
-    'length': (_HEAD + b'content-length: 999999999\r\n\r\n', _BLOCK),
-    'chunked': (_HEAD + _CHUNKED, b'10000\r\n' + _BLOCK + b'\r\n'),
-    'unframed': (_HEAD + b'\r\n', _BLOCK),
-    'trailers': (_HEAD + _CHUNKED + b'0\r\n', _HEADERS),
-}
-"""For each kind the first bytes and those that follow without end."""
 _HEALTHY = 'healthy'
-_HEALTHY_ANSWER = _HEAD + b'content-length: 4\r\n\r\nbody'
+_HEALTHY_ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody'
 _TARGETS = 30
 _MAX_HELD_BYTES = 30 * 1024 * 1024
 """Most that the targets may take together of the 200 MB of a small VM."""
@@ -57,17 +43,6 @@
         """Stop listening."""
         self._server.close()
 
-    async def flood(self, writer: asyncio.StreamWriter) -> None:
-        """Write without end until the connection is closed."""
-        first, rest = _ENDLESS[self.kind]
-        # drain() returns without a turn of the event loop while the kernel
-        # takes the bytes; the sleep lets the readers run.
-        writer.write(first)
-        while True:
-            writer.write(rest)
-            await writer.drain()
-            await asyncio.sleep(0)
-
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -76,7 +51,7 @@
             writer.write(_HEALTHY_ANSWER)
         else:
             with suppress(ConnectionError):
-                await self.flood(writer)
+                await flood(self.kind, writer)
             self.is_closed.set()
         writer.close()
 
@@ -135,11 +110,11 @@
     loop = asyncio.get_running_loop()
     loop.call_soon(lambda: turns.append(writer.blocks))
     with pytest.raises(ConnectionResetError):
-        await _Target('length').flood(cast(asyncio.StreamWriter, writer))
+        await flood('length', cast(asyncio.StreamWriter, writer))
     assert turns == [1]
 
 
-@pytest.mark.parametrize('kind', _ENDLESS)
+@pytest.mark.parametrize('kind', ENDLESS)
 async def test_endless_response_ends_as_a_failure(
     caller: _Caller, kind: str
 ) -> None:
--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -6,7 +6,13 @@
 import asyncio
 import os
 import socket
-from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+)
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from itertools import chain, repeat
@@ -116,11 +122,18 @@
 
 
 @asynccontextmanager
-async def usage_of(gateway: GatewayProcess) -> AsyncIterator[Usage]:
-    """Watch the descriptors of a gateway process and its bytes in the kernel."""
+async def usage_of(
+    gateway: GatewayProcess, target_ports: Collection[int] = ()
+) -> AsyncIterator[Usage]:
+    """Watch the descriptors of a gateway process and its bytes in the kernel.
+
+    They are those of its callers, its neighbours and some targets.
+    """
     usage = Usage()
     ports = frozenset((gateway.port, peers_port(gateway)))
-    task = asyncio.create_task(_watch(usage, gateway.process.pid, ports))
+    task = asyncio.create_task(
+        _watch(usage, gateway.process.pid, ports, frozenset(target_ports))
+    )
     yield usage
     task.cancel()
 
@@ -184,22 +197,34 @@
     return '\r\n'.join(chain(lines, ('', ''))).encode()
 
 
-async def _watch(usage: Usage, pid: int, ports: frozenset[int]) -> None:
+async def _watch(
+    usage: Usage,
+    pid: int,
+    ports: frozenset[int],
+    remote_ports: frozenset[int],
+) -> None:
     while True:
         with suppress(OSError):
             count = len(os.listdir(f'/proc/{pid}/fd'))
             usage.descriptors = max(usage.descriptors, count)
-        usage.in_kernel = max(usage.in_kernel, _bytes_in_kernel(ports))
+        in_kernel = _bytes_in_kernel(ports, remote_ports)
+        usage.in_kernel = max(usage.in_kernel, in_kernel)
         await asyncio.sleep(_SAMPLE_SECONDS)
 
 
-def _bytes_in_kernel(ports: frozenset[int]) -> int:
+def _bytes_in_kernel(
+    ports: frozenset[int], remote_ports: frozenset[int]
+) -> int:
     rows = Path('/proc/net/tcp').read_text().splitlines()[1:]
     fields = (row.split() for row in rows)
     return sum(
         sum(int(queue, _HEX) for queue in one[_QUEUES_COLUMN].split(':'))
         for one in fields
-        if int(one[1].partition(':')[2], _HEX) in ports
+        if (_port(one[1]) in ports or _port(one[2]) in remote_ports)
         # The queue of a listening socket counts connections.
         and one[3] != '0A'
     )
+
+
+def _port(address: str) -> int:
+    return int(address.partition(':')[2], _HEX)
