Call the sends of restricted content probes, and state when the next one is due

Cause: "trial" was already the name of the sends of a suspected query, one part at a time, and Retry-After was a constant that was too short in the first seconds after a crash, when no probe is sent.

Change: the sends of restricted content are probes (the usual term for a half-open circuit), in a module of their own. Retry-After is the time until the next turn and one second for the probe, spread by half.

--- a/nutmegstep/dispatch/content_crashes.py
+++ b/nutmegstep/dispatch/content_crashes.py
@@ -12,13 +12,13 @@
 CLEAR_SECONDS: Final = 1.0
 """Time in which a harmless request that is sent often runs on some target after
 many have crashed at once."""
-_TRIAL_SECONDS: Final = 4.0
-"""Time between the turns of two VMs to send a trial of restricted content."""
+_TURN_INTERVAL: Final = 4.0
+"""Time in seconds between the turns of two VMs to probe restricted content."""
 _TURN_SECONDS: Final = 2.5
-"""Time in which a VM may send the trial of its turn; shorter than the time between
-turns by what the other VMs need to learn that its target has crashed."""
+"""Time in which a VM may send the probe of its turn; shorter than the interval by
+what the other VMs need to learn that its target has crashed."""
 _MAX_CRASHES: Final = 3
-"""Crashes in a row from which content is restricted. One more, in a trial, shows
+"""Crashes in a row from which content is restricted. One more, in a probe, shows
 that the content is the cause."""
 _MAX_CONCURRENT_CRASHES: Final = 2
 """Crashes, none of them known when the others happened, from which content is
@@ -67,7 +67,7 @@
 
     def __init__(self) -> None:
         self.by_record: dict[CrashRecord, Crash] = {}
-        self._next_trial_at = -math.inf
+        self._next_probe_at = -math.inf
 
     @property
     def services(self) -> frozenset[str]:
@@ -99,11 +99,11 @@
 
     @property
     def is_refused(self) -> bool:
-        """Whether a trial of the content has crashed its target as well."""
+        """Whether a probe of the content has crashed its target as well."""
         return self.count() > _MAX_CRASHES
 
     def is_restricted(self, now: float) -> bool:
-        """Return whether the content may only be sent in trials.
+        """Return whether the content may only be sent in probes.
 
         Crashes that were not in a row count as well if the content has not run
         for some time since: in a large fleet, many VMs send it before they
@@ -112,17 +112,18 @@
         crashes = self.count()
         if crashes >= _MAX_CRASHES:
             return crashes == _MAX_CRASHES
+        # Each crash in a row has a record; the others were concurrent.
         if len(self.by_record) - crashes + 1 < _MAX_CONCURRENT_CRASHES:
             return False
         first_seen_at = min(one.seen_at for one in self.by_record.values())
         return now >= first_seen_at + CLEAR_SECONDS
 
     def has_turn(self, now: float, position: int, senders: int) -> bool:
-        """Return whether a VM may send a trial of restricted content now.
+        """Return whether a VM may probe restricted content now.
 
         The VMs take turns, the first one some seconds after the latest crash, as
         the targets of an outage do not all crash at the same moment. Between two
-        turns none sends a trial, so that the next VM has learned of a crash in
+        turns none sends a probe, so that the next VM has learned of a crash in
         the one before.
 
         Parameters
@@ -134,17 +135,22 @@
         senders : int
             Number of VMs that take turns.
         """
-        latest_crash_at = max(one.seen_at for one in self.by_record.values())
-        begins = latest_crash_at + _TRIAL_SECONDS
-        if now < max(begins, self._next_trial_at):
+        if now < self._next_probe_at or self.seconds_until_turn(now):
             return False
-        turn, in_turn = divmod(now - begins, _TRIAL_SECONDS)
-        is_own = turn % senders == position % senders
-        return is_own and in_turn < _TURN_SECONDS
-
-    def record_trial(self, now: float) -> None:
+        turn = (now - self._turns_begin_at) // _TURN_INTERVAL
+        return turn % senders == position % senders
+
+    def seconds_until_turn(self, now: float) -> float:
+        """Return the time until any VM has its turn; 0 while one has it."""
+        since_first = now - self._turns_begin_at
+        if since_first < 0:
+            return -since_first
+        in_turn = since_first % _TURN_INTERVAL
+        return 0 if in_turn < _TURN_SECONDS else _TURN_INTERVAL - in_turn
+
+    def record_probe(self, now: float) -> None:
         """Record that this VM has used its turn."""
-        self._next_trial_at = now + _TRIAL_SECONDS
+        self._next_probe_at = now + _TURN_INTERVAL
 
     def add_loss(self, loss: Loss, now: float) -> None:
         """Add a crash that this VM has observed.
@@ -152,7 +158,7 @@
         It is not added if as many crashes in a row are known. If other shards
         have answered the request, only its crashes of the same shard are in a
         row: it can be harmless there, and the others have another cause. The one
-        that leads to a refusal is that of a trial.
+        that leads to a refusal is that of a probe.
         """
         answered = loss.open_request.answered
         lost = len(loss.open_request.lost_services)
@@ -162,11 +168,11 @@
                 known.publish_at = min(known.publish_at, now)
         service = loss.service if answered else None
         generation = self.count(loss.send_id, service) + 1
-        is_trial = loss.open_request.trial_generation is not None
-        if is_trial and (service is None or service in self.services):
+        is_probe = loss.open_request.probe_generation is not None
+        if is_probe and (service is None or service in self.services):
             generation = _MAX_CRASHES + 1
         # An outage can end any number of targets one after the other.
-        generation = min(generation, _MAX_CRASHES + is_trial)
+        generation = min(generation, _MAX_CRASHES + is_probe)
         if generation <= self.count():
             return
         crash = Crash(loss.at, loss.next_send_id)
@@ -177,3 +183,8 @@
             loss.content, incarnation, generation, loss.service
         )
         self.by_record[record] = crash
+
+    @property
+    def _turns_begin_at(self) -> float:
+        latest_crash_at = max(one.seen_at for one in self.by_record.values())
+        return latest_crash_at + _TURN_INTERVAL
--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -24,8 +24,6 @@
 from nutmegstep.verdict import Reason, refuse
 
 __all__ = [
-    'begin_trial',
-    'has_turn',
     'is_barred',
     'is_being_checked',
     'is_refused',
@@ -45,9 +43,8 @@
 
 _CHECK_SECONDS: Final = 0.05
 """Time in which most targets are known to listen or not."""
-_RESTRICTED_RETRY_SECONDS: Final = 1.5
-"""``Retry-After`` of restricted content; by then a VM has its turn to send a
-trial."""
+_PROBE_SECONDS: Final = 1.0
+"""Time from the beginning of a turn in which a probe has usually run."""
 _RETRY_AFTER_SPREAD: Final = 0.5
 """Share of ``Retry-After`` by which callers of restricted content return at
 different moments."""
@@ -126,51 +123,30 @@
 ) -> bool:
     """Return whether a request must not be sent, or sent again.
 
-    Restricted content is sent in trials only. A trial ends with the next crash.
+    Restricted content is sent in probes only. A probe ends with the next crash.
     """
     if state.crashes.is_empty:
         return False
     crashes = state.crashes.find(open_request.content)
     if crashes.is_refused:
         return True
-    is_trial = open_request.trial_generation == crashes.count()
-    return crashes.is_restricted(now) and not is_trial
-
-
-def has_turn(
-    state: DispatchState, open_request: OpenRequest, now: float
-) -> bool:
-    """Return whether this VM may send a trial of a restricted request now."""
-    crashes = state.crashes.find(open_request.content)
-    return crashes.is_restricted(now) and crashes.has_turn(
-        now, state.position, state.vm_count
-    )
-
-
-def begin_trial(
-    state: DispatchState, open_request: OpenRequest, now: float
-) -> list[Effect]:
-    """Make a restricted request, which this VM has the turn to send, a trial."""
-    crashes = state.crashes.find(open_request.content)
-    crashes.record_trial(now)
-    open_request.trial_generation = crashes.count()
-    inputs = {
-        'content': open_request.content,
-        'crashes': open_request.trial_generation,
-    }
-    return [Decision('trial', open_request.request.attempt_id, inputs)]
+    is_probe = open_request.probe_generation == crashes.count()
+    return crashes.is_restricted(now) and not is_probe
 
 
 def refuse_crashing(
     state: DispatchState,
     open_request: OpenRequest,
+    now: float,
 ) -> list[Effect]:
-    """Refuse a request that has crashed too many targets."""
+    """Refuse a request that is refused for good, or restricted for now."""
     seconds = KEEP_SECONDS
     detail = 'targets that ran this request have crashed'
     if not is_refused(state, open_request):
         spread = _RETRY_AFTER_SPREAD * state.random.random()
-        seconds = _RESTRICTED_RETRY_SECONDS * (1 + spread)
+        crashes = state.crashes.find(open_request.content)
+        until_probe = crashes.seconds_until_turn(now) + _PROBE_SECONDS
+        seconds = until_probe * (1 + spread)
         detail = (
             'targets have crashed while this request was in flight; it is sent '
             + 'again now and then'
--- a/nutmegstep/dispatch/crashes.py
+++ b/nutmegstep/dispatch/crashes.py
@@ -7,7 +7,7 @@
 and another one after it. Many targets that crash at once, as in a power cut,
 count as one: only a send that was made when a crash was known adds another.
 Content that was in flight on many of them is restricted: until it has run again,
-the VMs send it in trials only, one every few seconds in the whole fleet.
+the VMs send it in probes only, one every few seconds in the whole fleet.
 """
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
--- a/nutmegstep/dispatch/requests.py
+++ b/nutmegstep/dispatch/requests.py
@@ -114,8 +114,8 @@
         none is pending, as the request may crash its targets.
     lost_services : set of str
         Services whose targets closed a connection without a response.
-    trial_generation : int or None
-        Crashes in a row that were known when the request became a trial of
+    probe_generation : int or None
+        Crashes in a row that were known when the request became a probe of
         restricted content; None if it is none.
     next_lone_hedge_at : float
         Monotonic time in seconds until which no part is hedged while none has
@@ -144,7 +144,7 @@
     answered: int = 0
     held_parts: list[Part] = field(default_factory=list)
     lost_services: set[str] = field(default_factory=set)
-    trial_generation: int | None = None
+    probe_generation: int | None = None
     next_lone_hedge_at: float = 0
     delegation: Delegation | None = None
     substitutes_asked: int = 0
--- a/nutmegstep/dispatch/serving.py
+++ b/nutmegstep/dispatch/serving.py
@@ -17,7 +17,7 @@
 ) -> list[Effect]:
     """Delegate an open request, send it to targets, or refuse it."""
     if is_refused(state, open_request):
-        return refuse_crashing(state, open_request)
+        return refuse_crashing(state, open_request, now)
     if not has_time_left(state, open_request, now):
         return _turn_away_stopping(state, open_request)
     delegation = delegate(state, open_request, now)
--- a/nutmegstep/dispatch/starting.py
+++ b/nutmegstep/dispatch/starting.py
@@ -7,8 +7,6 @@
 
 from nutmegstep.dispatch.completion import answer_if_due, refuse_open
 from nutmegstep.dispatch.crash_control import (
-    begin_trial,
-    has_turn,
     is_barred,
     is_suspected,
     refuse_crashing,
@@ -19,6 +17,7 @@
 from nutmegstep.dispatch.selection import is_usable, seconds_until_usable
 from nutmegstep.dispatch.sending import send_first
 from nutmegstep.dispatch.state import DispatchState
+from nutmegstep.dispatch.probes import begin_probe, may_probe
 from nutmegstep.dispatch.trials import start_trial
 from nutmegstep.verdict import Reason, refuse
 
@@ -43,9 +42,9 @@
     It is refused if it has crashed too many targets, or if too few shards have
     a usable target for an answer.
     """
-    is_trial = is_barred(state, open_request, now)
-    if is_trial and not has_turn(state, open_request, now):
-        return refuse_crashing(state, open_request)
+    is_probe = is_barred(state, open_request, now)
+    if is_probe and not may_probe(state, open_request, now):
+        return refuse_crashing(state, open_request, now)
     lacking = _lacking_services(state, open_request, now)
     covered = len(open_request.parts) - len(lacking)
     if covered < open_request.required:
@@ -58,7 +57,7 @@
             forwarded = _forward_unreached(state, open_request, lacking, now)
         return forwarded or _refuse_uncovered(state, open_request, wait, now)
     return [
-        *(begin_trial(state, open_request, now) if is_trial else ()),
+        *(begin_probe(state, open_request, now) if is_probe else ()),
         *_send_parts(state, open_request, now),
         *answer_if_due(state, open_request, now),
     ]
