--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 python3 - <<'P'
 import pathlib, sys
-for path in ('review/stand3.py', 'review/queued3.py', *map(str, sorted(pathlib.Path('review').glob('1[1-5]/play.py')))):
+for path in ('review/stand3.py', *map(str, sorted(pathlib.Path('review').glob('1[1-5]/play.py')))):
     compile(pathlib.Path(path).read_text(encoding='utf-8'), path, 'exec')
 if not pathlib.Path('target/deps/h11').is_dir():
     sys.exit('target/deps is missing: run the build line of deploy/system.toml first')
--- a/review/stand3.py
+++ b/review/stand3.py
@@ -38,8 +38,8 @@
     def write(self, text, show=False):
         line = f'{self.now():8.3f} {text}'
         self.file.write(line + '\n')
-        self.file.flush()
         if show:
+            self.file.flush()
             print(line, flush=True)
 
 
