--- a/nutmegstep/relay/server.py
+++ b/nutmegstep/relay/server.py
@@ -23,8 +23,8 @@
 _HISTORY_GONE: Final = HttpResponse(410, b'{}')
 _UNKNOWN_KIND: Final = HttpResponse(404, b'{}')
 _MAX_CACHED_RESPONSES: Final = 16
-"""Most encoded responses that are kept for a kind. All VMs request the same
-changes within milliseconds; some lag behind by a few revisions."""
+"""Most encoded responses of the latest revision that are kept for a kind. All VMs
+request the same changes within milliseconds; some lag behind by a few revisions."""
 
 _RevisionRange = tuple[int | None, int]
 """First and last revision of a response; the first is None for a listing."""
@@ -113,7 +113,14 @@
         encode: Callable[[], bytes],
     ) -> HttpResponse:
         """Return the response for a range of revisions, encoding it once."""
-        responses = self._responses_by_cache.setdefault(cache, {})
+        responses = {
+            known: response
+            for known, response in self._responses_by_cache.get(
+                cache, {}
+            ).items()
+            if known[1] >= cache.revision
+        }
+        self._responses_by_cache[cache] = responses
         response = responses.get(revisions)
         if response is None:
             response = HttpResponse(200, encode(), content_type=_CONTENT_TYPE)
--- a/tests/relay/test_server.py
+++ b/tests/relay/test_server.py
@@ -1,6 +1,7 @@
 """Size and encoding of the responses of a relay."""
 
 import asyncio
+import tracemalloc
 from random import Random
 
 from nutmegstep.relay import RelayCache, RelayServer
@@ -13,6 +14,7 @@
 _READERS = 22
 _CHANGES_PER_SECOND = 3.6
 _SERVICES = 98
+_DOCUMENT_BYTES = 100_000
 
 
 def _document(version: int) -> dict[str, object]:
@@ -81,3 +83,25 @@
     )
     relay = _relay(cache)
     assert await _watch(relay, 1) is await _watch(relay, 1)
+
+
+async def test_responses_of_earlier_revisions_are_not_kept() -> None:
+    """Guards against a relay whose memory fills up with responses that no reader
+    asks for any more, after many versions of a large configuration.
+    """
+    random = Random(1)
+    cache = RelayCache()
+    cache.replace_all(Listing({}, 1))
+    relay = _relay(cache)
+    tracemalloc.start()
+    for version in range(2, 22):
+        # Random text is as large after its compression as half of it.
+        document = random.randbytes(_DOCUMENT_BYTES).hex()
+        change = ObjectChange('main', document, False)
+        cache.apply_changes(ObjectChanges((change,), version))
+        del change, document
+        assert len(await _watch(relay, version - 1)) > _DOCUMENT_BYTES
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    # The document has two characters a byte, its response about one.
+    assert used < 2 * 3 * _DOCUMENT_BYTES
