Tell the crash of a probe from an outage before its content is refused

What callers saw: all targets of a service were down for 4.5 s, twice, 0.7 s apart.

Cause: the crash of a probe's target was taken as proof that the content is the cause, whatever else ended at that moment. Nothing can revise it for 30 minutes, as refused content is not sent.

Change: a VM that probes opens connections to a few other targets of the service and of the failure domain when it sends the probe, when its target has crashed and until 1 s later. If they end as well, the content stays restricted, the record of the crash says so, and the next pause is four times as long. Else it is refused as before.

Why it works: no other target runs restricted content while a probe does, so the content cannot end another one. The growing pause keeps content that is the cause within the tolerated retries while outages hide it.

--- a/nutmegstep/dispatch/content_crashes.py
+++ b/nutmegstep/dispatch/content_crashes.py
@@ -1,11 +1,12 @@
 """Crashes of targets for which one content is suspected."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from nutmegstep.dispatch.control_events import CrashRecord
 from nutmegstep.dispatch.losses import Loss
+from nutmegstep.dispatch.probe_watch import ProbeWatch
 
 __all__ = ['CLEAR_SECONDS', 'ContentCrashes', 'Crash']
 
@@ -14,12 +15,15 @@
 many have crashed at once."""
 _TURN_INTERVAL: Final = 4.0
 """Time in seconds between the turns of two VMs to probe restricted content."""
+_PAUSE_GROWTH: Final = 4
+"""Factor by which the pause before the next probe grows with each one whose target
+has crashed. Content that is the cause then ends few targets while outages hide it."""
 _TURN_SECONDS: Final = 2.5
 """Time in which a VM may send the probe of its turn; shorter than the interval by
 what the other VMs need to learn that its target has crashed."""
 _MAX_CRASHES: Final = 3
-"""Crashes in a row from which content is restricted. One more, in a probe, shows
-that the content is the cause."""
+"""Crashes in a row from which content is restricted. One more, in a probe, which
+no outage explains, shows that the content is the cause."""
 _MAX_CONCURRENT_CRASHES: Final = 2
 """Crashes, none of them known when the others happened, from which content is
 restricted."""
@@ -63,10 +67,13 @@
     ----------
     by_record : dict
         Crashes, by their record in the store.
+    watch : ProbeWatch or None
+        Latest probe of this VM, until the cause of its crash is decided.
     """
 
     def __init__(self) -> None:
         self.by_record: dict[CrashRecord, Crash] = {}
+        self.watch: ProbeWatch | None = None
         self._next_probe_at = -math.inf
 
     @property
@@ -99,7 +106,7 @@
 
     @property
     def is_refused(self) -> bool:
-        """Whether a probe of the content has crashed its target as well."""
+        """Whether the content has crashed the target of a probe as well."""
         return self.count() > _MAX_CRASHES
 
     def is_restricted(self, now: float) -> bool:
@@ -122,9 +129,9 @@
         """Return whether a VM may probe restricted content now.
 
         The VMs take turns, the first one some seconds after the latest crash, as
-        the targets of an outage do not all crash at the same moment. Between two
-        turns none sends a probe, so that the next VM has learned of a crash in
-        the one before.
+        the targets of an outage do not all crash at the same moment, and later
+        after each probe whose target has crashed. Between two turns none sends a
+        probe, so that the next VM has learned of a crash in the one before.
 
         Parameters
         ----------
@@ -152,13 +159,14 @@
         """Record that this VM has used its turn."""
         self._next_probe_at = now + _TURN_INTERVAL
 
-    def add_loss(self, loss: Loss, now: float) -> None:
-        """Add a crash that this VM has observed.
+    def add_loss(self, loss: Loss, now: float) -> CrashRecord | None:
+        """Add a crash that this VM has observed; return its record if it ends a
+        probe.
 
         It is not added if as many crashes in a row are known. If other shards
         have answered the request, only its crashes of the same shard are in a
-        row: it can be harmless there, and the others have another cause. The one
-        that leads to a refusal is that of a probe.
+        row: it can be harmless there, and the others have another cause. The
+        crash of a probe is not in a row either, as an outage may be its cause.
         """
         answered = loss.open_request.answered
         lost = len(loss.open_request.lost_services)
@@ -167,24 +175,41 @@
             for known in self.by_record.values():
                 known.publish_at = min(known.publish_at, now)
         service = loss.service if answered else None
-        generation = self.count(loss.send_id, service) + 1
+        crash = Crash(loss.at, loss.next_send_id)
         is_probe = loss.open_request.probe_generation is not None
         if is_probe and (service is None or service in self.services):
-            generation = _MAX_CRASHES + 1
+            record = CrashRecord(
+                loss.content,
+                loss.incarnation,
+                self.count(),
+                loss.service,
+                is_probe=True,
+            )
+            self.by_record[record] = crash
+            # Further targets that it has lost, and its repeats, are no probes.
+            loss.open_request.probe_generation = None
+            return record
         # An outage can end any number of targets one after the other.
-        generation = min(generation, _MAX_CRASHES + is_probe)
+        generation = min(self.count(loss.send_id, service) + 1, _MAX_CRASHES)
         if generation <= self.count():
-            return
-        crash = Crash(loss.at, loss.next_send_id)
+            return None
         if generation == 1 and not is_urgent:
             crash.publish_at = loss.at + _PUBLISH_SECONDS
-        incarnation = f'{loss.target_id}-{loss.started_ms}'
         record = CrashRecord(
-            loss.content, incarnation, generation, loss.service
+            loss.content, loss.incarnation, generation, loss.service
         )
         self.by_record[record] = crash
+        return None
+
+    def refuse(self, probe: CrashRecord) -> None:
+        """Refuse the content, as it is the cause of the crash of a probe."""
+        known = self.by_record[probe]
+        record = replace(probe, generation=_MAX_CRASHES + 1, is_probe=False)
+        self.by_record[record] = Crash(known.seen_at, known.next_send_id)
 
     @property
     def _turns_begin_at(self) -> float:
         latest_crash_at = max(one.seen_at for one in self.by_record.values())
-        return latest_crash_at + _TURN_INTERVAL
+        crashed_probes = sum(one.is_probe for one in self.by_record)
+        growth = float(_PAUSE_GROWTH) ** crashed_probes
+        return latest_crash_at + _TURN_INTERVAL * growth
--- a/nutmegstep/dispatch/control_events.py
+++ b/nutmegstep/dispatch/control_events.py
@@ -174,12 +174,16 @@
         before was known; 0 if it is not known.
     service : str
         Service of the target; empty if it is not known.
+    is_probe : bool
+        Whether the target was running a probe, and nothing yet shows that the
+        content is the cause.
     """
 
     content: str
     incarnation: str
     generation: int = 0
     service: str = ''
+    is_probe: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/nutmegstep/dispatch/crash_control.py
+++ b/nutmegstep/dispatch/crash_control.py
@@ -1,6 +1,8 @@
 """Handles losses of targets and changes of the crash records in the store."""
 
+import math
 from datetime import timedelta
+from itertools import chain
 from typing import Final
 
 from nutmegstep.dispatch.completion import refuse_open
@@ -19,6 +21,7 @@
     PublishCrash,
 )
 from nutmegstep.dispatch.losses import Evaluation, Loss
+from nutmegstep.dispatch.probes import decide_probes, end_probe
 from nutmegstep.dispatch.requests import OpenRequest, Send
 from nutmegstep.dispatch.state import DispatchState
 from nutmegstep.verdict import Reason, refuse
@@ -104,9 +107,14 @@
 def is_being_checked(
     state: DispatchState, open_request: OpenRequest, now: float
 ) -> bool:
-    """Return whether it will soon be known if a request crashed a target."""
+    """Return whether it will soon be known if a request crashed a target.
+
+    A probe waits until it is known, so that it ends one target at most.
+    """
+    is_probe = open_request.probe_generation is not None
+    longest = math.inf if is_probe else _CHECK_SECONDS
     return not state.losses.is_empty and state.losses.is_suspected(
-        open_request.content, now - _CHECK_SECONDS
+        open_request.content, now - longest
     )
 
 
@@ -170,6 +178,8 @@
     now: float,
 ) -> list[Effect]:
     """Record whether a target that closed a connection still listens."""
+    for watch in state.crashes.watches():
+        watch.record_check(event.target_id, is_listening=event.is_listening)
     dropped = state.losses.record_check(
         event.target_id, is_listening=event.is_listening
     )
@@ -181,10 +191,15 @@
     if state.losses.is_empty and state.crashes.is_empty:
         return []
     confirmed = state.losses.confirm(state.contact_at)
-    for loss in confirmed:
-        state.crashes.record_loss(loss, now)
+    probes = [
+        state.crashes.of_content(loss.content).add_loss(loss, now)
+        for loss in confirmed
+    ]
     return [
         *log_evaluated(confirmed),
+        *chain.from_iterable(
+            end_probe(state, crash, now) for crash in probes if crash
+        ),
         *_log_barred(state, now),
         *(PublishCrash(one) for one in state.crashes.take_unpublished(now)),
     ]
@@ -196,6 +211,7 @@
     unknown = state.losses.expire(now)
     return [
         *log_evaluated(unknown),
+        *decide_probes(state, now),
         *settle_losses(state, now),
         *(DeleteCrash(record) for record in crashes.deleted.take_due(now)),
         *(
--- a/nutmegstep/dispatch/crashes.py
+++ b/nutmegstep/dispatch/crashes.py
@@ -7,7 +7,8 @@
 power cut, count as one: only a send that was made when a crash was known adds
 another. After several crashes content is restricted: until it has run again, the
 VMs send it in probes only, one every few seconds in the whole fleet. They refuse
-it once a probe has crashed its target too.
+it once a probe has crashed its target too, unless other targets have ended in the
+same second.
 """
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
@@ -21,7 +22,7 @@
 )
 from nutmegstep.dispatch.control_events import CrashRecord
 from nutmegstep.dispatch.deleted_records import DeletedRecords
-from nutmegstep.dispatch.losses import Loss
+from nutmegstep.dispatch.probe_watch import ProbeWatch
 
 __all__ = ['KEEP_SECONDS', 'CrashRecords']
 
@@ -64,6 +65,15 @@
         """Return the crashes for which content is suspected."""
         return self._crashes_by_content.get(content, ContentCrashes())
 
+    def of_content(self, content: str) -> ContentCrashes:
+        """Return the crashes of content, to which others may be added."""
+        return self._crashes_by_content.setdefault(content, ContentCrashes())
+
+    def watches(self) -> list[ProbeWatch]:
+        """Return the probes of this VM."""
+        watches = (one.watch for one in self._crashes_by_content.values())
+        return [one for one in watches if one is not None]
+
     def take_barred(self, now: float) -> list[tuple[str, bool]]:
         """Return the content that is restricted or refused from now on.
 
@@ -112,10 +122,6 @@
         self.deleted.record(published, now)
         return published
 
-    def record_loss(self, loss: Loss, now: float) -> None:
-        """Add a crash that this VM has observed."""
-        self._of(loss.content).add_loss(loss, now)
-
     def take_unpublished(self, now: float) -> list[CrashRecord]:
         """Return the crashes to write to the store, most suspected first."""
         unpublished = [
@@ -133,7 +139,7 @@
         self, record: CrashRecord, seen_at: float, next_send_id: int
     ) -> None:
         """Add a crash from the store."""
-        by_record = self._of(record.content).by_record
+        by_record = self.of_content(record.content).by_record
         crash = by_record.setdefault(record, Crash(seen_at, next_send_id))
         crash.is_published = True
         crash.is_stored = True
@@ -214,12 +220,9 @@
             crash.publish_at = rewrite_at
         self.deleted.schedule(listed, rewrite_at)
 
-    def _of(self, content: str) -> ContentCrashes:
-        return self._crashes_by_content.setdefault(content, ContentCrashes())
-
     def _remove(self, records: Iterable[CrashRecord]) -> None:
         for record in tuple(records):
-            by_record = self._of(record.content).by_record
+            by_record = self.of_content(record.content).by_record
             by_record.pop(record, None)
             if not by_record:
                 self._crashes_by_content.pop(record.content)
--- a/nutmegstep/dispatch/losses.py
+++ b/nutmegstep/dispatch/losses.py
@@ -13,7 +13,7 @@
 
 from nutmegstep.dispatch.requests import OpenRequest
 
-__all__ = ['Evaluation', 'Loss', 'Losses']
+__all__ = ['Evaluation', 'Loss', 'Losses', 'name_incarnation']
 
 _FORGET_SECONDS: Final = 5.0
 """Time after which a loss is dropped; longer than any check of a target and most
@@ -86,6 +86,24 @@
         """Digest of the content of the request."""
         return self.open_request.content
 
+    @property
+    def incarnation(self) -> str:
+        """Identifier of the target's process."""
+        return name_incarnation(self.target_id, self.started_ms)
+
+
+def name_incarnation(target_id: str, started_ms: int) -> str:
+    """Return the identifier of a target's process.
+
+    Parameters
+    ----------
+    target_id : str
+        Identifier of the target, which its next process may keep.
+    started_ms : int
+        Start of the process in Unix milliseconds.
+    """
+    return f'{target_id}-{started_ms}'
+
 
 class Losses:
     """Recent losses of this VM."""
--- a/nutmegstep/dispatch/sending.py
+++ b/nutmegstep/dispatch/sending.py
@@ -10,6 +10,7 @@
 from nutmegstep.discovery import TargetRecord
 from nutmegstep.dispatch.crash_control import is_barred
 from nutmegstep.dispatch.effects import Decision, Effect, SendRequest
+from nutmegstep.dispatch.probes import watch_bystanders
 from nutmegstep.dispatch.requests import OpenRequest, Part, Send
 from nutmegstep.dispatch.selection import (
     Choice,
@@ -53,7 +54,10 @@
     if choice is None:
         part.is_failed = True
         return []
-    return [_send(state, open_request, part, choice, now)]
+    return [
+        _send(state, open_request, part, choice, now),
+        *watch_bystanders(state, open_request, choice.target),
+    ]
 
 
 def repeat(
--- a/nutmegstep/gateway/crash_records.py
+++ b/nutmegstep/gateway/crash_records.py
@@ -23,6 +23,7 @@
 """Time after a failed write before it is tried again."""
 _SEPARATOR: Final = '.'
 _FIELD_SEPARATOR: Final = '~'
+_PROBE_MARK: Final = '~probe'
 
 
 class CrashReporter:
@@ -123,13 +124,16 @@
 def write_record(record: CrashRecord) -> str:
     """Encode a record as the name of an object in the store.
 
-    Older releases take all that follows the content for the incarnation.
+    Older releases take all that follows the content, or the mark of a probe, for a
+    part of the incarnation.
     """
     detail = record.incarnation
     if record.generation:
         detail = _FIELD_SEPARATOR.join(
             (str(record.generation), record.service, record.incarnation)
         )
+    if record.is_probe:
+        detail = f'{detail}{_PROBE_MARK}'
     return f'{record.content}{_SEPARATOR}{detail}'
 
 
@@ -139,8 +143,11 @@
     if not content or not detail:
         _LOG.warning('crash record cannot be read', extra={'record': name})
         return None
-    fields = detail.split(_FIELD_SEPARATOR, 2)
+    is_probe = detail.endswith(_PROBE_MARK)
+    fields = detail.removesuffix(_PROBE_MARK).split(_FIELD_SEPARATOR, 2)
     if len(fields) == 3 and fields[0].isdecimal():
         generation, service, incarnation = fields
-        return CrashRecord(content, incarnation, int(generation), service)
+        return CrashRecord(
+            content, incarnation, int(generation), service, is_probe
+        )
     return CrashRecord(content, detail)
--- a/tests/dispatch/crashing.py
+++ b/tests/dispatch/crashing.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+from nutmegstep.coordinators import DelegationTerms
 from nutmegstep.dispatch.content import content_digest
 from nutmegstep.dispatch.control_events import (
     HousekeepingDue,
@@ -17,7 +18,7 @@
     SendFailed,
     SendFailureKind,
 )
-from tests.dispatch.conftest import Dispatcher, records
+from tests.dispatch.conftest import HOST, Dispatcher, records
 
 __all__ = [
     'PATH',
@@ -26,6 +27,7 @@
     'crash_thrice',
     'list_one_target',
     'lose',
+    'make_request',
     'settle',
 ]
 
@@ -50,6 +52,23 @@
     return request
 
 
+def make_request(request_id: int, path: str, now: float) -> RoutedRequest:
+    """Return a request that a VM serves itself, coordinator or not."""
+    return RoutedRequest(
+        request_id,
+        f'attempt-{now}',
+        b'POST',
+        path.encode(),
+        HOST,
+        path,
+        (),
+        b'body',
+        2.0,
+        now,
+        delegated=DelegationTerms(1, 1),
+    )
+
+
 def list_one_target(dispatcher: Dispatcher, started_ms: int) -> None:
     """Leave one target for orders, started at some time."""
     known = records()['orders-north']
--- a/tests/gateway/test_crash_records.py
+++ b/tests/gateway/test_crash_records.py
@@ -180,6 +180,14 @@
     assert read_record(write_record(record)) == record
 
 
+def test_record_of_a_probe_is_read_back() -> None:
+    """Guards against VMs that take the crash of a probe for one of those that have
+    led to the restriction, and so send the next probe too early.
+    """
+    record = CrashRecord('0a1b', 'i~7.f-12', 3, 'shard-4', is_probe=True)
+    assert read_record(write_record(record)) == record
+
+
 def test_record_of_an_older_release_is_read() -> None:
     """Guards against crashes that are forgotten in an upgrade."""
     assert read_record('0a1b.i-7.f') == CrashRecord('0a1b', 'i-7.f')
